--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Each target does its own set-up in a virtual environment, .venv.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := core daemon client standins e2e
+STAMP := $(VENV)/.installed
+
+.PHONY: setup format lint unit scenarios golden demo bench test clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+	  $(foreach package,$(PACKAGES),--editable packages/$(package))
+	touch $(STAMP)
+
+format: setup
+	$(BIN)/ruff format packages
+
+lint: setup
+	$(BIN)/ruff format --check --diff packages
+	$(BIN)/flake8 packages
+
+unit: setup
+	$(BIN)/python -m auburnroad_e2e.unit
+
+scenarios: setup
+	$(BIN)/python -m auburnroad_e2e.scenarios
+
+golden: setup
+	$(BIN)/python -m auburnroad_e2e.golden
+
+demo: setup
+	@$(BIN)/python -m auburnroad_e2e.demo
+
+bench: setup
+	$(BIN)/python -m auburnroad_e2e.bench
+
+test: lint unit
+
+clean:
+	rm -rf $(VENV) packages/*/*.egg-info
--- /dev/null
+++ b/packages/client/auburnroad_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client auburnroad."""
--- /dev/null
+++ b/packages/core/auburnroad_core/__init__.py
@@ -0,0 +1,1 @@
+"""Data types, log fold, wire and settings that every package speaks."""
--- /dev/null
+++ b/packages/core/auburnroad_core/http/client.py
@@ -0,0 +1,260 @@
+"""An HTTP client over h11 that says whether a request can have been run.
+
+Connections are pooled for each address. A failure before the first byte was
+written is a ConnectError: the request was not run. Any later failure is a
+BrokenError: nobody on this side can know.
+"""
+
+import asyncio
+import collections
+import typing
+
+import h11
+import msgspec
+
+from auburnroad_core import errors
+from auburnroad_core.http import messages
+
+READ_BYTES = 65536
+IDLE_CONNECTIONS_PER_ADDRESS = 64
+CONNECT_TIMEOUT_SECONDS = 2.0
+
+
+class HttpError(errors.AuburnroadError):
+    """A request that got no whole answer."""
+
+
+class ConnectError(HttpError):
+    """No byte was sent: the request was not run."""
+
+
+class BrokenError(HttpError):
+    """The connection failed after sending began: run or not is unknown."""
+
+
+class _Connection:
+    """One pooled connection."""
+
+    __slots__ = ('h11', 'reader', 'writer')
+
+    def __init__(self, reader, writer):
+        self.h11 = h11.Connection(h11.CLIENT)
+        self.reader = reader
+        self.writer = writer
+
+    async def next_event(self):
+        """Read until h11 has an event."""
+        while True:
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.h11.receive_data(await self.reader.read(READ_BYTES))
+
+    def send(self, event) -> None:
+        """Hand an event to h11 and its bytes to the socket."""
+        data = self.h11.send(event)
+        if data:
+            self.writer.write(data)
+
+
+class Reply:
+    """A response whose body may still be on its way."""
+
+    __slots__ = ('status', 'headers', '_client', '_key', '_connection')
+
+    def __init__(self, status, headers, client, key, connection):
+        self.status = status
+        self.headers = headers
+        self._client = client
+        self._key = key
+        self._connection = connection
+
+    async def iterate(self) -> typing.AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        Yields:
+          Parts of the body in bytes.
+
+        Raises:
+          BrokenError: If the connection fails before the body's end.
+        """
+        try:
+            while True:
+                event = await self._connection.next_event()
+                if isinstance(event, h11.Data):
+                    yield bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    self._client.release(self._key, self._connection)
+                    self._connection = None
+                    return
+                else:
+                    raise BrokenError('the response ended early')
+        except (OSError, h11.ProtocolError) as error:
+            raise BrokenError(str(error)) from error
+        finally:
+            self.close()
+
+    async def read(self) -> bytes:
+        """Read the whole body.
+
+        Returns:
+          The body in bytes.
+
+        Raises:
+          BrokenError: If the connection fails before the body's end.
+        """
+        return b''.join([part async for part in self.iterate()])
+
+    def close(self) -> None:
+        """Drop the connection if the body was not read to its end."""
+        if self._connection is not None:
+            self._connection.writer.close()
+            self._connection = None
+
+
+class HttpClient:
+    """Sends requests to any address over pooled connections."""
+
+    __slots__ = ('_idle',)
+
+    def __init__(self):
+        self._idle = collections.defaultdict(collections.deque)
+
+    async def open(self, address: str, request: messages.Request) -> Reply:
+        """Send a request and wait for the head of its response.
+
+        Args:
+          address: 'IP number:port'.
+          request: What to send; its host header is filled in.
+
+        Returns:
+          The reply, whose body the caller reads or closes.
+
+        Raises:
+          ConnectError: If no byte was sent.
+          BrokenError: If the connection failed later.
+        """
+        connection = await self._acquire(address)
+        try:
+            return await self._exchange(address, connection, request)
+        except (OSError, h11.ProtocolError) as error:
+            connection.writer.close()
+            raise BrokenError(f'{address}: {error}') from error
+        except BaseException:
+            connection.writer.close()
+            raise
+
+    async def fetch(
+        self, address: str, request: messages.Request, timeout_seconds: float
+    ) -> messages.Response:
+        """Send a request and read its whole response.
+
+        Args:
+          address: 'IP number:port'.
+          request: What to send.
+          timeout_seconds: How long all of it may take.
+
+        Returns:
+          The response with its body.
+
+        Raises:
+          ConnectError: If no byte was sent.
+          BrokenError: If the answer did not come whole and in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                reply = await self.open(address, request)
+                body = await reply.read()
+        except TimeoutError as error:
+            raise BrokenError(f'{address}: timed out') from error
+        return messages.Response(reply.status, reply.headers, body)
+
+    def release(self, address: str, connection: _Connection) -> None:
+        """Take a connection back whose response was read to its end."""
+        connection.h11.start_next_cycle()
+        idle = self._idle[address]
+        if len(idle) >= IDLE_CONNECTIONS_PER_ADDRESS:
+            connection.writer.close()
+            return
+        idle.append(connection)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.writer.close()
+        self._idle.clear()
+
+    async def _acquire(self, address: str) -> _Connection:
+        idle = self._idle[address]
+        while idle:
+            connection = idle.pop()
+            if not _is_stale(connection):
+                return connection
+            connection.writer.close()
+        host, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            raise ConnectError(f'{address}: {error}') from error
+        return _Connection(reader, writer)
+
+    async def _exchange(self, address, connection, request) -> Reply:
+        headers = {'host': address, **request.headers}
+        headers['content-length'] = str(len(request.body))
+        connection.send(
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=list(headers.items()),
+            )
+        )
+        if request.body:
+            connection.send(h11.Data(data=request.body))
+        connection.send(h11.EndOfMessage())
+        await connection.writer.drain()
+        return await self._read_head(address, connection)
+
+    async def _read_head(self, address, connection) -> Reply:
+        event = await connection.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await connection.next_event()
+        if not isinstance(event, h11.Response):
+            raise BrokenError(f'{address}: closed without a response')
+        headers = {
+            name.decode('ascii'): value.decode('latin-1')
+            for name, value in event.headers
+        }
+        return Reply(event.status_code, headers, self, address, connection)
+
+
+def _is_stale(connection: _Connection) -> bool:
+    """Tell whether an idle connection was closed or holds stray bytes."""
+    return (
+        connection.reader.at_eof()
+        or connection.writer.is_closing()
+        or connection.h11.our_state is not h11.IDLE
+    )
+
+
+def json_request(
+    method: str,
+    target: str,
+    value: object = None,
+    headers: dict[str, str] | None = None,
+) -> messages.Request:
+    """Build a request that carries JSON.
+
+    Args:
+      method: Method in upper case.
+      target: Path with its query.
+      value: Anything that msgspec encodes; None for no body.
+      headers: Further headers by lower-case name.
+
+    Returns:
+      The request.
+    """
+    body = b'' if value is None else msgspec.json.encode(value)
+    merged = {'content-type': messages.JSON_TYPE, **(headers or {})}
+    return messages.Request(method, target, merged, body)
--- /dev/null
+++ b/packages/core/auburnroad_core/http/messages.py
@@ -0,0 +1,82 @@
+"""HTTP requests and responses as plain data."""
+
+import typing
+import urllib.parse
+
+import msgspec
+
+JSON_TYPE = 'application/json'
+SSE_TYPE = 'text/event-stream'
+
+
+class Request(msgspec.Struct):
+    """A request as a handler receives it.
+
+    Attributes:
+      method: Method in upper case.
+      target: Path with its query, as sent.
+      headers: Header values by lower-case name; repeated ones are joined by
+        a comma.
+      body: The whole body in bytes.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes = b''
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Query parameters by name; the last one of a name counts."""
+        query = self.target.partition('?')[2]
+        return dict(urllib.parse.parse_qsl(query))
+
+
+class Response(msgspec.Struct):
+    """A response as a handler returns it.
+
+    Attributes:
+      status: Status code.
+      headers: Header values by lower-case name.
+      body: The whole body in bytes; unused when there are chunks.
+      chunks: Body as it comes; sent with chunked transfer encoding.
+    """
+
+    status: int
+    headers: dict[str, str] = {}
+    body: bytes = b''
+    chunks: typing.AsyncIterator[bytes] | None = None
+
+
+def json_response(
+    status: int, value: object, headers: dict[str, str] | None = None
+) -> Response:
+    """Build a response that carries JSON.
+
+    Args:
+      status: Status code.
+      value: Anything that msgspec encodes.
+      headers: Further headers by lower-case name.
+
+    Returns:
+      The response.
+    """
+    merged = {'content-type': JSON_TYPE, **(headers or {})}
+    return Response(status, merged, msgspec.json.encode(value))
+
+
+def server_sent_event(data: bytes) -> bytes:
+    """Frame one server-sent event.
+
+    Args:
+      data: One line of text, usually JSON.
+
+    Returns:
+      The event in bytes.
+    """
+    return b'data: ' + data + b'\n\n'
--- /dev/null
+++ b/packages/core/auburnroad_core/http/server.py
@@ -0,0 +1,302 @@
+"""An HTTP server over h11 on the process's one loop.
+
+It reads a whole request, calls the handler, and writes the response. While
+the handler works, the connection is watched: a caller that goes away cancels
+its handler, so that work that nobody waits for stops. Draining lets requests
+in flight finish and closes idle connections.
+"""
+
+import asyncio
+import typing
+
+import h11
+import msgspec
+
+from auburnroad_core.http import messages
+
+READ_BYTES = 65536
+
+Handler = typing.Callable[
+    [messages.Request], typing.Awaitable[messages.Response]
+]
+
+
+class HttpLimits(msgspec.Struct, frozen=True):
+    """Sizes above which a request is refused.
+
+    Attributes:
+      header_bytes: Request line and headers together.
+      body_bytes: Body.
+    """
+
+    header_bytes: int = 32768
+    body_bytes: int = 16 * 1024 * 1024
+
+
+class _RefusedError(Exception):
+    """A request that is answered without the handler."""
+
+    def __init__(self, status: int, code: str, message: str):
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+    def respond(self) -> messages.Response:
+        """Build the answer; the request can't have been run."""
+        error = {'code': self.code, 'message': str(self)}
+        return messages.json_response(
+            self.status,
+            {'error': error},
+            {'auburnroad-outcome': 'not-run', 'connection': 'close'},
+        )
+
+
+class _Connection:
+    """One caller's connection, for as long as it lives."""
+
+    __slots__ = ('_h11', '_reader', '_writer', '_server', 'busy')
+
+    def __init__(self, server, reader, writer):
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
+        )
+        self._reader = reader
+        self._writer = writer
+        self._server = server
+        self.busy = False
+
+    def close(self) -> None:
+        """Close at once, without waiting for the peer."""
+        self._writer.close()
+
+    async def serve(self) -> None:
+        """Serve requests until either end closes."""
+        try:
+            while await self._serve_one():
+                self._h11.start_next_cycle()
+        except (OSError, h11.ProtocolError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writer.close()
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except _RefusedError as refused:
+            await self._send(refused.respond())
+            return False
+        except h11.RemoteProtocolError as error:
+            await self._refuse_malformed(error)
+            return False
+        if request is None:
+            return False
+        self.busy = True
+        try:
+            response = await self._run_handler(request)
+            await self._send(response)
+        finally:
+            self.busy = False
+        return self._h11.our_state is h11.DONE and not self._server.draining
+
+    async def _refuse_malformed(self, error) -> None:
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        status = error.error_status_hint
+        refused = _RefusedError(status, 'malformed_http', str(error))
+        await self._send(refused.respond())
+
+    async def _read_request(self) -> messages.Request | None:
+        head = None
+        body = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Request):
+                head = event
+                self._check_declared_size(head)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                self._check_size(size)
+                body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return _build_request(head, b''.join(body))
+            else:
+                return None
+
+    def _check_declared_size(self, head) -> None:
+        for name, value in head.headers:
+            if name == b'content-length':
+                self._check_size(int(value))
+        expect = (b'expect', b'100-continue')
+        if expect in [(n, v.lower()) for n, v in head.headers]:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _check_size(self, size: int) -> None:
+        limit = self._server.limits.body_bytes
+        if size > limit:
+            raise _RefusedError(
+                413, 'body_too_large', f'the body is over {limit} bytes'
+            )
+
+    async def _next_event(self):
+        while True:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._h11.receive_data(await self._reader.read(READ_BYTES))
+
+    async def _run_handler(self, request) -> messages.Response:
+        work = asyncio.ensure_future(self._server.handler(request))
+        watch = asyncio.ensure_future(self._watch_peer())
+        try:
+            await asyncio.wait(
+                {work, watch}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                raise ConnectionResetError('the caller went away')
+            return work.result()
+        finally:
+            work.cancel()
+            watch.cancel()
+            await asyncio.gather(work, watch, return_exceptions=True)
+
+    async def _watch_peer(self) -> None:
+        """Return when the caller has gone; keep early bytes for h11."""
+        early = 0
+        while data := await self._reader.read(READ_BYTES):
+            self._h11.receive_data(data)
+            early += len(data)
+            if early > READ_BYTES:
+                # A caller that pipelines this much isn't read any further,
+                # so its early bytes can't fill our memory.
+                await asyncio.Event().wait()
+
+    async def _send(self, response: messages.Response) -> None:
+        headers = dict(response.headers)
+        if response.chunks is None:
+            headers['content-length'] = str(len(response.body))
+        else:
+            headers['transfer-encoding'] = 'chunked'
+        if self._server.draining:
+            headers['connection'] = 'close'
+        self._write(
+            h11.Response(
+                status_code=response.status, headers=list(headers.items())
+            )
+        )
+        if response.chunks is None:
+            if response.body:
+                self._write(h11.Data(data=response.body))
+        else:
+            await self._send_chunks(response.chunks)
+        self._write(h11.EndOfMessage())
+        await self._writer.drain()
+
+    async def _send_chunks(self, chunks) -> None:
+        watch = asyncio.ensure_future(self._watch_peer())
+        try:
+            async for chunk in chunks:
+                if watch.done():
+                    raise ConnectionResetError('the caller went away')
+                self._write(h11.Data(data=chunk))
+                await self._writer.drain()
+        finally:
+            watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
+            await chunks.aclose()
+
+    def _write(self, event) -> None:
+        data = self._h11.send(event)
+        if data:
+            self._writer.write(data)
+
+
+def _build_request(head, body: bytes) -> messages.Request:
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name = raw_name.decode('ascii')
+        value = raw_value.decode('latin-1')
+        headers[name] = (
+            f'{headers[name]},{value}' if name in headers else value
+        )
+    return messages.Request(
+        head.method.decode('ascii'),
+        head.target.decode('latin-1'),
+        headers,
+        body,
+    )
+
+
+class HttpServer:
+    """Listens on one address and serves one handler."""
+
+    __slots__ = ('handler', 'limits', 'draining', '_server', '_connections')
+
+    def __init__(self, handler: Handler, limits: HttpLimits | None = None):
+        self.handler = handler
+        self.limits = limits or HttpLimits()
+        self.draining = False
+        self._server: asyncio.Server | None = None
+        self._connections: dict[_Connection, asyncio.Task] = {}
+
+    @property
+    def busy_connections(self) -> int:
+        """How many connections have a request in flight."""
+        return sum(connection.busy for connection in self._connections)
+
+    async def start(self, host: str, port: int) -> tuple[str, int]:
+        """Start to listen.
+
+        Args:
+          host: IP number to listen on.
+          port: Port, zero to have one chosen.
+
+        Returns:
+          The IP number and port that are listened on.
+
+        Raises:
+          OSError: If the address can't be had.
+        """
+        self._server = await asyncio.start_server(
+            self._accept, host, port, backlog=1024
+        )
+        return self._server.sockets[0].getsockname()[:2]
+
+    async def drain(self, deadline_seconds: float) -> bool:
+        """Stop to listen and let requests in flight finish.
+
+        Args:
+          deadline_seconds: How long to wait for them at most.
+
+        Returns:
+          True when every request in flight was answered.
+        """
+        self.draining = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            if not connection.busy:
+                connection.close()
+        tasks = list(self._connections.values())
+        if tasks:
+            await asyncio.wait(tasks, timeout=deadline_seconds)
+        return not self._connections
+
+    async def close(self) -> None:
+        """Stop at once; requests in flight are cut off."""
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._connections.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer) -> None:
+        connection = _Connection(self, reader, writer)
+        self._connections[connection] = asyncio.current_task()
+        try:
+            await connection.serve()
+        except asyncio.CancelledError:
+            writer.close()
+        finally:
+            del self._connections[connection]
--- /dev/null
+++ b/packages/core/auburnroad_core/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform behind narrow interfaces, one module for each wire."""
--- /dev/null
+++ b/packages/core/auburnroad_core/platform/log_service.py
@@ -0,0 +1,158 @@
+"""The platform's append-only log service.
+
+LogService is the narrow interface that the product uses; HttpLogService is
+its only wire. An append can fail in three ways that must not be mixed up:
+refused (not appended), down (not sent), and lost (sent, answer missing).
+"""
+
+import typing
+
+import msgspec
+
+from auburnroad_core import errors
+from auburnroad_core.http import client
+from auburnroad_core.http import messages
+from auburnroad_core.log import records
+
+APPEND_TIMEOUT_SECONDS = 3.0
+READ_MARGIN_SECONDS = 3.0
+
+
+class LogError(errors.AuburnroadError):
+    """Base of the log service's failures."""
+
+
+class LogUnavailableError(LogError):
+    """The log service is down or refuses: nothing was appended."""
+
+
+class AppendLostError(LogError):
+    """The append may have taken effect; read back to find out."""
+
+
+class NewRecord(msgspec.Struct):
+    """A record to append.
+
+    Attributes:
+      id: Identity chosen by the writer, unique for each record.
+      data: The record as JSON.
+    """
+
+    id: str
+    data: msgspec.Raw
+
+
+class Batch(msgspec.Struct):
+    """Records read from a stream.
+
+    Attributes:
+      first_offset: Oldest offset that the service still keeps.
+      next_offset: Offset after the newest record of the stream.
+      records: Records from the offset asked for, oldest first.
+    """
+
+    first_offset: int
+    next_offset: int
+    records: list[records.Entry]
+
+
+class LogService(typing.Protocol):
+    """What the product needs of the log service."""
+
+    async def append(self, stream: str, batch: list[NewRecord]) -> list[int]:
+        """Append records in order and return their offsets.
+
+        Raises:
+          LogUnavailableError: If nothing was appended.
+          AppendLostError: If the answer was lost.
+        """
+
+    async def read(
+        self, stream: str, from_offset: int, wait_seconds: float
+    ) -> Batch:
+        """Read records from an offset, waiting for one if there is none.
+
+        Raises:
+          LogUnavailableError: If the service can't be read.
+        """
+
+
+class _Appended(msgspec.Struct):
+    offsets: list[int]
+
+
+class HttpLogService:
+    """The log service over HTTP and JSON."""
+
+    __slots__ = ('_address', '_client')
+
+    def __init__(self, address: str, http_client: client.HttpClient):
+        self._address = address
+        self._client = http_client
+
+    async def append(self, stream: str, batch: list[NewRecord]) -> list[int]:
+        """Append records in order.
+
+        Args:
+          stream: Stream's name.
+          batch: Records, at least one.
+
+        Returns:
+          Their offsets.
+
+        Raises:
+          LogUnavailableError: If nothing was appended.
+          AppendLostError: If the answer was lost.
+        """
+        request = client.json_request(
+            'POST', f'/streams/{stream}/records', {'records': batch}
+        )
+        try:
+            response = await self._client.fetch(
+                self._address, request, APPEND_TIMEOUT_SECONDS
+            )
+        except client.ConnectError as error:
+            raise LogUnavailableError(str(error)) from error
+        except client.BrokenError as error:
+            raise AppendLostError(str(error)) from error
+        if response.status in (429, 503):
+            raise LogUnavailableError(f'refused with {response.status}')
+        return self._parse(response, _Appended).offsets
+
+    async def read(
+        self, stream: str, from_offset: int, wait_seconds: float
+    ) -> Batch:
+        """Read records from an offset.
+
+        Args:
+          stream: Stream's name.
+          from_offset: Offset of the first record wanted; expired ones are
+            passed over.
+          wait_seconds: How long to wait when there is none yet.
+
+        Returns:
+          The records that there are.
+
+        Raises:
+          LogUnavailableError: If the service can't be read.
+        """
+        target = (
+            f'/streams/{stream}/records?from={from_offset}'
+            f'&wait_ms={int(wait_seconds * 1000)}'
+        )
+        request = messages.Request('GET', target, {})
+        try:
+            response = await self._client.fetch(
+                self._address, request, wait_seconds + READ_MARGIN_SECONDS
+            )
+        except client.HttpError as error:
+            raise LogUnavailableError(str(error)) from error
+        if response.status != 200:
+            raise LogUnavailableError(f'refused with {response.status}')
+        return self._parse(response, Batch)
+
+    def _parse(self, response: messages.Response, shape):
+        try:
+            return msgspec.json.decode(response.body, type=shape)
+        except msgspec.DecodeError as error:
+            raise LogUnavailableError(f'not an answer: {error}') from error
--- /dev/null
+++ b/packages/core/auburnroad_core/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and configuration: JSON with comments, checked whole."""
--- /dev/null
+++ b/packages/core/auburnroad_core/settings/check.py
@@ -0,0 +1,158 @@
+"""Checks a document against a type and builds the typed settings.
+
+The type is the only definition: its JSON schema comes from msgspec, and
+jsonschema finds every mistake at once. What a schema can't say, such as a
+name that must exist elsewhere, is checked by plain functions from settings
+to error records, registered by the type that they check.
+"""
+
+import functools
+import typing
+
+import jsonschema
+import msgspec
+
+from auburnroad_core import errors
+from auburnroad_core.settings import source
+
+Shape = typing.TypeVar('Shape')
+CrossCheck = typing.Callable[
+    [typing.Any], typing.Iterable[tuple[source.Path, str, str]]
+]
+
+_CROSS_CHECKS: dict[type, list[CrossCheck]] = {}
+
+
+def register_check(shape: type) -> typing.Callable[[CrossCheck], CrossCheck]:
+    """Return a decorator that registers a check of a settings type.
+
+    Args:
+      shape: Type whose values are checked.
+
+    Returns:
+      A decorator for a function that yields path, message and remedy of
+      each mistake.
+    """
+
+    def decorate(check: CrossCheck) -> CrossCheck:
+        _CROSS_CHECKS.setdefault(shape, []).append(check)
+        return check
+
+    return decorate
+
+
+@functools.cache
+def _build_validator(shape: type) -> jsonschema.Draft202012Validator:
+    return jsonschema.Draft202012Validator(msgspec.json.schema(shape))
+
+
+def check_document(
+    document: source.Document, shape: type[Shape]
+) -> tuple[Shape | None, list[errors.ErrorRecord]]:
+    """Check a document whole.
+
+    Args:
+      document: The parsed text.
+      shape: Type that it must have; unknown fields are mistakes.
+
+    Returns:
+      The typed value, or None with every mistake found.
+    """
+    records = [
+        record
+        for error in _build_validator(shape).iter_errors(document.value)
+        for record in _describe(document, error)
+    ]
+    if records:
+        return None, sorted(records, key=_sort_key)
+    try:
+        value = msgspec.convert(document.value, shape)
+    except msgspec.ValidationError as error:
+        where = document.locate(())
+        return None, [errors.ErrorRecord(where, '', str(error))]
+    return value, _run_cross_checks(document, value, shape)
+
+
+def _run_cross_checks(document, value, shape) -> list[errors.ErrorRecord]:
+    return [
+        errors.ErrorRecord(
+            document.locate(path), source.format_path(path), message, remedy
+        )
+        for check in _CROSS_CHECKS.get(shape, [])
+        for path, message, remedy in check(value)
+    ]
+
+
+def _sort_key(record: errors.ErrorRecord):
+    return record.source.line, record.source.column, record.field
+
+
+def _describe(document, error) -> list[errors.ErrorRecord]:
+    """Turn a schema error into records that name the field."""
+    if error.context:
+        deepest = max(error.context, key=lambda e: len(e.absolute_path))
+        if len(deepest.absolute_path) > len(error.absolute_path):
+            return _describe(document, deepest)
+    path = tuple(error.absolute_path)
+    if error.validator == 'required':
+        # jsonschema reports one error for each missing field.
+        name = error.message.split("'")[1]
+        return [
+            _record(document, (*path, name), 'the field is missing', 'add it')
+        ]
+    if error.validator == 'additionalProperties':
+        known = sorted(error.schema.get('properties', {}))
+        return [
+            _record(
+                document,
+                (*path, name),
+                'the field is unknown',
+                'known here: ' + ', '.join(known),
+            )
+            for name in error.instance
+            if name not in known
+        ]
+    return [_record(document, path, _explain(error))]
+
+
+def _explain(error) -> str:
+    """Say what is wrong with a value, without the schema's jargon."""
+    value = error.instance
+    shown = repr(value) if not isinstance(value, (dict, list)) else 'this'
+    texts = {
+        'type': f'{shown} is not of type {error.validator_value}',
+        'minimum': f'{shown} is below {error.validator_value}',
+        'exclusiveMinimum': f'{shown} is not above {error.validator_value}',
+        'maximum': f'{shown} is above {error.validator_value}',
+        'enum': f'{shown} is not one of {error.validator_value}',
+        'pattern': f'{shown} does not look like {error.validator_value}',
+        'minLength': f'{shown} is too short',
+        'minItems': 'the list has too few members',
+    }
+    return texts.get(error.validator, error.message)
+
+
+def _record(document, path, message, remedy='') -> errors.ErrorRecord:
+    return errors.ErrorRecord(
+        document.locate(path), source.format_path(path), message, remedy
+    )
+
+
+def load_file(path: str, shape: type[Shape]) -> Shape:
+    """Read a file, check it whole and build the typed value.
+
+    Args:
+      path: Path of a file of JSON with comments.
+      shape: Type that it must have.
+
+    Returns:
+      The typed value.
+
+    Raises:
+      InvalidInputError: With every mistake of the file.
+    """
+    document, records = source.read_file(path)
+    errors.raise_collected(f'{path} is not valid', records)
+    value, records = check_document(document, shape)
+    errors.raise_collected(f'{path} is not valid', records)
+    return value
--- /dev/null
+++ b/packages/core/auburnroad_core/settings/check_test.py
@@ -0,0 +1,73 @@
+"""Tests of checked settings."""
+
+import unittest
+
+from auburnroad_core.settings import check
+from auburnroad_core.settings import deployment
+from auburnroad_core.settings import source
+
+
+class CheckDocumentTest(unittest.TestCase):
+    """All mistakes are found at once, each with its place."""
+
+    def check(self, text):
+        document, records = source.parse_text(text, 'd.jsonc')
+        self.assertEqual([], records)
+        return check.check_document(document, deployment.Deployment)
+
+    def test_collects_every_mistake_with_its_line(self):
+        _, records = self.check(
+            '{"name": "A", "failure_domains": ["a"],\n'
+            '"services": [{"name": "s", "kind": "modl", "odd": 1}],\n'
+            '"trainers": [{"name": "t", "model": "m"}]}'
+        )
+        self.assertEqual(
+            [
+                (1, 'name'),
+                (2, 'services[0].kind'),
+                (2, 'services[0].odd'),
+                (3, 'trainers[0].service'),
+            ],
+            [(record.source.line, record.field) for record in records],
+        )
+
+    def test_names_must_exist_and_be_unique(self):
+        _, records = self.check(
+            '{"name": "a", "failure_domains": ["a"], "services": ['
+            '{"name": "s", "kind": "model"}, {"name": "s", "kind": "plain"}],'
+            '"trainers": [{"name": "t", "model": "m", "service": "x"}]}'
+        )
+        self.assertEqual(
+            ['services[1].name', 'trainers[0].service'],
+            [record.field for record in records],
+        )
+
+    def test_keys_must_not_outlive_the_log(self):
+        _, records = self.check(
+            '{"name": "a", "failure_domains": ["a"], "services": ['
+            '{"name": "s", "kind": "model"}],'
+            '"limits": {"key_life_ms": 50, "retention_ms": 90}}'
+        )
+        self.assertEqual(
+            ['limits.key_life_ms'], [record.field for record in records]
+        )
+
+
+class ParseTextTest(unittest.TestCase):
+    """JSON with comments."""
+
+    def test_takes_comments_and_trailing_commas(self):
+        document, records = source.parse_text(
+            '// head\n{"a": [1, 2.5, /* in */ "x//y",], "b": null,}', 'f'
+        )
+        self.assertEqual([], records)
+        self.assertEqual({'a': [1, 2.5, 'x//y'], 'b': None}, document.value)
+        self.assertEqual((2, 25), document.positions[('a', 2)])
+
+    def test_says_where_the_text_goes_wrong(self):
+        _, records = source.parse_text('{"a": 1,\n "b" 2}', 'f')
+        self.assertEqual(2, records[0].source.line)
+
+    def test_a_field_that_stands_twice_is_an_error(self):
+        _, records = source.parse_text('{"a": 1, "a": 2}', 'f')
+        self.assertEqual('a', records[0].field)
--- /dev/null
+++ b/packages/core/auburnroad_core/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed msgpack streams between the processes of the system."""
--- /dev/null
+++ b/packages/core/auburnroad_core/wire/stream.py
@@ -0,0 +1,127 @@
+"""One stream between two processes, with the application's heartbeats.
+
+A TCP connection can go silent for good while new ones work. Each end sends a
+heartbeat at every interval; an end that has read nothing for the silence
+limit closes the stream, and its owner opens a new one and resolves the
+requests that were on it by their ids.
+"""
+
+import asyncio
+import typing
+
+from auburnroad_core.wire import codec
+from auburnroad_core.wire import messages
+
+READ_BYTES = 262144
+HEARTBEAT_SECONDS = 0.5
+SILENCE_SECONDS = 1.6
+WRITE_BUFFER_BYTES = 32 * 1024 * 1024
+
+Handle = typing.Callable[['Stream', messages.Message], None]
+BuildHeartbeat = typing.Callable[[], messages.Heartbeat]
+
+
+class Stream:
+    """A connection that carries messages both ways."""
+
+    __slots__ = (
+        '_reader',
+        '_writer',
+        '_decoder',
+        '_last_read',
+        '_closed',
+        'bytes_in',
+        'bytes_out',
+        'peer',
+    )
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+        self._decoder = codec.Decoder()
+        self._last_read = asyncio.get_running_loop().time()
+        self._closed = False
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.peer: messages.Hello | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether the stream has been given up."""
+        return self._closed
+
+    def send(self, message: messages.Message) -> None:
+        """Queue a message for the peer; a closed stream drops it.
+
+        A peer that reads so slowly that the buffer fills is treated like a
+        silent one: the stream is closed and the requests are resolved anew.
+
+        Args:
+          message: What to send.
+        """
+        if self._closed:
+            return
+        data = codec.encode_message(message)
+        self.bytes_out += len(data)
+        self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+            self.close()
+
+    def close(self) -> None:
+        """Give the stream up at once."""
+        self._closed = True
+        self._writer.transport.abort()
+
+    async def run(self, handle: Handle, heartbeat: BuildHeartbeat) -> None:
+        """Read messages until the stream ends, and keep it alive.
+
+        Args:
+          handle: Called with each message but heartbeats' own bookkeeping.
+          heartbeat: Builds the heartbeat to send.
+        """
+        beat = asyncio.ensure_future(self._beat(heartbeat))
+        try:
+            while data := await self._reader.read(READ_BYTES):
+                self._last_read = asyncio.get_running_loop().time()
+                self.bytes_in += len(data)
+                for message in self._decoder.feed(data):
+                    handle(self, message)
+        except OSError:
+            pass
+        finally:
+            beat.cancel()
+            self.close()
+
+    async def _beat(self, heartbeat: BuildHeartbeat) -> None:
+        loop = asyncio.get_running_loop()
+        while not self._closed:
+            now = loop.time()
+            self.send(heartbeat())
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            # A pause of this process isn't the peer's silence: what arrived
+            # meanwhile is read before the clock is believed.
+            paused = loop.time() - now > 2 * HEARTBEAT_SECONDS
+            if paused:
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+            if loop.time() - self._last_read > SILENCE_SECONDS:
+                self.close()
+
+
+async def open_stream(address: str, hello: messages.Hello) -> Stream:
+    """Connect to a peer and introduce this process.
+
+    Args:
+      address: 'IP number:port'.
+      hello: Introduction of this process.
+
+    Returns:
+      The stream; the peer's own Hello arrives as its first message.
+
+    Raises:
+      OSError: If the peer can't be reached.
+    """
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    stream = Stream(reader, writer)
+    stream.send(hello)
+    return stream
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon auburnroadd: roles entry and side."""
--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/__init__.py
@@ -0,0 +1,1 @@
+"""Launches whole deployments: demo, scenarios and measurements."""
--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/unit.py
@@ -0,0 +1,72 @@
+"""Runs every unit test of the workspace, but for those of KNOWN-RED.txt.
+
+Tests stand beside what they test, as '<module>_test.py'. The closing line
+counts what passed and what failed.
+"""
+
+import random
+import sys
+import unittest
+
+from auburnroad_e2e import known_red
+
+SEED = 20261203
+
+
+def iterate_tests(suite):
+    """Flatten a suite.
+
+    Args:
+      suite: A test suite.
+
+    Yields:
+      Its test cases.
+    """
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from iterate_tests(test)
+        else:
+            yield test
+
+
+def load_tests(pattern: str) -> list[unittest.TestCase]:
+    """Find the tests of all packages.
+
+    Args:
+      pattern: Only tests whose id contains it; empty for all.
+
+    Returns:
+      The test cases.
+    """
+    cases = []
+    for package in sorted((known_red.ROOT / 'packages').iterdir()):
+        suite = unittest.TestLoader().discover(
+            str(package / f'auburnroad_{package.name}'),
+            pattern='*_test.py',
+            top_level_dir=str(package),
+        )
+        cases.extend(iterate_tests(suite))
+    return [case for case in cases if pattern in case.id()]
+
+
+def main() -> int:
+    """Run the tests.
+
+    Returns:
+      Zero when nothing failed.
+    """
+    random.seed(SEED)
+    pattern = sys.argv[1] if len(sys.argv) > 1 else ''
+    entries = known_red.read_entries()
+    red = {entry.test for entry in entries}
+    cases = [case for case in load_tests(pattern) if case.id() not in red]
+    runner = unittest.TextTestRunner(buffer=True)
+    result = runner.run(unittest.TestSuite(cases))
+    known_red.print_entries(entries)
+    failed = len(result.failures) + len(result.errors)
+    print(f'unit: {result.testsRun - failed} passed, {failed} failed')
+    return 1 if failed or not result.testsRun else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
