--- a/packages/core/auburnroad_core/log/records.py
+++ b/packages/core/auburnroad_core/log/records.py
@@ -61,10 +61,12 @@
     Attributes:
       covers: Offset of the last record that the state includes.
       state: The folded state as JSON, with the original revisions.
+      at_ms: Unix milliseconds, by the writer's clock.
     """
 
     covers: int
     state: msgspec.Raw
+    at_ms: int = 0
 
 
 class Claim(Record, tag='claim'):
--- /dev/null
+++ b/packages/core/auburnroad_core/log/trainer_fold_test.py
@@ -0,0 +1,248 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from auburnroad_core.log import records
+from auburnroad_core.log import trainer_fold
+from auburnroad_core.log import verdict
+from auburnroad_core.platform import log_service
+
+EFFECTIVE = verdict.Verdict.EFFECTIVE
+CONFLICT = verdict.Verdict.CONFLICT
+DUPLICATE = verdict.Verdict.DUPLICATE
+INVALID = verdict.Verdict.INVALID
+
+
+class Log:
+    """An in-memory stream with the verdict on each record."""
+
+    def __init__(self, state=None):
+        self.state = state or trainer_fold.State()
+        self.entries = []
+
+    def append(self, record, record_id=''):
+        offset = len(self.entries)
+        data = msgspec.Raw(msgspec.json.encode(record))
+        entry = records.Entry(offset, record_id or f'id-{offset}', data)
+        self.entries.append(entry)
+        self.state, outcome = trainer_fold.fold(self.state, entry)
+        return outcome
+
+    def claim(self, owner='e1', supersedes=-1):
+        return self.append(records.Claim('t', owner, 'i', supersedes))
+
+    def seal(self, step, claim, groups, generation=0, carried=(), id_=''):
+        seal = records.Seal(
+            't', step, generation, claim, 1, groups, 'd', list(carried)
+        )
+        return self.append(seal, id_)
+
+    def void(self, step, claim, generation=0):
+        return self.append(records.Void('t', step, generation, claim))
+
+
+class ClaimTest(unittest.TestCase):
+    def test_one_of_two_racing_claims_takes_effect(self):
+        log = Log()
+        self.assertEqual(log.claim('e1'), EFFECTIVE)
+        self.assertEqual(log.claim('e2'), CONFLICT)
+        self.assertEqual(log.claim('e2', 0), EFFECTIVE)
+        self.assertEqual(log.state.find_trainer('t').owner, 'e2')
+        self.assertEqual(log.state.find_trainer('t').claim, 2)
+
+    def test_paused_owner_that_wakes_up_seals_and_voids_nothing(self):
+        log = Log()
+        log.claim('e1')
+        log.seal(1, 0, ['a'])
+        log.claim('e2', 0)
+        self.assertEqual(log.seal(2, 0, ['a']), CONFLICT)
+        self.assertEqual(log.void(1, 0), CONFLICT)
+        self.assertEqual(log.seal(2, 2, ['a']), EFFECTIVE)
+
+
+class SealTest(unittest.TestCase):
+    def setUp(self):
+        self.log = Log()
+        self.log.claim()
+
+    def test_copy_of_a_seal_has_no_effect(self):
+        self.assertEqual(self.log.seal(1, 0, ['a'], id_='x'), EFFECTIVE)
+        self.assertEqual(self.log.seal(1, 0, ['a'], id_='x'), DUPLICATE)
+        self.assertEqual(self.log.seal(1, 0, ['b']), CONFLICT)
+        self.assertEqual(self.log.state.trainers['t'].sealed[1].offset, 1)
+
+    def test_steps_only_go_up(self):
+        self.log.seal(5, 0, ['a'])
+        self.assertEqual(self.log.seal(4, 0, ['a']), CONFLICT)
+        self.assertEqual(self.log.seal(6, 0, ['a']), EFFECTIVE)
+
+    def test_carried_group_is_counted_once(self):
+        self.log.seal(1, 0, ['a', 'b'])
+        self.assertEqual(self.log.seal(2, 0, ['a'], 0, ['1/a']), CONFLICT)
+        self.assertEqual(
+            self.log.seal(2, 0, ['a', 'late'], 0, ['1/late']), EFFECTIVE
+        )
+        self.assertEqual(
+            self.log.seal(3, 0, ['late'], 0, ['1/late']), CONFLICT
+        )
+
+    def test_group_named_twice_or_carried_too_far_is_invalid(self):
+        self.assertEqual(self.log.seal(9, 0, ['a', 'a']), INVALID)
+        too_far = f'{9 - trainer_fold.CARRY_STEPS - 1}/a'
+        self.assertEqual(self.log.seal(9, 0, ['a'], 0, [too_far]), INVALID)
+        self.assertEqual(self.log.seal(9, 0, ['a'], 0, ['x/a']), INVALID)
+
+
+class VoidTest(unittest.TestCase):
+    def test_void_frees_the_groups_for_the_next_generation(self):
+        log = Log()
+        log.claim()
+        log.seal(2, 0, ['a', 'late'], 0, ['1/late'])
+        self.assertEqual(log.void(2, 0), EFFECTIVE)
+        self.assertEqual(log.void(2, 0), CONFLICT)
+        self.assertEqual(log.seal(2, 0, ['a']), CONFLICT)
+        self.assertEqual(
+            log.seal(2, 0, ['a', 'late'], 1, ['1/late']), EFFECTIVE
+        )
+
+    def test_step_that_was_taken_cannot_be_voided(self):
+        log = Log()
+        log.claim()
+        log.seal(1, 0, ['a'])
+        log.seal(2, 0, ['a'])
+        self.assertEqual(log.void(1, 0), CONFLICT)
+        log.void(2, 0)
+        self.assertEqual(log.void(1, 0), CONFLICT)
+
+
+SMALL = strategies.integers(0, 7)
+GROUPS = strategies.lists(strategies.sampled_from('abc'), max_size=3)
+CARRIED = strategies.lists(
+    strategies.tuples(SMALL, strategies.sampled_from('abc')), max_size=2
+)
+# Claims name offsets, so those drawn from a small range often match.
+OFFSETS = strategies.integers(-1, 12)
+RECORDS = strategies.one_of(
+    strategies.builds(
+        records.Claim,
+        strategies.just('t'),
+        strategies.sampled_from(['e1', 'e2']),
+        strategies.just('i'),
+        OFFSETS,
+    ),
+    strategies.builds(
+        lambda step, generation, claim, groups, carried: records.Seal(
+            't',
+            step,
+            generation,
+            claim,
+            1,
+            groups + [name for _, name in carried],
+            'd',
+            [f'{origin}/{name}' for origin, name in carried],
+        ),
+        SMALL,
+        strategies.integers(0, 2),
+        OFFSETS,
+        GROUPS,
+        CARRIED,
+    ),
+    strategies.builds(
+        records.Void,
+        strategies.just('t'),
+        SMALL,
+        strategies.integers(0, 2),
+        OFFSETS,
+    ),
+)
+
+
+def play(log, drawn):
+    """Append records, with claims and generations made current half the time.
+
+    Random offsets alone would leave most records without effect.
+    """
+    for record, current, copied in drawn:
+        trainer = log.state.find_trainer('t')
+        if current and isinstance(record, records.Claim):
+            record.supersedes = trainer.claim
+        elif current:
+            record.claim = trainer.claim
+            record.generation = trainer.find_generation(record.step)
+        outcome = log.append(record)
+        yield record, outcome
+        if copied:
+            copy_id = log.entries[-1].record_id
+            yield record, log.append(record, copy_id)
+
+
+DRAWN = strategies.lists(
+    strategies.tuples(RECORDS, strategies.booleans(), strategies.booleans()),
+    min_size=8,
+    max_size=30,
+)
+
+
+class InterleavingTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(DRAWN)
+    def test_each_group_is_in_one_seal_in_force(self, drawn):
+        log = Log()
+        # Every seal in force, from the books of the test and not the state.
+        in_force = {}
+        claim = -1
+        for record, outcome in play(log, drawn):
+            if outcome != EFFECTIVE:
+                continue
+            if isinstance(record, records.Claim):
+                self.assertEqual(record.supersedes, claim)
+                claim = log.state.applied
+                continue
+            self.assertEqual(record.claim, claim)
+            if isinstance(record, records.Void):
+                del in_force[record.step]
+                continue
+            self.assertNotIn(record.step, in_force)
+            in_force[record.step] = trainer_fold.list_identities(
+                record.step, record.groups, record.carried
+            )
+            counted = [name for names in in_force.values() for name in names]
+            self.assertEqual(len(counted), len(set(counted)))
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(DRAWN, strategies.data())
+    def test_reader_after_truncation_ends_in_the_same_state(self, drawn, data):
+        log = Log()
+        lag = data.draw(strategies.integers(0, 4))
+        at = data.draw(strategies.integers(0, len(drawn)))
+        for _ in play(log, drawn[:at]):
+            pass
+        written = trainer_fold.build_checkpoint(log.state, 5, 0)
+        # Records that come between the state and its checkpoint.
+        for _ in play(log, drawn[at : at + lag]):
+            pass
+        self.assertEqual(log.append(written), EFFECTIVE)
+        log.append(written)
+        for _ in play(log, drawn[at + lag :]):
+            pass
+        first = data.draw(strategies.integers(0, written.covers + 1))
+        batch = log_service.Batch(first, len(log.entries), log.entries[first:])
+        state = trainer_fold.start(batch)
+        for entry in log.entries[state.applied + 1 :]:
+            state, _ = trainer_fold.fold(state, entry)
+        self.assertEqual(state, log.state)
+
+
+class StartTest(unittest.TestCase):
+    def test_truncated_log_without_usable_checkpoint_gives_no_state(self):
+        log = Log()
+        log.claim()
+        log.append(trainer_fold.build_checkpoint(log.state, 5, 0))
+        log.claim('e2', 0)
+        batch = log_service.Batch(2, 3, log.entries[2:])
+        self.assertIsNone(trainer_fold.start(batch))
+        # The record at offset 1 has expired, and the checkpoint covers 0.
+        late = log_service.Batch(2, 3, log.entries[1:])
+        self.assertIsNone(trainer_fold.start(late))
