--- /dev/null
+++ b/packages/client/auburnroad_client/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the operators' client, a module for each group."""
--- /dev/null
+++ b/packages/client/auburnroad_client/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""The questionnaire: answers in users' terms and what they generate."""
--- /dev/null
+++ b/packages/client/auburnroad_client/questionnaire/compare.py
@@ -0,0 +1,79 @@
+"""Says what one value changes against another, field by field.
+
+Members of lists are matched by their names, so that a host added at the
+front of a list reads as one addition and not as a change of every host.
+"""
+
+import typing
+
+import msgspec
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One field that differs.
+
+    Attributes:
+      field: Path such as 'services[drafter-llm].slots'.
+      old: Plain value before, None when the field is added.
+      new: Plain value after, None when the field is removed.
+    """
+
+    field: str
+    old: typing.Any
+    new: typing.Any
+
+    def __str__(self) -> str:
+        if self.old is None:
+            return f'{self.field}: added {_shorten(self.new)}'
+        if self.new is None:
+            return f'{self.field}: removed {_shorten(self.old)}'
+        return f'{self.field}: {_shorten(self.old)} -> {_shorten(self.new)}'
+
+
+def _shorten(value: typing.Any) -> str:
+    if isinstance(value, dict) and 'name' in value:
+        return str(value['name'])
+    return msgspec.json.encode(value).decode()
+
+
+def compare_values(old: typing.Any, new: typing.Any) -> list[Change]:
+    """Find all fields that differ.
+
+    Args:
+      old: Structs or plain values that are in force; None for nothing.
+      new: What would be in force after.
+
+    Returns:
+      The changes in the order of the fields.
+    """
+    return list(
+        _compare(msgspec.to_builtins(old), msgspec.to_builtins(new), '')
+    )
+
+
+def _compare(old, new, path):
+    if isinstance(old, dict) and isinstance(new, dict):
+        yield from _compare_members(old, new, path, '{}.{}')
+    elif _is_named(old) and _is_named(new):
+        yield from _compare_members(
+            _index_by_name(old), _index_by_name(new), path, '{}[{}]'
+        )
+    elif old != new:
+        yield Change(path, old, new)
+
+
+def _compare_members(old, new, path, template):
+    for name in [*old, *(name for name in new if name not in old)]:
+        inner = template.format(path, name).removeprefix('.')
+        yield from _compare(old.get(name), new.get(name), inner)
+
+
+def _is_named(value) -> bool:
+    """Tell whether a value is a list whose members have names."""
+    return isinstance(value, list) and all(
+        isinstance(member, dict) and 'name' in member for member in value
+    )
+
+
+def _index_by_name(members: list) -> dict:
+    return {member['name']: member for member in members}
