Take a whole answer whose server closes the connection

Cause: HttpClient.release started the next cycle on a connection that the server had marked 'connection: close'; h11 refuses that, and the answer, which had come whole, turned into a BrokenError. Every answer of a draining server and every refusal was hit. Ruled out: dropping the header in the server; other servers send it too. Change: such a connection is closed instead of pooled. Before: FetchTest.test_takes_an_answer_whose_server_closes failed with BrokenError; after: 2 passed.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -171,6 +171,11 @@
 
     def release(self, address: str, connection: _Connection) -> None:
         """Take a connection back whose response was read to its end."""
+        if connection.h11.their_state is not h11.DONE:
+            # The server said that it closes: the answer is whole all the
+            # same, and only the connection can't be used again.
+            connection.writer.close()
+            return
         connection.h11.start_next_cycle()
         idle = self._idle[address]
         if len(idle) >= IDLE_CONNECTIONS_PER_ADDRESS:
