--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/launch/__init__.py
@@ -0,0 +1,1 @@
+"""Starts and ends the processes of a deployment on loopback."""
