--- /dev/null
+++ b/packages/core/auburnroad_core/log/appender.py
@@ -0,0 +1,287 @@
+"""Appends records, in groups, and finds out what became of each.
+
+An append whose answer was lost may have taken effect, or may do so later. It
+is tried again with the same record ids, and what counts is the first record
+of an id in offset order. That is safe only because the folds give a second
+copy of an id no effect; a record for which that does not hold must not go
+through here.
+
+The tail is the only witness: a record is appended when it was read back, with
+the verdict that every reader gives it.
+"""
+
+import asyncio
+import uuid
+
+import msgspec
+import prometheus_client
+
+from auburnroad_core import clock
+from auburnroad_core.log import records
+from auburnroad_core.log import replay
+from auburnroad_core.log import tail as tails
+from auburnroad_core.log import verdict
+from auburnroad_core.platform import log_service
+
+GROUP_MS = 5
+GROUP_RECORDS = 500
+_APPENDS = prometheus_client.Counter(
+    'auburnroad_log_appends',
+    'Appends sent to the log service, by their end',
+    ['stream', 'end'],
+)
+_RECORDS = prometheus_client.Counter(
+    'auburnroad_log_records',
+    'Records sent to the log service, copies included',
+    ['stream'],
+)
+
+# Beyond the end of any stream: reads nothing but the end's offset.
+FAR_OFFSET = 2**53
+
+Error = log_service.LogError
+
+
+class Appended(msgspec.Struct, frozen=True):
+    """The record was read back.
+
+    Attributes:
+      offset: Offset of its first copy.
+      verdict: What it did there.
+    """
+
+    offset: int
+    verdict: verdict.Verdict
+
+
+class NotAppended(msgspec.Struct, frozen=True):
+    """The record was not read back in time and is not sent any more.
+
+    Attributes:
+      may_appear: Whether it may still stand in the log, or come to.
+    """
+
+    may_appear: bool
+
+
+class _Pending:
+    """A record on its way.
+
+    `sent` counts appends that may have taken effect; `settled` is set once
+    an append was answered, so that only the reading back is waited for.
+    """
+
+    __slots__ = ('record', 'deadline_ms', 'sent', 'settled', 'future')
+
+    def __init__(self, record, deadline_ms, future):
+        self.record = record
+        self.deadline_ms = deadline_ms
+        self.sent = False
+        self.settled = False
+        self.future = future
+
+
+class Appender:
+    """Appends to the stream of one tail."""
+
+    __slots__ = (
+        '_service',
+        '_stream',
+        '_group_ms',
+        '_pending',
+        '_wake',
+    )
+
+    def __init__(
+        self,
+        service: log_service.LogService,
+        tail: tails.Tail,
+        group_ms: int = GROUP_MS,
+    ):
+        self._service = service
+        self._stream = tail.fold.STREAM
+        self._group_ms = group_ms
+        self._pending: dict[str, _Pending] = {}
+        self._wake = asyncio.Event()
+        tail.on_change(self._handle_steps)
+
+    async def append(
+        self,
+        record: records.Record,
+        deadline_ms: int,
+        record_id: str = '',
+    ) -> Appended | NotAppended:
+        """Append a record and wait until it was read back.
+
+        Args:
+          record: The record.
+          deadline_ms: Unix milliseconds after which it is no longer sent.
+          record_id: Its identity; one is drawn when empty. A new one for
+            each record.
+
+        Returns:
+          What became of it.
+        """
+        record_id = record_id or str(uuid.uuid4())
+        pending = self._enqueue(record, deadline_ms, record_id)
+        try:
+            return await asyncio.wait_for(
+                pending.future, clock.seconds_until(deadline_ms)
+            )
+        except TimeoutError:
+            return NotAppended(may_appear=pending.sent)
+        finally:
+            self._pending.pop(record_id, None)
+
+    def append_later(self, record: records.Record, deadline_ms: int) -> None:
+        """Append a record without waiting, however often it takes.
+
+        Args:
+          record: The record.
+          deadline_ms: Unix milliseconds after which it is no longer needed.
+        """
+        self._enqueue(record, deadline_ms, str(uuid.uuid4()))
+
+    async def run(self) -> None:
+        """Send what is waiting, one group at a time, until cancelled."""
+        failures = 0
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(self._group_ms / clock.MS_PER_SECOND)
+            group = self._take_group(clock.time_now_ms())
+            if not group:
+                self._wake.clear()
+                continue
+            if await self._send(group):
+                failures = 0
+                continue
+            failures += 1
+            await asyncio.sleep(tails.backoff_seconds(failures))
+
+    def _enqueue(self, record, deadline_ms, record_id) -> _Pending:
+        new = log_service.NewRecord(
+            record_id, msgspec.Raw(msgspec.json.encode(record))
+        )
+        future = asyncio.get_running_loop().create_future()
+        pending = _Pending(new, deadline_ms, future)
+        self._pending[record_id] = pending
+        self._wake.set()
+        return pending
+
+    def _take_group(self, now_ms: int) -> list[_Pending]:
+        """Take the oldest records that are waiting, dropping late ones."""
+        late = [
+            record_id
+            for record_id, pending in self._pending.items()
+            if pending.deadline_ms <= now_ms
+        ]
+        for record_id in late:
+            del self._pending[record_id]
+        waiting = [p for p in self._pending.values() if not p.settled]
+        return waiting[:GROUP_RECORDS]
+
+    async def _send(self, group: list[_Pending]) -> bool:
+        """Append one group.
+
+        Returns:
+          Whether the log service answered.
+        """
+        unsent = [pending for pending in group if not pending.sent]
+        # Set before the append, since this task may be cancelled within it.
+        for pending in unsent:
+            pending.sent = True
+        records_sent = [pending.record for pending in group]
+        _RECORDS.labels(self._stream).inc(len(group))
+        try:
+            await self._service.append(self._stream, records_sent)
+        except log_service.LogUnavailableError:
+            _APPENDS.labels(self._stream, 'unavailable').inc()
+            for pending in unsent:
+                pending.sent = False
+            return False
+        except log_service.AppendLostError:
+            _APPENDS.labels(self._stream, 'lost').inc()
+            return False
+        _APPENDS.labels(self._stream, 'answered').inc()
+        for pending in group:
+            pending.settled = True
+        return True
+
+    def _handle_steps(self, steps: list[replay.Step]) -> None:
+        for step in steps:
+            pending = self._pending.pop(step.entry.record_id, None)
+            if pending is not None and not pending.future.done():
+                pending.future.set_result(
+                    Appended(step.entry.offset, step.verdict)
+                )
+
+
+async def append_and_confirm(
+    service: log_service.LogService,
+    stream: str,
+    record: records.Record,
+    record_id: str,
+    deadline_ms: int,
+) -> int:
+    """Append one record without a tail, for a process that runs once.
+
+    Args:
+      service: The log service.
+      stream: Stream's name.
+      record: The record.
+      record_id: Its identity, never used before.
+      deadline_ms: Unix milliseconds at which to give up.
+
+    Returns:
+      Offset of the first record with this id, read back.
+
+    Raises:
+      LogUnavailableError: If nothing was appended.
+      AppendLostError: If it may have been appended, or may yet be.
+    """
+    end = (await service.read(stream, FAR_OFFSET, 0.0)).next_offset
+    new = log_service.NewRecord(
+        record_id, msgspec.Raw(msgspec.json.encode(record))
+    )
+    failures = 0
+    error = await _try_append(service, stream, new, None)
+    while True:
+        offset = await _find_offset(service, stream, end, record_id)
+        if offset is not None:
+            return offset
+        if clock.seconds_until(deadline_ms) <= 0:
+            raise error or log_service.AppendLostError('not read back')
+        failures += 1
+        await asyncio.sleep(tails.backoff_seconds(failures))
+        if error is not None:
+            error = await _try_append(service, stream, new, error)
+
+
+async def _try_append(
+    service, stream: str, new: log_service.NewRecord, before: Error | None
+) -> Error | None:
+    """Append once; a lost append stays lost whatever later ones tell."""
+    try:
+        await service.append(stream, [new])
+    except log_service.AppendLostError as error:
+        return error
+    except log_service.LogUnavailableError as error:
+        return before or error
+    return None
+
+
+async def _find_offset(
+    service, stream: str, offset: int, record_id: str
+) -> int | None:
+    """Find the first record of an id at or after an offset."""
+    while True:
+        try:
+            batch = await service.read(stream, offset, 0.0)
+        except log_service.LogUnavailableError:
+            return None
+        for entry in batch.records:
+            if entry.record_id == record_id:
+                return entry.offset
+        if not batch.records:
+            return None
+        offset = batch.records[-1].offset + 1
