--- a/packages/e2e/auburnroad_e2e/cluster.py
+++ b/packages/e2e/auburnroad_e2e/cluster.py
@@ -38,6 +38,7 @@
         'processes',
         'relays',
         'daemons',
+        'callers',
         'hosts',
         'http',
         '_network',
@@ -56,6 +57,7 @@
         self.options = options
         self.processes: dict[str, process.Process] = {}
         self.relays: dict[str, relay.Relay] = {}
+        self.callers: list[str] = []
         self.daemons = [
             _relay_log(settings)
             for settings in generate.build_daemons(self.answers)
@@ -240,6 +242,7 @@
         Returns:
           The process.
         """
+        self.callers.append(name)
         services = {s.kind: s.name for s in self.answers.services}
         return self._start_user(
             'caller',
--- a/packages/e2e/auburnroad_e2e/launch/commands.py
+++ b/packages/e2e/auburnroad_e2e/launch/commands.py
@@ -16,6 +16,7 @@
 LOG_SERVICE = 'log-service'
 WEIGHT_STORE = 'weight-store'
 HOST_LIST = 'host-list'
+BASE_VERSION = 0
 
 
 class Options(msgspec.Struct, frozen=True):
@@ -82,14 +83,17 @@
         flags = {'service': service.name, **books, **options.plain}
         kind = 'plain_service'
     else:
-        models = [
+        models = [service.name] + [
             trainer.model
             for trainer in answers.trainers
             if trainer.service == service.name
         ]
         flags = {
-            'models': ','.join(dict.fromkeys([service.name, *models])),
+            'service': service.name,
             'slots': service.slots,
+            'checks_fencing': service.checks_fencing,
+            # The engines start with base weights, as real ones do.
+            'versions': {name: BASE_VERSION for name in models},
             **books,
             **options.engine,
         }
--- a/packages/standins/auburnroad_standins/entry_pool.py
+++ b/packages/standins/auburnroad_standins/entry_pool.py
@@ -68,6 +68,7 @@
                     'failed',
                     entry=self.current,
                     target=request.target,
+                    kind=type(error).__name__,
                     error=str(error),
                 )
                 self.rotate()
