Add the stand-ins of the outside systems

Cause: the whole path needs a log service, a weight store, a host list, model engines and plain services that fail on command and keep books.

PROTOCOL.md names options, books and what was left open.

--- /dev/null
+++ b/packages/standins/auburnroad_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A model engine: batch, prefix cache, orders, KV cache and events."""
--- /dev/null
+++ b/packages/standins/auburnroad_standins/host_list.py
@@ -0,0 +1,110 @@
+"""The platform's list of live and leaving hosts, as it was some time ago."""
+
+from auburnroad_core import clock
+from auburnroad_core.http import messages
+from auburnroad_core.platform import host_list
+from auburnroad_core import registry
+from auburnroad_standins import faults
+from auburnroad_standins import lagged
+from auburnroad_standins import serving
+
+FAULTS = faults.build_registry('host list')
+ROUTES = registry.Registry('host list route')
+
+
+class HostListOptions(serving.Options):
+    """Options of the host list.
+
+    Attributes:
+      lag_ms: How old the list is that readers get, in milliseconds.
+    """
+
+    lag_ms: int = 0
+
+
+@serving.KINDS.register('host_list')
+class HostList:
+    """Keeps the hosts and their history."""
+
+    __slots__ = ('_options', '_hosts', '_filled', '_reads', 'lag_ms', 'down')
+
+    OPTIONS = HostListOptions
+    FAULTS = FAULTS
+    ROUTES = ROUTES
+
+    def __init__(self, options: HostListOptions):
+        self._options = options
+        self._hosts = lagged.LaggedValue([])
+        self._filled = False
+        self._reads = 0
+        self.lag_ms = options.lag_ms
+        self.down = False
+
+    def replace(self, hosts: list[host_list.Host], now_ms: int) -> None:
+        """Replace the list; the first one counts as old.
+
+        Args:
+          hosts: All hosts.
+          now_ms: Unix milliseconds.
+        """
+        if not self._filled:
+            self._hosts.replace_first(hosts)
+            self._filled = True
+            return
+        self._hosts.set(hosts, now_ms)
+
+    def read(self, now_ms: int) -> list[host_list.Host]:
+        """Read the list with its lag.
+
+        Args:
+          now_ms: Unix milliseconds.
+
+        Returns:
+          The hosts as they were.
+
+        Raises:
+          RefusedError: If the list is down.
+        """
+        if self.down:
+            raise serving.RefusedError(503, 'down')
+        self._reads += 1
+        return self._hosts.get(now_ms, self.lag_ms)[1]
+
+    def build_books(self) -> object:
+        """Build the answer of GET /books: the list without lag."""
+        return {'reads': self._reads, 'hosts': self._hosts.newest}
+
+    def end_faults(self) -> None:
+        """End all faults."""
+        self.down = False
+        self.lag_ms = self._options.lag_ms
+
+
+@ROUTES.register('GET hosts')
+async def handle_read(
+    hosts: HostList, request: messages.Request
+) -> messages.Response:
+    """Answer the list with its lag."""
+    return messages.json_response(200, hosts.read(clock.time_now_ms()))
+
+
+@ROUTES.register('PUT hosts')
+async def handle_replace(
+    hosts: HostList, request: messages.Request
+) -> messages.Response:
+    """Replace the list; works also while the list is down for readers."""
+    listed = serving.decode(request, list[host_list.Host])
+    hosts.replace(listed, clock.time_now_ms())
+    return messages.json_response(200, {'hosts': len(listed)})
+
+
+@FAULTS.register('down')
+def strike_down(hosts: HostList, command: faults.Command) -> None:
+    """Refuse readers."""
+    hosts.down = True
+
+
+@FAULTS.register('lag')
+def strike_lag(hosts: HostList, command: faults.Command) -> None:
+    """Show a list that is older than usual."""
+    hosts.lag_ms = command.lag_ms
--- /dev/null
+++ b/packages/standins/auburnroad_standins/main.py
@@ -0,0 +1,40 @@
+"""Starts one stand-in as a process.
+
+    python -m auburnroad_standins.main KIND --address=127.0.0.1:0 [--option=..]
+
+It prints 'ready IP:PORT' when it listens and ends at SIGTERM.
+"""
+
+import asyncio
+
+import fire
+
+from auburnroad_standins.engine import service as engine_service
+from auburnroad_standins import host_list
+from auburnroad_standins import log_service
+from auburnroad_standins import plain_service
+from auburnroad_standins import serving
+from auburnroad_standins import weight_store
+
+# Importing a module registers its kind.
+MODULES = (
+    engine_service,
+    host_list,
+    log_service,
+    plain_service,
+    weight_store,
+)
+
+
+def start(kind: str, **options) -> None:
+    """Run one stand-in until SIGTERM.
+
+    Args:
+      kind: log_service, weight_store, host_list, engine or plain_service.
+      options: Options of the kind, as PROTOCOL.md lists them.
+    """
+    asyncio.run(serving.run(kind, options))
+
+
+if __name__ == '__main__':
+    fire.Fire(start)
--- /dev/null
+++ b/packages/standins/auburnroad_standins/weight_store.py
@@ -0,0 +1,175 @@
+"""The platform's store for weights, at a rate that all readers share."""
+
+import asyncio
+import collections
+import typing
+
+from auburnroad_core.http import messages
+from auburnroad_core import registry
+from auburnroad_standins import faults
+from auburnroad_standins import serving
+
+PART_BYTES = 16384
+
+FAULTS = faults.build_registry('weight store')
+ROUTES = registry.Registry('weight store route')
+
+
+class WeightOptions(serving.Options):
+    """Options of the weight store.
+
+    Attributes:
+      bytes_per_second: Rate that all readers share, 0 for no limit.
+    """
+
+    bytes_per_second: int = 0
+
+
+class SharedRate:
+    """Gives each part of any reader its turn on one line."""
+
+    __slots__ = ('_free_at',)
+
+    def __init__(self):
+        self._free_at = 0.0
+
+    def reserve(self, seconds: float, now: float) -> float:
+        """Reserve the line for one part.
+
+        Args:
+          seconds: How long the part takes.
+          now: Time of the loop in seconds.
+
+        Returns:
+          How long to wait until the part has gone through, in seconds.
+        """
+        self._free_at = max(self._free_at, now) + seconds
+        return self._free_at - now
+
+
+@serving.KINDS.register('weight_store')
+class WeightStore:
+    """Keeps weights by model and version."""
+
+    __slots__ = ('_options', '_weights', '_rate', 'counts', 'down', 'factor')
+
+    OPTIONS = WeightOptions
+    FAULTS = FAULTS
+    ROUTES = ROUTES
+
+    def __init__(self, options: WeightOptions):
+        self._options = options
+        self._weights: dict[tuple[str, str], bytes] = {}
+        self._rate = SharedRate()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.down = False
+        self.factor = 1.0
+
+    def store(self, model: str, version: str, data: bytes) -> None:
+        """Store one version.
+
+        Args:
+          model: Model's name.
+          version: Version as it stands in the path.
+          data: The weights.
+        """
+        self._weights[model, version] = data
+
+    def find(self, model: str, version: str) -> bytes:
+        """Find one version.
+
+        Args:
+          model: Model's name.
+          version: Version as it stands in the path.
+
+        Returns:
+          The weights.
+
+        Raises:
+          RefusedError: If the store is down or has no such version.
+        """
+        self.check_up()
+        if (model, version) not in self._weights:
+            raise serving.RefusedError(404, 'unknown_version')
+        self.counts['reads'] += 1
+        return self._weights[model, version]
+
+    async def iterate(self, data: bytes) -> typing.AsyncIterator[bytes]:
+        """Yield weights at the shared rate.
+
+        Args:
+          data: The weights.
+
+        Yields:
+          Their parts.
+
+        Raises:
+          LostAnswerError: If the store goes down meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        for start in range(0, len(data), PART_BYTES):
+            part = data[start : start + PART_BYTES]
+            seconds = self._compute_seconds(len(part))
+            if seconds:
+                await asyncio.sleep(self._rate.reserve(seconds, loop.time()))
+            if self.down:
+                raise serving.LostAnswerError()
+            self.counts['read_bytes'] += len(part)
+            yield part
+
+    def check_up(self) -> None:
+        """Check that the store is not down.
+
+        Raises:
+          RefusedError: If it is.
+        """
+        if self.down:
+            raise serving.RefusedError(503, 'down')
+
+    def build_books(self) -> object:
+        """Build the answer of GET /books: counts and what is stored."""
+        stored = [f'{model}/{version}' for model, version in self._weights]
+        return {**self.counts, 'stored': stored}
+
+    def end_faults(self) -> None:
+        """End all faults."""
+        self.down = False
+        self.factor = 1.0
+
+    def _compute_seconds(self, size: int) -> float:
+        if not self._options.bytes_per_second:
+            return 0.0
+        return size / self._options.bytes_per_second * self.factor
+
+
+@ROUTES.register('GET weights')
+async def handle_read(
+    store: WeightStore, request: messages.Request
+) -> messages.Response:
+    """Answer one version's weights."""
+    _, model, version = serving.split_path(request, 3)
+    data = store.find(model, version)
+    return messages.Response(200, chunks=store.iterate(data))
+
+
+@ROUTES.register('PUT weights')
+async def handle_store(
+    store: WeightStore, request: messages.Request
+) -> messages.Response:
+    """Store one version's weights."""
+    _, model, version = serving.split_path(request, 3)
+    store.check_up()
+    store.store(model, version, request.body)
+    return messages.json_response(200, {'bytes': len(request.body)})
+
+
+@FAULTS.register('down')
+def strike_down(store: WeightStore, command: faults.Command) -> None:
+    """Refuse all and cut off what is being read."""
+    store.down = True
+
+
+@FAULTS.register('slow')
+def strike_slow(store: WeightStore, command: faults.Command) -> None:
+    """Divide the rate by the command's factor."""
+    store.factor = command.factor
