--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a connection."""
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -0,0 +1,350 @@
+"""The role entry: assembles what an entry host runs, and stops it in order.
+
+Everything that decides stands in other modules; here they are only wired to
+each other, to the streams and to the platform.
+"""
+
+import asyncio
+import uuid
+
+from absl import logging
+import prometheus_client
+
+from auburnroad_core.http import client as http_client
+from auburnroad_core.http import messages as http_messages
+from auburnroad_core.http import server as http_server
+from auburnroad_core.log import appender as appenders
+from auburnroad_core.log import configuration_fold
+from auburnroad_core.log import intent_fold
+from auburnroad_core.log import tail as tails
+from auburnroad_core.log import trainer_fold
+from auburnroad_core.platform import host_list
+from auburnroad_core.platform import log_service
+from auburnroad_core.settings import daemon
+from auburnroad_core.settings import deployment
+from auburnroad_core.wire import codec
+from auburnroad_core.wire import messages
+from auburnroad_core.wire import stream as streams
+from auburnroad_daemon.connection import peers as entry_peers
+from auburnroad_daemon.connection import side_link
+from auburnroad_daemon.process import entry_metrics as metrics
+from auburnroad_daemon.process import entry_status
+from auburnroad_daemon.process import health
+from auburnroad_daemon.process import history
+from auburnroad_daemon.process import membership
+from auburnroad_daemon.process import roles
+from auburnroad_daemon.request import answers
+from auburnroad_daemon.request import completions
+from auburnroad_daemon.request import dispatch
+from auburnroad_daemon.request import intents
+from auburnroad_daemon.request import services
+from auburnroad_daemon.version import configuration
+from auburnroad_daemon.version import ownership
+from auburnroad_daemon.version import trainer_api
+from auburnroad_daemon.version import trainer_log
+
+PLATFORM_POLL_SECONDS = 1.0
+# Time for the platform's balancer to see that we aren't ready any more.
+UNREADY_GRACE_SECONDS = 1.0
+DEFAULT_LIMITS = deployment.Limits()
+
+
+@roles.ROLES.register('entry')
+class Entry:
+    """One entry daemon."""
+
+    def __init__(self, settings: daemon.Daemon):
+        self._settings = settings
+        self._incarnation = uuid.uuid4().hex
+        self._leaving = False
+        self._closed = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self._versions: dict[str, int] = {}
+        self._streams: set[streams.Stream] = set()
+        self._history = history.History()
+        self._configuration = configuration.ConfigurationHolder()
+        self._http = http_client.HttpClient()
+        self._build_platform()
+        self._build_path()
+        self._http_server = http_server.HttpServer(self._build_router())
+        self._stream_server: asyncio.Server | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether new work is welcome."""
+        return self._configuration.revision >= 0 and not self._leaving
+
+    @property
+    def registry(self) -> prometheus_client.CollectorRegistry:
+        """The role's metrics."""
+        return metrics.REGISTRY
+
+    @property
+    def _deployment(self) -> deployment.Deployment | None:
+        return self._configuration.deployment
+
+    @property
+    def _limits(self) -> deployment.Limits:
+        current = self._deployment
+        return current.limits if current else DEFAULT_LIMITS
+
+    async def start(self) -> None:
+        """Listen and begin to work.
+
+        Raises:
+          OSError: If an address of the settings can't be had.
+        """
+        host, _, port = self._settings.stream_address.rpartition(':')
+        self._stream_server = await asyncio.start_server(
+            self._accept, host, int(port)
+        )
+        host, _, port = self._settings.http_address.rpartition(':')
+        await self._http_server.start(host, int(port))
+        self._peers.update(self._settings.peers)
+        for work in (
+            self._configuration_tail.run(),
+            self._trainers_tail.run(),
+            self._intents_tail.run(),
+            self._trainers_appender.run(),
+            self._intents_appender.run(),
+            self._membership.run(),
+            self._follow_host_list(),
+        ):
+            self._tasks.append(asyncio.create_task(work))
+
+    def drain(self) -> None:
+        """Begin a planned stop; calling it again changes nothing."""
+        if not self._leaving:
+            self._leaving = True
+            logging.info('%s: leaving', self._settings.name)
+            self._tasks.append(asyncio.create_task(self._drain()))
+
+    async def wait_closed(self) -> None:
+        """Wait until a planned stop is complete."""
+        await self._closed.wait()
+
+    def build_status(self) -> object:
+        """Build the answer of /status."""
+        return entry_status.build_status(
+            self._settings,
+            self._incarnation,
+            self._configuration.revision,
+            self._leaving,
+            self._membership,
+            self._peers,
+            self._ownership.describe(),
+            self._versions,
+        )
+
+    def explain(self, id_: str) -> list[history.Event]:
+        """Find the events known of a request or a sample."""
+        return self._history.find(id_)
+
+    def build_hello(self) -> messages.Hello:
+        """Introduce this entry to a side or another entry."""
+        return messages.Hello(
+            self._settings.name,
+            self._incarnation,
+            'entry',
+            self._settings.host,
+            self._settings.failure_domain,
+            self._configuration.revision,
+            [],
+            self._leaving,
+        )
+
+    def build_heartbeat(self, link: side_link.SideLink) -> messages.Heartbeat:
+        """Build the heartbeat for a side, with the versions new to it."""
+        new = {
+            model: version
+            for model, version in self._versions.items()
+            if link.versions_sent.get(model, -1) < version
+        }
+        link.versions_sent.update(new)
+        return messages.Heartbeat(
+            self._configuration.revision, self._leaving, [], new
+        )
+
+    def build_peer_heartbeat(self) -> messages.Heartbeat:
+        """Build the heartbeat for another entry."""
+        return messages.Heartbeat(self._configuration.revision, self._leaving)
+
+    def handle_peer(self, stream, message: messages.Message) -> None:
+        """Handle what any daemon may send: configuration and copies."""
+        match message:
+            case messages.Hello() | messages.Heartbeat():
+                if message.revision < self._configuration.revision:
+                    stream.send(self._configuration.build_message())
+            case messages.Configuration():
+                self._configuration.apply(message)
+            case messages.CopyUpdate():
+                answer = self._ownership.store.update(message)
+                if answer is not None:
+                    stream.send(answer)
+            case messages.CopyAcknowledge():
+                self._ownership.handle_acknowledge(message)
+            case messages.CopyRequest():
+                stream.send(self._ownership.answer_copy(message))
+            case messages.Forward():
+                asyncio.ensure_future(self._serve_forward(stream, message))
+
+    def _build_platform(self) -> None:
+        """Build what follows the platform's services."""
+        settings = self._settings
+        service = log_service.HttpLogService(settings.log_service, self._http)
+        self._configuration_tail = tails.Tail(service, configuration_fold)
+        self._trainers_tail = tails.Tail(service, trainer_fold)
+        self._intents_tail = tails.Tail(service, intent_fold)
+        self._trainers_appender = appenders.Appender(
+            service, self._trainers_tail
+        )
+        self._intents_appender = appenders.Appender(
+            service, self._intents_tail
+        )
+        self._configuration_tail.on_change(self._handle_configuration_log)
+        self._trainers_tail.on_change(self._handle_trainers_log)
+        self._configuration.on_change(self._handle_configuration)
+
+    def _build_path(self) -> None:
+        """Build what carries requests and samples."""
+        settings = self._settings
+        self._membership = membership.Membership(
+            self, host_list.HttpHostList(settings.host_list, self._http)
+        )
+        self._peers = entry_peers.Peers(
+            self, settings.stream_address, settings.failure_domain
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            self._membership, settings.failure_domain, self._history
+        )
+        self._ownership = ownership.Ownership(
+            settings.name,
+            self._incarnation,
+            trainer_log.TrainerLog(
+                self._trainers_tail, self._trainers_appender
+            ),
+            self._peers,
+            self._dispatcher,
+            self._membership.count_slots,
+            self._announce_version,
+        )
+        self._gate = intents.IntentGate(
+            self._intents_appender, self._intents_tail, settings.name
+        )
+
+    def _build_router(self):
+        router = health.Router()
+        health.add_monitoring(router, self)
+        router.add('/v1/completions', self._complete)
+        router.add(services.PREFIX, self._call_service)
+        router.add(trainer_api.PREFIX, self._ownership.handle)
+        return router.handle
+
+    async def _complete(self, request) -> http_messages.Response:
+        return await self._answer(request, completions.complete)
+
+    async def _call_service(self, request) -> http_messages.Response:
+        async def call(request, current, dispatcher):
+            return await services.call_service(
+                request, current, dispatcher, self._gate
+            )
+
+        return await self._answer(request, call)
+
+    async def _answer(self, request, handle) -> http_messages.Response:
+        """Run a caller's handler, if there is a configuration."""
+        if self._deployment is None:
+            return ownership.refuse_later(
+                'no_configuration', 'not configured yet'
+            )
+        try:
+            return await handle(request, self._deployment, self._dispatcher)
+        except answers.BadRequestError as error:
+            return answers.refuse_bad_request(error)
+
+    def _announce_version(self, model: str, version: int) -> None:
+        """Tell every side of a new weight version at once."""
+        if version <= self._versions.get(model, -1):
+            return
+        self._versions[model] = version
+        for link in self._membership.links:
+            if link.connected:
+                link.send(self.build_heartbeat(link))
+
+    def _handle_configuration_log(self, steps) -> None:
+        state = self._configuration_tail.state
+        if state is None:
+            return
+        self._membership.set_draining(set(state.draining))
+        if state.revision >= 0:
+            self._configuration.apply(
+                messages.Configuration(state.revision, bytes(state.deployment))
+            )
+
+    def _handle_configuration(self) -> None:
+        """Put a new configuration in force, here and at every peer."""
+        current = self._deployment
+        self._dispatcher.configure(current)
+        self._http_server.limits = http_server.HttpLimits(
+            current.limits.header_bytes, current.limits.body_bytes
+        )
+        self._gate.key_life_ms = current.limits.key_life_ms
+        asyncio.ensure_future(self._ownership.set_deployment(current))
+        message = self._configuration.build_message()
+        for link in (*self._membership.links, *self._peers.links):
+            if link.connected:
+                link.send(message)
+
+    def _handle_trainers_log(self, steps) -> None:
+        asyncio.ensure_future(self._ownership.check_claims())
+
+    async def _follow_host_list(self) -> None:
+        while True:
+            self._peers.update_hosts(self._membership.entries)
+            await asyncio.sleep(PLATFORM_POLL_SECONDS)
+
+    async def _accept(self, reader, writer) -> None:
+        """Serve a stream that another entry opened."""
+        stream = streams.Stream(reader, writer)
+        self._streams.add(stream)
+        stream.send(self.build_hello())
+        try:
+            await stream.run(self._handle_accepted, self.build_peer_heartbeat)
+        except codec.WireError as error:
+            logging.warning('stream: %s', error)
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+    def _handle_accepted(self, stream, message: messages.Message) -> None:
+        if isinstance(message, messages.Hello):
+            stream.peer = message
+        self.handle_peer(stream, message)
+
+    async def _serve_forward(self, stream, message: messages.Forward) -> None:
+        stream.send(await self._ownership.serve_forwarded(message))
+
+    async def _drain(self) -> None:
+        """Leave without cutting off a request in flight."""
+        deadline_seconds = self._limits.drain_ms / 1000
+        try:
+            async with asyncio.timeout(deadline_seconds):
+                await asyncio.gather(
+                    asyncio.sleep(UNREADY_GRACE_SECONDS),
+                    self._ownership.drain(),
+                )
+        except TimeoutError:
+            logging.warning('%s: drain is late', self._settings.name)
+        if not await self._http_server.drain(deadline_seconds):
+            logging.warning('%s: requests were cut off', self._settings.name)
+        await self._close()
+
+    async def _close(self) -> None:
+        await self._membership.close()
+        await self._peers.close()
+        self._stream_server.close()
+        for stream in list(self._streams):
+            stream.close()
+        await self._http_server.close()
+        self._http.close()
+        self._closed.set()
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/process/entry_metrics.py
@@ -0,0 +1,59 @@
+"""Counters and gauges of the entry role; the side's stand in its own module.
+
+Counters come first: a log line is written only for a change of state.
+"""
+
+import prometheus_client
+
+REGISTRY = prometheus_client.CollectorRegistry()
+
+CALLS = prometheus_client.Counter(
+    'auburnroad_calls', 'Calls begun.', ['service'], registry=REGISTRY
+)
+OUTCOMES = prometheus_client.Counter(
+    'auburnroad_outcomes',
+    'Calls ended, by outcome.',
+    ['service', 'outcome'],
+    registry=REGISTRY,
+)
+RETRIES = prometheus_client.Counter(
+    'auburnroad_retries',
+    'Attempts after the first.',
+    ['service'],
+    registry=REGISTRY,
+)
+REFUSALS = prometheus_client.Counter(
+    'auburnroad_refusals',
+    'Requests refused, by code.',
+    ['code'],
+    registry=REGISTRY,
+)
+CLAIMS = prometheus_client.Counter(
+    'auburnroad_claims',
+    'Claims on trainers, by verdict.',
+    ['verdict'],
+    registry=REGISTRY,
+)
+SEALS = prometheus_client.Counter(
+    'auburnroad_seals',
+    'Seals of steps, by verdict.',
+    ['verdict'],
+    registry=REGISTRY,
+)
+SAMPLES = prometheus_client.Counter(
+    'auburnroad_samples',
+    'Samples, by what became of them.',
+    ['fate'],
+    registry=REGISTRY,
+)
+SINGLE_COPIES = prometheus_client.Counter(
+    'auburnroad_single_copies',
+    'Ledger changes that only one daemon holds, for want of another.',
+    registry=REGISTRY,
+)
+CONTROL_BYTES = prometheus_client.Counter(
+    'auburnroad_stream_bytes',
+    'Bytes on streams between daemons.',
+    ['direction'],
+    registry=REGISTRY,
+)
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/request/dispatch_test.py
@@ -0,0 +1,187 @@
+"""Tests of the attempts at one call."""
+
+import unittest
+
+from auburnroad_core import clock
+from auburnroad_core.platform import host_list
+from auburnroad_core import types
+from auburnroad_core.wire import messages
+from auburnroad_daemon.process import history
+from auburnroad_daemon.request import dispatch
+from auburnroad_daemon.request import remote_attempt
+
+
+class FakeLink:
+    """A side that answers each attempt by a function."""
+
+    def __init__(self, name, answer):
+        self.host = host_list.Host(name, 'side', '', 'a', 'live')
+        self.loads = {}
+        self.answer = answer
+        self.submitted = []
+        self.cancelled = []
+
+    def estimate_outstanding(self, service):
+        return len(self.submitted)
+
+    def count_sent(self, service):
+        return 0
+
+    def submit(self, attempt):
+        self.submitted.append(attempt.submit)
+        self.answer(attempt)
+
+    def cancel(self, attempt):
+        self.cancelled.append(attempt.request_id)
+
+
+def refuse(attempt):
+    attempt.receive_end(messages.Refused(attempt.request_id, 'leaving', 0))
+
+
+def lose(attempt):
+    attempt.receive_end(remote_attempt.Lost('the side is down'))
+
+
+def run(attempt):
+    attempt.receive_end(
+        messages.Done(attempt.request_id, types.Outcome.RUN, 200, text='whole')
+    )
+
+
+def ignore(attempt):
+    pass
+
+
+class Hosts:
+    def __init__(self, links):
+        self.links = links
+
+    def find_links(self, service):
+        return self.links
+
+
+def build_call(idempotent=True, streamed=False, timeout_ms=5000):
+    return dispatch.Call(
+        messages.Submit(
+            'call',
+            'svc',
+            types.RequestClass.INTERACTIVE,
+            clock.time_now_ms() + timeout_ms,
+            idempotent,
+            streamed,
+            'POST',
+            '/',
+            {},
+            b'{}',
+        )
+    )
+
+
+class DispatcherTest(unittest.IsolatedAsyncioTestCase):
+    """What a call becomes when sides refuse, die or stay silent."""
+
+    def build(self, *answers):
+        links = [FakeLink(f'h{i}', a) for i, a in enumerate(answers)]
+        dispatcher = dispatch.Dispatcher(Hosts(links), 'a', history.History())
+        dispatcher.policy = lambda candidates, choice, rng: candidates[0]
+        return dispatcher, links
+
+    async def test_a_refusal_is_tried_elsewhere(self):
+        dispatcher, links = self.build(refuse, run)
+        result = await dispatcher.run(build_call(idempotent=False))
+        self.assertEqual(types.Outcome.RUN, result.outcome)
+        self.assertEqual(2, result.attempts)
+
+    async def test_a_lost_idempotent_call_is_tried_elsewhere(self):
+        dispatcher, links = self.build(lose, run)
+        result = await dispatcher.run(build_call())
+        self.assertEqual('whole', result.text)
+
+    async def test_a_lost_non_idempotent_call_is_unknown_and_ends(self):
+        dispatcher, links = self.build(lose, run)
+        result = await dispatcher.run(build_call(idempotent=False))
+        self.assertEqual(types.Outcome.UNKNOWN, result.outcome)
+        self.assertEqual([], links[1].submitted)
+
+    async def test_refusals_everywhere_are_not_run(self):
+        dispatcher, links = self.build(refuse, refuse)
+        result = await dispatcher.run(build_call())
+        self.assertEqual(types.Outcome.NOT_RUN, result.outcome)
+        self.assertGreater(result.retry_at_ms, 0)
+
+    async def test_silence_until_the_deadline_is_never_not_run(self):
+        dispatcher, links = self.build(ignore)
+        result = await dispatcher.run(build_call(timeout_ms=50))
+        self.assertEqual(types.Outcome.UNKNOWN, result.outcome)
+        self.assertEqual(['call.1'], links[0].cancelled)
+
+    async def test_without_a_host_the_answer_comes_at_once(self):
+        dispatcher, links = self.build()
+        result = await dispatcher.run(build_call())
+        self.assertEqual('no_replica', result.code)
+        self.assertEqual(types.Outcome.NOT_RUN, result.outcome)
+
+    async def test_a_stream_goes_on_behind_what_was_delivered(self):
+        def break_midway(attempt):
+            span = types.VersionSpan(3, 0, 2)
+            attempt.receive_chunk(
+                messages.Chunk(attempt.request_id, 0, 'ab', [span])
+            )
+            lose(attempt)
+
+        def finish(attempt):
+            span = types.VersionSpan(4, 0, 1)
+            attempt.receive_chunk(
+                messages.Chunk(attempt.request_id, 0, 'c', [span])
+            )
+            attempt.receive_end(
+                messages.Done(
+                    attempt.request_id, types.Outcome.RUN, 200, chunks=1
+                )
+            )
+
+        dispatcher, links = self.build(break_midway, finish)
+        texts = []
+
+        async def take(text, spans):
+            texts.append(text)
+
+        result = await dispatcher.run(build_call(streamed=True), take)
+        self.assertEqual(['ab', 'c'], texts)
+        self.assertIn(b'"resume_at":2', links[1].submitted[0].body)
+        self.assertEqual(
+            [types.VersionSpan(3, 0, 2), types.VersionSpan(4, 2, 3)],
+            result.spans,
+        )
+
+    async def test_retries_end_with_their_budget(self):
+        dispatcher, links = self.build(lose)
+        dispatcher.retry_fraction = 0.0
+        for _ in range(20):
+            await dispatcher.run(build_call())
+        self.assertEqual(30, len(links[0].submitted))
+
+
+class AttemptTest(unittest.TestCase):
+    """Chunks that come twice or with a gap."""
+
+    def test_a_gap_is_asked_for_and_a_repetition_dropped(self):
+        attempt = remote_attempt.Attempt(build_call().submit, 'h')
+        self.assertFalse(
+            attempt.receive_chunk(messages.Chunk('call', 1, 'b', []))
+        )
+        self.assertTrue(
+            attempt.receive_chunk(messages.Chunk('call', 0, 'a', []))
+        )
+        self.assertTrue(
+            attempt.receive_chunk(messages.Chunk('call', 0, 'a', []))
+        )
+        self.assertEqual(1, attempt.next_index)
+
+    def test_an_end_before_its_chunks_is_not_believed(self):
+        attempt = remote_attempt.Attempt(build_call().submit, 'h')
+        done = messages.Done('call', types.Outcome.RUN, 200, chunks=1)
+        self.assertFalse(attempt.receive_end(done))
+        attempt.receive_chunk(messages.Chunk('call', 0, 'a', []))
+        self.assertTrue(attempt.receive_end(done))
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/version/owner.py
@@ -0,0 +1,449 @@
+"""Ownership of one trainer: takes its groups, generates, seals, hands over.
+
+A step is handed over only after its seal was read back as effective, under
+the claim of this owner. An owner that was superseded while it was paused
+finds that its records have no effect, and stops.
+"""
+
+import asyncio
+import enum
+import typing
+
+from auburnroad_core.log import records
+from auburnroad_core.log import trainer_fold
+from auburnroad_core.platform import log_service
+from auburnroad_core.settings import deployment
+from auburnroad_daemon.process import entry_metrics as metrics
+from auburnroad_daemon.request import dispatch
+from auburnroad_daemon.version import copies
+from auburnroad_daemon.version import ledger as ledgers
+from auburnroad_daemon.version import samples
+
+SEAL_TIMEOUT_SECONDS = 5.0
+
+
+class Refusal(enum.StrEnum):
+    """Why a trainer's request can't be met now."""
+
+    UNKNOWN_STEP = 'unknown_step'
+    NOT_READY = 'step_not_ready'
+    CONTENTS_LOST = 'sealed_contents_lost'
+    STALE = 'sealed_step_stale'
+    GENERATION = 'wrong_generation'
+    GROUP_DIFFERS = 'group_differs'
+    VERSION_BACK = 'version_went_back'
+    LOG_UNAVAILABLE = 'log_unavailable'
+    NOT_OWNER = 'not_owner'
+    ALREADY_TAKEN = 'step_already_taken'
+
+
+class RefusedError(Exception):
+    """A trainer's request that is refused, for a reason it can act on."""
+
+    def __init__(self, refusal: Refusal, message: str):
+        super().__init__(message)
+        self.refusal = refusal
+
+
+class Log(typing.Protocol):
+    """What an owner needs of the trainers' stream and its fold."""
+
+    @property
+    def up(self) -> bool:
+        """Whether the log service answers."""
+
+    def find(self, trainer: str) -> trainer_fold.TrainerState:
+        """Find the folded state of a trainer."""
+
+    async def append(self, record: records.Record) -> int:
+        """Append a record and return its offset once it is folded."""
+
+
+class Owner:
+    """The owner of one trainer, for as long as its claim is the newest."""
+
+    __slots__ = (
+        '_log',
+        '_ledger',
+        '_copier',
+        '_generator',
+        '_trainer',
+        '_claim',
+        '_changed',
+        '_sealing',
+        '_asked_step',
+        '_on_version',
+        'closed',
+    )
+
+    def __init__(
+        self,
+        log: Log,
+        ledger: ledgers.Ledger,
+        claim: int,
+        trainer: deployment.Trainer,
+        dispatcher: dispatch.Dispatcher,
+        count_slots: typing.Callable[[str], int],
+        choose_holder: typing.Callable[[], copies.Holder | None],
+        on_version: typing.Callable[[str, int], None],
+    ):
+        self._log = log
+        self._ledger = ledger
+        self._claim = claim
+        self._trainer = trainer
+        self._copier = copies.Copier(ledger, claim, choose_holder)
+        self._generator = samples.Generator(
+            dispatcher, count_slots, self._accept, ledger, trainer, claim
+        )
+        self._changed = asyncio.Condition()
+        self._sealing = asyncio.Lock()
+        self._asked_step = -1
+        self._on_version = on_version
+        self.closed = False
+        if ledger.version >= 0:
+            on_version(trainer.model, ledger.version)
+        self._plan()
+
+    @property
+    def claim(self) -> int:
+        """Offset of the claim, which is its fencing number."""
+        return self._claim
+
+    @property
+    def ledger(self) -> ledgers.Ledger:
+        """The ledger, to be read only."""
+        return self._ledger
+
+    @property
+    def copier(self) -> copies.Copier:
+        """The owner's end of the copy."""
+        return self._copier
+
+    @property
+    def _state(self) -> trainer_fold.TrainerState:
+        return self._log.find(self._trainer.name)
+
+    def set_trainer(self, trainer: deployment.Trainer) -> None:
+        """Take over a changed configuration of the trainer."""
+        self._trainer = trainer
+        self._generator.set_trainer(trainer)
+
+    async def drain(self) -> None:
+        """Begin no more samples and let those in flight end."""
+        await self._generator.drain()
+        await self._copier.wait_copied()
+
+    async def close(self) -> None:
+        """Stop to generate; nothing is handed over any more."""
+        self.closed = True
+        await self._generator.close()
+        await self._notify()
+
+    async def set_version(self, version: int, strict: bool = False) -> None:
+        """Take in the trainer's weight version.
+
+        Args:
+          version: Version that the trainer is at.
+          strict: Whether a lower version than known is refused.
+
+        Raises:
+          RefusedError: If the version went back.
+        """
+        if strict and version < self._ledger.version:
+            raise RefusedError(
+                Refusal.VERSION_BACK,
+                f'version {self._ledger.version} is known already; a run '
+                'that starts over goes on above it',
+            )
+        if version > self._ledger.version:
+            self._copier.apply(ledgers.SetVersion(version))
+            self._on_version(self._trainer.model, version)
+            self._drop_stale()
+            await self._notify()
+
+    async def submit(self, change: ledgers.AddGroups) -> int:
+        """Take groups in.
+
+        Args:
+          change: The submission.
+
+        Returns:
+          How many groups of the submission are held.
+
+        Raises:
+          RefusedError: If a group differs, or the step is sealed.
+        """
+        self._check_generation(change.step, change.generation)
+        if self._is_sealed(change.step, change.generation):
+            return len(change.prompts)
+        try:
+            new = ledgers.find_new_prompts(self._ledger, change)
+        except ledgers.GroupDiffersError as error:
+            raise RefusedError(
+                Refusal.GROUP_DIFFERS,
+                f'group {error} was submitted with another prompt',
+            ) from error
+        if new:
+            self._copier.apply(
+                ledgers.AddGroups(change.step, change.generation, new)
+            )
+            self._plan()
+            await self._notify()
+        await self._copier.wait_copied()
+        return len(change.prompts)
+
+    async def take(
+        self, step: int, generation: int, version: int, wait_seconds: float
+    ) -> bytes:
+        """Hand a step over.
+
+        Args:
+          step: Number of the step.
+          generation: Generation that the trainer wants.
+          version: Weight version that the trainer is at now.
+          wait_seconds: How long to wait for a step that isn't whole.
+
+        Returns:
+          The sealed contents; the same bytes each time.
+
+        Raises:
+          RefusedError: If the step can't be handed over.
+        """
+        await self.set_version(version)
+        self._check_generation(step, generation)
+        self._finish_before(step)
+        self._asked_step = max(self._asked_step, step)
+        self._plan()
+        if not self._is_sealed(step, generation):
+            await self._wait_ready(step, generation, wait_seconds)
+            async with self._sealing:
+                await self._seal(step, generation)
+        return self._hand_over(step, generation)
+
+    async def void(self, step: int, generation: int) -> int:
+        """Give a sealed step up.
+
+        Args:
+          step: Number of the step.
+          generation: Generation that is given up.
+
+        Returns:
+          The generation under which the step is submitted anew.
+
+        Raises:
+          RefusedError: If the log service can't take the record.
+        """
+        current = self._state.find_generation(step)
+        if generation == current and self._is_sealed(step, generation):
+            await self._append(
+                records.Void(self._trainer.name, step, generation, self._claim)
+            )
+            current = self._state.find_generation(step)
+        if current != generation + 1:
+            raise RefusedError(
+                Refusal.GENERATION, f'generation {current} is the newest'
+            )
+        own = [
+            identity
+            for identity, group in self._ledger.groups.items()
+            if group.step == step and group.generation < current
+        ]
+        self._copier.apply(ledgers.Finish(step, own))
+        return current
+
+    def describe(self) -> dict:
+        """Describe the trainer for status pages."""
+        return {
+            'trainer': self._trainer.name,
+            'model': self._trainer.model,
+            'claim': self._claim,
+            'copy': self._copier.holder_name,
+            'version': self._ledger.version,
+            'newest_step': self._state.newest_step,
+            'groups': len(self._ledger.groups),
+            'samples': sum(
+                len(group.samples) for group in self._ledger.groups.values()
+            ),
+        }
+
+    def _plan(self) -> None:
+        """Tell the generator how far ahead it may work."""
+        self._generator.last_step = samples.predict_last_step(
+            self._state.newest_step + 1,
+            self._asked_step,
+            self._trainer.staleness_bound,
+        )
+        self._generator.wake()
+
+    def _accept(self, want: samples.Want, sample: ledgers.Sample) -> None:
+        group = self._ledger.groups.get(want.group)
+        if group is None or want.index in group.samples:
+            metrics.SAMPLES.labels('superseded').inc()
+            return
+        self._copier.apply(ledgers.AddSample(want.group, sample))
+        self._drop_stale()
+        asyncio.ensure_future(self._notify())
+
+    def _drop_stale(self) -> None:
+        """Drop samples that can't be handed over any more."""
+        oldest = self._ledger.version - self._trainer.staleness_bound
+        for identity, group in self._ledger.groups.items():
+            if indices := ledgers.find_stale_samples(group, oldest):
+                metrics.SAMPLES.labels('stale').inc(len(indices))
+                self._copier.apply(ledgers.DropSamples(identity, indices))
+        self._generator.wake()
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _is_sealed(self, step: int, generation: int) -> bool:
+        sealed = self._state.sealed.get(step)
+        return sealed is not None and sealed.generation == generation
+
+    def _check_generation(self, step: int, generation: int) -> None:
+        current = self._state.find_generation(step)
+        if generation != current:
+            raise RefusedError(
+                Refusal.GENERATION,
+                f'step {step} is at generation {current}',
+            )
+        if step < self._state.newest_step:
+            raise RefusedError(
+                Refusal.ALREADY_TAKEN,
+                f'step {self._state.newest_step} was sealed later',
+            )
+
+    def _finish_before(self, step: int) -> None:
+        """Drop what earlier steps used up: the trainer has taken them."""
+        for earlier, sealed in sorted(self._state.sealed.items()):
+            used = trainer_fold.list_identities(
+                earlier, sealed.groups, sealed.carried
+            )
+            held = [name for name in used if name in self._ledger.groups]
+            if earlier < step and (held or earlier in self._ledger.sealed):
+                self._copier.apply(ledgers.Finish(earlier, held))
+        self._drop_expired(step)
+
+    def _drop_expired(self, step: int) -> None:
+        """Drop groups that came too late for any step that may use them."""
+        oldest = step - trainer_fold.CARRY_STEPS
+        expired = [
+            identity
+            for identity, group in self._ledger.groups.items()
+            if group.step < oldest
+        ]
+        if expired:
+            metrics.SAMPLES.labels('expired').inc(len(expired))
+            self._copier.apply(ledgers.Finish(oldest - 1, expired))
+
+    def _choose(self, step: int, generation: int):
+        return ledgers.choose_groups(
+            self._ledger,
+            step,
+            generation,
+            self._trainer.samples_per_group,
+            self._trainer.group_fraction,
+        )
+
+    async def _wait_ready(
+        self, step: int, generation: int, wait_seconds: float
+    ) -> None:
+        known = any(
+            g.step == step and g.generation == generation
+            for g in self._ledger.groups.values()
+        )
+        if not known:
+            raise RefusedError(
+                Refusal.UNKNOWN_STEP, f'submit the groups of step {step}'
+            )
+        try:
+            async with asyncio.timeout(wait_seconds), self._changed:
+                await self._changed.wait_for(
+                    lambda: self.closed or self._choose(step, generation)
+                )
+        except TimeoutError:
+            raise RefusedError(
+                Refusal.NOT_READY, f'step {step} is not whole yet'
+            ) from None
+        self._check_open()
+
+    def _check_open(self) -> None:
+        if self.closed or self._state.claim != self._claim:
+            raise RefusedError(
+                Refusal.NOT_OWNER, 'another entry owns the trainer now'
+            )
+
+    async def _seal(self, step: int, generation: int) -> None:
+        """Fix the contents and have the seal read back as effective."""
+        if self._is_sealed(step, generation):
+            return
+        sealed = self._prepare(step, generation)
+        await self._copier.wait_copied()
+        await self._append(
+            records.Seal(
+                self._trainer.name,
+                step,
+                generation,
+                self._claim,
+                self._ledger.version,
+                sealed.groups,
+                sealed.digest,
+                sealed.carried,
+            )
+        )
+        self._check_open()
+        effective = self._state.sealed.get(step)
+        won = effective is not None and effective.digest == sealed.digest
+        metrics.SEALS.labels('effective' if won else 'no effect').inc()
+
+    def _prepare(self, step: int, generation: int) -> ledgers.Sealed:
+        """Fix the contents, anew only if no earlier seal can be pending."""
+        pending = self._ledger.sealed.get(step)
+        if pending is not None and pending.generation == generation:
+            return pending
+        groups = self._choose(step, generation)
+        if groups is None:
+            raise RefusedError(
+                Refusal.NOT_READY, f'step {step} is not whole any more'
+            )
+        sealed = ledgers.build_sealed(
+            self._ledger, step, generation, self._ledger.version, groups
+        )
+        self._copier.apply(ledgers.Prepare(sealed))
+        return sealed
+
+    async def _append(self, record: records.Record) -> None:
+        try:
+            async with asyncio.timeout(SEAL_TIMEOUT_SECONDS):
+                await self._log.append(record)
+        except (log_service.LogError, TimeoutError) as error:
+            raise RefusedError(
+                Refusal.LOG_UNAVAILABLE, 'the log service is unavailable'
+            ) from error
+
+    def _hand_over(self, step: int, generation: int) -> bytes:
+        """Return the sealed contents, if they are held and still fresh."""
+        self._check_open()
+        sealed = self._state.sealed.get(step)
+        contents = self._ledger.sealed.get(step)
+        if sealed is None or sealed.generation != generation:
+            raise RefusedError(
+                Refusal.NOT_READY, f'step {step} was not sealed'
+            )
+        if contents is None or contents.digest != sealed.digest:
+            raise RefusedError(
+                Refusal.CONTENTS_LOST,
+                'no daemon holds the contents any more; go on with the next '
+                'step if this one was taken, else void it',
+            )
+        bound = self._trainer.staleness_bound
+        if contents.oldest_version < self._ledger.version - bound:
+            raise RefusedError(
+                Refusal.STALE,
+                'the step is too stale for the version that the trainer is '
+                'at; go on with the next step, or void it',
+            )
+        metrics.SAMPLES.labels('handed over').inc()
+        self._plan()
+        return contents.body
