Run requests at a side: streams, admission, queue, engines

Cause: the thin path needs a process in front of the replicas of a host. Change: role side with streams from entries, admission and queue, runs on model engines and plain services over HTTP, probes, health, metrics and status. Ruled out: a message for each token, since 28,000 tokens a second through one process leave too little time for each; they are collected.

--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: streams, engines, plain services."""
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/connection/fake_engine_test.py
@@ -0,0 +1,140 @@
+"""A scripted engine for the tests of the side, and a test of itself."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from auburnroad_core.http import client
+from auburnroad_core.http import messages
+from auburnroad_core.http import server
+from auburnroad_daemon.connection import engine
+from auburnroad_daemon.connection import http_engine
+
+GATE_SECONDS = 10.0
+
+
+class FakeEngine:
+    """Answers each completion with its max_tokens tokens of one letter.
+
+    Attributes:
+      versions: Versions that it reports.
+      gate: Tokens behind the first wait for it.
+      runs: Ids of the completions, in order.
+      cancelled: Ids that were cancelled.
+      orders: Orders received.
+      order_statuses: Statuses for the next orders instead of success.
+      break_after: Tokens after which a stream is cut, or None.
+      silent: Whether nothing follows the first token.
+    """
+
+    def __init__(self):
+        self.versions = {'m': 1}
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.runs: list[str] = []
+        self.cancelled: list[str] = []
+        self.orders: list[engine.Order] = []
+        self.order_statuses: list[int] = []
+        self.break_after: int | None = None
+        self.address = ''
+        self._server = server.HttpServer(self._handle)
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        host, port = await self._server.start('127.0.0.1', 0)
+        self.address = f'{host}:{port}'
+        return self.address
+
+    async def stop(self) -> None:
+        """Die at once."""
+        await self._server.close()
+
+    async def _handle(self, request):
+        if request.path == '/load':
+            load = engine.EngineLoad(0, 0, 8, self.versions)
+            return messages.json_response(200, load)
+        if request.path == '/cancel':
+            self.cancelled.append(
+                msgspec.json.decode(request.body)['request_id']
+            )
+            return messages.json_response(200, {'cancelled': True})
+        if request.path == '/orders':
+            return self._obey(request)
+        if request.path == '/v1/completions':
+            completion = msgspec.json.decode(
+                request.body, type=engine.Completion
+            )
+            self.runs.append(completion.request_id)
+            return messages.Response(200, chunks=self._generate(completion))
+        return messages.Response(200, request.headers, request.body)
+
+    def _obey(self, request):
+        order = msgspec.json.decode(request.body, type=engine.Order)
+        self.orders.append(order)
+        if self.order_statuses:
+            return messages.json_response(self.order_statuses.pop(0), {})
+        self.versions[order.model] = order.version
+        return messages.json_response(200, {'versions': self.versions})
+
+    async def _generate(self, completion):
+        for index in range(completion.max_tokens):
+            if index == self.break_after:
+                raise ConnectionResetError('told to break')
+            if index:
+                async with asyncio.timeout(GATE_SECONDS):
+                    await self.gate.wait()
+            last = index + 1 == completion.max_tokens
+            event = engine.Tokens(
+                'x',
+                1,
+                self.versions.get(completion.model, 0),
+                index,
+                'length' if last else None,
+            )
+            yield messages.server_sent_event(msgspec.json.encode(event))
+        yield messages.server_sent_event(http_engine.END_OF_STREAM)
+
+
+class HttpEngineTest(unittest.IsolatedAsyncioTestCase):
+    """The wire to an engine keeps 'not run' and 'unknown' apart."""
+
+    async def asyncSetUp(self):
+        self.fake = FakeEngine()
+        await self.fake.start()
+        self.http_client = client.HttpClient()
+        self.engine = http_engine.HttpEngine(
+            self.fake.address, self.http_client
+        )
+
+    async def asyncTearDown(self):
+        self.http_client.close()
+        await self.fake.stop()
+
+    async def complete(self):
+        completion = engine.Completion('r1', 'm', 'p', 3)
+        return [event async for event in self.engine.complete(completion)]
+
+    async def test_yields_tokens_with_versions_until_the_reason(self):
+        events = await self.complete()
+        self.assertEqual([1, 1, 1], [event.version for event in events])
+        self.assertEqual('length', events[-1].finish_reason)
+
+    async def test_a_cut_stream_is_broken(self):
+        self.fake.break_after = 1
+        with self.assertRaises(engine.EngineBrokenError):
+            await self.complete()
+
+    async def test_no_connection_is_unreachable(self):
+        await self.fake.stop()
+        with self.assertRaises(engine.EngineUnreachableError):
+            await self.complete()
+
+    async def test_an_old_fence_is_told_apart_from_a_failed_swap(self):
+        order = engine.Order('load_version', 'm', 2, 2, '127.0.0.1:1')
+        self.fake.order_statuses = [409, 500]
+        with self.assertRaises(engine.OldFenceError):
+            await self.engine.order(order)
+        with self.assertRaises(engine.EngineRejectedError):
+            await self.engine.order(order)
+        self.assertEqual({'m': 2}, await self.engine.order(order))
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/connection/probes.py
@@ -0,0 +1,84 @@
+"""Probes of the host's replicas: are they there, and what do they serve."""
+
+import asyncio
+import typing
+
+from auburnroad_core import clock
+from auburnroad_daemon.connection import engine
+from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.version import side_configuration
+
+TICK_SECONDS = 0.1
+
+
+class Probes:
+    """Probes each replica when its time has come."""
+
+    __slots__ = ('_replicas', '_configuration', '_changed', '_tasks')
+
+    def __init__(
+        self,
+        replicas: list[replica_module.Replica],
+        configuration: side_configuration.SideConfiguration,
+        changed: typing.Callable[[], None],
+    ):
+        self._replicas = replicas
+        self._configuration = configuration
+        self._changed = changed
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Probe until the task is cancelled."""
+        try:
+            while True:
+                self._start_due()
+                await asyncio.sleep(TICK_SECONDS)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def _start_due(self) -> None:
+        now_ms = clock.time_now_ms()
+        deployed = self._configuration.deployment
+        if deployed is None:
+            return
+        for replica in self._replicas:
+            service = deployed.find_service(replica.service)
+            due = now_ms >= replica.health.probe_ms
+            if service is None or not due or replica.name in self._tasks:
+                continue
+            self._tasks[replica.name] = asyncio.ensure_future(
+                self._probe(replica, service.kind)
+            )
+
+    async def _probe(self, replica, kind) -> None:
+        try:
+            if kind == 'plain':
+                succeeded = await replica.plain.probe()
+            else:
+                succeeded = await probe_engine(replica)
+            was_up = replica.health.up
+            replica.health.record_probe(succeeded, clock.time_now_ms())
+            if replica.health.up != was_up:
+                self._changed()
+        finally:
+            del self._tasks[replica.name]
+
+
+async def probe_engine(replica: replica_module.Replica) -> bool:
+    """Read an engine's load and note the versions that it serves.
+
+    Args:
+      replica: A replica of a model service.
+
+    Returns:
+      True when it answered.
+    """
+    try:
+        load = await replica.engine.read_load()
+    except engine.EngineError:
+        return False
+    at_ms = load.at_ms or clock.time_now_ms()
+    for model, version in load.versions.items():
+        replica.note_version(model, version, at_ms)
+    return True
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for the process: roles, health, metrics, start and stop."""
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -0,0 +1,259 @@
+"""The role side: one process on each target host, before its replicas.
+
+It admits and runs requests, gives the engines their orders, and leaves
+without harm to work in flight. It needs no platform service in the common
+case: entries bring configuration and versions over their streams.
+"""
+
+import asyncio
+import secrets
+
+from absl import logging
+
+from auburnroad_core import clock
+from auburnroad_core.http import client
+from auburnroad_core.http import server
+from auburnroad_core import refusals
+from auburnroad_core.settings import daemon
+from auburnroad_core.wire import messages
+from auburnroad_core.wire import stream
+from auburnroad_daemon.connection import probes
+from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.connection import side_streams
+from auburnroad_daemon.process import health
+from auburnroad_daemon.process import history
+from auburnroad_daemon.process import metrics as metrics_module
+from auburnroad_daemon.process import roles
+from auburnroad_daemon.process import side_status
+from auburnroad_daemon.request import side_requests
+from auburnroad_daemon.version import side_configuration
+
+DEFAULT_DRAIN_MS = 30_000
+# What waits is refused by then, so that what runs has time to end.
+WAITING_SHARE_OF_DRAIN = 0.5
+IDLE_POLL_SECONDS = 0.02
+# An entry may have sent a request just before it heard that we leave.
+LINGER_SECONDS = 0.5
+HTTP_DRAIN_SECONDS = 5.0
+
+
+@roles.ROLES.register('side')
+class Side:
+    """One running side."""
+
+    def __init__(self, settings: daemon.Daemon):
+        self._settings = settings
+        self._incarnation = secrets.token_hex(8)
+        self._client = client.HttpClient()
+        self._metrics = metrics_module.SideMetrics()
+        self._history = history.History()
+        self._configuration = side_configuration.SideConfiguration()
+        self._replicas = [
+            replica_module.build_replica(replica, self._client)
+            for replica in settings.replicas
+        ]
+        self._requests = side_requests.SideRequests(
+            self._replicas, self._configuration, self._metrics, self._history
+        )
+        self._probes = probes.Probes(
+            self._replicas, self._configuration, self._requests.dispatch
+        )
+        self._streams = side_streams.SideStreams(
+            self.build_hello,
+            self.build_heartbeat,
+            self._requests.lose_stream,
+            self._metrics,
+        )
+        self._router = health.Router()
+        health.add_monitoring(self._router, self)
+        self._http = server.HttpServer(self._router.handle)
+        self._tasks: list[asyncio.Task] = []
+        self._drain_task: asyncio.Task | None = None
+        self._closed = asyncio.Event()
+        self.stream_address: tuple[str, int] | None = None
+        self.http_address: tuple[str, int] | None = None
+        self._add_handlers()
+
+    @property
+    def settings(self) -> daemon.Daemon:
+        """The daemon's settings."""
+        return self._settings
+
+    @property
+    def incarnation(self) -> str:
+        """Random text that names this process."""
+        return self._incarnation
+
+    @property
+    def revision(self) -> int:
+        """Highest configuration revision seen, -1 for none."""
+        return self._configuration.revision
+
+    @property
+    def leaving(self) -> bool:
+        """Whether new work is refused."""
+        return self._requests.leaving
+
+    @property
+    def replicas(self) -> list[replica_module.Replica]:
+        """The host's replicas."""
+        return self._replicas
+
+    @property
+    def ready(self) -> bool:
+        """Whether new work is welcome."""
+        return (
+            not self.leaving
+            and self._configuration.deployment is not None
+            and any(replica.health.up for replica in self._replicas)
+        )
+
+    @property
+    def registry(self):
+        """The role's metrics."""
+        loads = self._requests.build_loads()
+        for load in loads:
+            self._metrics.running.labels(load.service).set(load.running)
+            self._metrics.waiting.labels(load.service).set(load.waiting)
+            self._metrics.ready_replicas.labels(load.service).set(
+                load.ready_replicas
+            )
+        self._metrics.revision.set(self.revision)
+        return self._metrics.registry
+
+    async def start(self) -> None:
+        """Listen and begin to work.
+
+        Raises:
+          OSError: If an address of the settings can't be had.
+        """
+        self._tasks = [
+            asyncio.ensure_future(self._requests.sweep()),
+            asyncio.ensure_future(self._probes.run()),
+        ]
+        self.http_address = await self._http.start(
+            *_split_address(self._settings.http_address)
+        )
+        self.stream_address = await self._streams.start(
+            *_split_address(self._settings.stream_address)
+        )
+
+    def drain(self) -> None:
+        """Begin a planned stop; calling it again changes nothing."""
+        if self._drain_task is None:
+            self._requests.leaving = True
+            logging.info('%s: leaving', self._settings.name)
+            self._streams.send_to_all(self.build_heartbeat())
+            self._drain_task = asyncio.ensure_future(self._drain())
+
+    async def wait_closed(self) -> None:
+        """Wait until a planned stop is complete."""
+        await self._closed.wait()
+
+    async def close(self) -> None:
+        """Stop at once; what runs is cut off."""
+        await self._requests.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._streams.close()
+        await self._http.close()
+        self._client.close()
+        self._closed.set()
+
+    def build_hello(self) -> messages.Hello:
+        """Build the introduction of this side.
+
+        Returns:
+          The first message of a stream.
+        """
+        return messages.Hello(
+            self._settings.name,
+            self._incarnation,
+            'side',
+            self._settings.host,
+            self._settings.failure_domain,
+            self.revision,
+            sorted({replica.service for replica in self._replicas}),
+            self.leaving,
+        )
+
+    def build_heartbeat(self) -> messages.Heartbeat:
+        """Build the heartbeat with loads and the oldest versions.
+
+        Returns:
+          The heartbeat.
+        """
+        return messages.Heartbeat(
+            self.revision,
+            self.leaving,
+            self._requests.build_loads(),
+            side_status.find_oldest_versions(self._replicas),
+        )
+
+    def build_status(self) -> object:
+        """Build the answer of /status.
+
+        Returns:
+          The status.
+        """
+        return side_status.build_status(self)
+
+    def explain(self, id_: str) -> list[history.Event]:
+        """Find the events known of a request.
+
+        Args:
+          id_: The request's id.
+
+        Returns:
+          Its events, oldest first.
+        """
+        return self._history.find(id_)
+
+    def _add_handlers(self) -> None:
+        requests = self._requests
+        add = self._streams.add_handler
+        add(messages.Hello, self._handle_revision)
+        add(messages.Heartbeat, self._handle_revision)
+        add(messages.Configuration, self._handle_configuration)
+        add(messages.Submit, requests.handle_submit)
+        add(messages.Cancel, requests.handle_cancel)
+        add(messages.Resume, requests.handle_resume)
+        add(messages.Acknowledge, requests.handle_acknowledge)
+
+    def _handle_revision(self, peer: stream.Stream, message) -> None:
+        if message.revision < self.revision:
+            peer.send(self._configuration.build_message())
+
+    def _handle_configuration(self, peer: stream.Stream, message) -> None:
+        if self._configuration.apply(message):
+            self._requests.dispatch()
+
+    async def _drain(self) -> None:
+        deployed = self._configuration.deployment
+        drain_ms = DEFAULT_DRAIN_MS
+        if deployed is not None:
+            drain_ms = deployed.limits.drain_ms
+        now_ms = clock.time_now_ms()
+        waiting_deadline_ms = now_ms + int(drain_ms * WAITING_SHARE_OF_DRAIN)
+        deadline_ms = now_ms + drain_ms
+        while (
+            not self._requests.is_idle() and clock.time_now_ms() < deadline_ms
+        ):
+            if clock.time_now_ms() >= waiting_deadline_ms:
+                self._requests.refuse_waiting(refusals.LEAVING)
+            await asyncio.sleep(IDLE_POLL_SECONDS)
+        if self._requests.running:
+            logging.warning(
+                '%s: %d requests outlast the planned stop',
+                self._settings.name,
+                self._requests.running,
+            )
+        await asyncio.sleep(LINGER_SECONDS)
+        await self._http.drain(HTTP_DRAIN_SECONDS)
+        await self.close()
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/process/side_test.py
@@ -0,0 +1,274 @@
+"""Tests of a whole side: a real stream, real HTTP, a scripted engine."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from auburnroad_core import clock
+from auburnroad_core import refusals
+from auburnroad_core.settings import daemon
+from auburnroad_core.settings import deployment
+from auburnroad_core import types
+from auburnroad_core.wire import messages
+from auburnroad_core.wire import stream as stream_module
+from auburnroad_daemon.connection import fake_engine_test
+from auburnroad_daemon.process import side as side_module
+
+WAIT_SECONDS = 10.0
+FAR_MS = 60_000
+
+
+def build_deployment(**limits) -> bytes:
+    """Build a configuration with a model service and a plain one."""
+    return msgspec.json.encode(
+        deployment.Deployment(
+            'test',
+            ['a'],
+            [
+                deployment.Service(
+                    'llm', 'model', slots_per_replica=2, queue_per_replica=1
+                ),
+                deployment.Service('api', 'plain'),
+            ],
+            [deployment.Trainer('t', 'llm', 'm')],
+            limits=deployment.Limits(interactive_share=0.0, **limits),
+        )
+    )
+
+
+class FakeEntry:
+    """The other end of a stream."""
+
+    def __init__(self, name='entry-1'):
+        self.name = name
+        self.received: list[messages.Message] = []
+        self.versions: dict[str, int] = {}
+        self.revision = 7
+        self._changed = asyncio.Event()
+        self._task = None
+        self.stream = None
+
+    async def connect(self, address) -> None:
+        """Open the stream."""
+        hello = messages.Hello(
+            self.name, 'i', 'entry', 'h', 'a', self.revision, []
+        )
+        self.stream = await stream_module.open_stream(
+            f'{address[0]}:{address[1]}', hello
+        )
+        self._task = asyncio.ensure_future(
+            self.stream.run(self._handle, self._build_heartbeat)
+        )
+
+    async def close(self) -> None:
+        """Cut the stream."""
+        self.stream.close()
+        await asyncio.wait([self._task])
+
+    def _build_heartbeat(self):
+        return messages.Heartbeat(self.revision, False, [], self.versions)
+
+    def _handle(self, peer, message):
+        self.received.append(message)
+        self._changed.set()
+
+    async def wait_for(self, kind, request_id=None, **fields):
+        """Wait for a message and return the first that fits."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                for message in self.received:
+                    if isinstance(message, kind) and all(
+                        getattr(message, name) == value
+                        for name, value in fields.items()
+                    ):
+                        if request_id in (
+                            None,
+                            getattr(message, 'request_id', None),
+                        ):
+                            return message
+                self._changed.clear()
+                await self._changed.wait()
+
+    def submit(self, request_id, **changes) -> None:
+        """Submit a completion, or what the changes make of it."""
+        submit = messages.Submit(
+            request_id,
+            'llm',
+            types.RequestClass.SAMPLE,
+            clock.time_now_ms() + FAR_MS,
+            True,
+            False,
+            'POST',
+            '/v1/completions',
+            {},
+            b'{"model": "m", "prompt": "p", "max_tokens": 4}',
+            model='m',
+            trainer='t',
+        )
+        self.stream.send(msgspec.structs.replace(submit, **changes))
+
+
+class SideCase(unittest.IsolatedAsyncioTestCase):
+    """A side with one engine and one plain service, and an entry."""
+
+    limits: dict = {}
+
+    async def asyncSetUp(self):
+        self.engine = fake_engine_test.FakeEngine()
+        self.plain = fake_engine_test.FakeEngine()
+        address = await self.engine.start()
+        plain_address = await self.plain.start()
+        self.side = side_module.Side(
+            daemon.Daemon(
+                'side-1',
+                'side',
+                'h1',
+                'a',
+                '127.0.0.1:0',
+                '127.0.0.1:0',
+                '127.0.0.1:1',
+                '127.0.0.1:1',
+                '127.0.0.1:1',
+                replicas=[
+                    daemon.Replica('llm-1', 'llm', address),
+                    daemon.Replica('api-1', 'api', plain_address),
+                ],
+            )
+        )
+        await self.side.start()
+        self.entry = FakeEntry()
+        await self.entry.connect(self.side.stream_address)
+        self.entry.stream.send(
+            messages.Configuration(7, build_deployment(**self.limits))
+        )
+        await self.until(lambda: all(r.health.up for r in self.side.replicas))
+
+    async def asyncTearDown(self):
+        await self.side.close()
+        await self.entry.close()
+        await self.engine.stop()
+        await self.plain.stop()
+
+    async def until(self, condition):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+
+class SubmitTest(SideCase):
+    """A request runs once, and every refusal is true."""
+
+    async def test_answers_whole_with_spans(self):
+        self.entry.submit('r1')
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual('xxxx', done.text)
+        self.assertEqual([types.VersionSpan(1, 0, 4)], done.spans)
+        self.assertEqual('llm-1', done.replica)
+        self.assertEqual(types.Outcome.RUN, done.outcome)
+        self.assertEqual('llm', done.loads[1].service)
+
+    async def test_streams_chunks_that_join_to_the_answer(self):
+        self.entry.submit('r1', streamed=True)
+        done = await self.entry.wait_for(messages.Done)
+        chunks = [
+            m for m in self.entry.received if isinstance(m, messages.Chunk)
+        ]
+        self.assertEqual('xxxx', ''.join(chunk.text for chunk in chunks))
+        self.assertEqual(done.chunks, len(chunks))
+        self.assertEqual('', done.text)
+        self.assertEqual(0, chunks[0].spans[0].start)
+        self.assertEqual(4, chunks[-1].spans[-1].end)
+
+    async def test_a_known_id_does_not_run_again(self):
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        self.entry.received.clear()
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        self.assertEqual(['r1'], self.engine.runs)
+
+    async def test_refuses_at_once_what_does_not_fit(self):
+        self.engine.gate.clear()
+        for number in range(4):
+            self.entry.submit(f'r{number}')
+        refused = await self.entry.wait_for(messages.Refused)
+        self.assertEqual('r3', refused.request_id)
+        self.assertEqual(refusals.OVERLOADED, refused.code)
+        self.engine.gate.set()
+        await self.entry.wait_for(messages.Done, 'r2')
+        self.assertNotIn('r3', self.engine.runs)
+
+    async def test_refuses_a_passed_deadline_and_an_unknown_service(self):
+        self.entry.submit('r1', deadline_ms=1)
+        refused = await self.entry.wait_for(messages.Refused, 'r1')
+        self.assertEqual(refusals.DEADLINE_PASSED, refused.code)
+        self.entry.submit('r2', service='other')
+        refused = await self.entry.wait_for(messages.Refused, 'r2')
+        self.assertEqual(refusals.UNKNOWN_SERVICE, refused.code)
+        self.assertEqual([], self.engine.runs)
+
+    async def test_a_cancelled_one_that_waits_is_not_run(self):
+        self.engine.gate.clear()
+        for number in range(3):
+            self.entry.submit(f'r{number}')
+        self.entry.stream.send(messages.Cancel('r2'))
+        refused = await self.entry.wait_for(messages.Refused, 'r2')
+        self.assertEqual(refusals.CANCELLED, refused.code)
+        self.entry.stream.send(messages.Cancel('r0'))
+        done = await self.entry.wait_for(messages.Done, 'r0')
+        self.assertEqual(types.Outcome.UNKNOWN, done.outcome)
+        await self.until(lambda: 'r0' in self.engine.cancelled)
+        self.assertNotIn('r2', self.engine.runs)
+
+    async def test_a_cut_engine_stream_is_unknown_and_ejects(self):
+        self.engine.break_after = 2
+        self.entry.submit('r1')
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.UNKNOWN, done.outcome)
+        self.engine.break_after = None
+        self.entry.submit('r2')
+        refused = await self.entry.wait_for(messages.Refused)
+        self.assertEqual(refusals.NO_REPLICA, refused.code)
+        await self.until(lambda: self.side.replicas[0].health.up)
+        self.entry.submit('r3')
+        await self.entry.wait_for(messages.Done, 'r3')
+
+    async def test_a_dead_engine_was_not_given_the_request(self):
+        await self.engine.stop()
+        self.entry.submit('r1')
+        refused = await self.entry.wait_for(messages.Refused)
+        self.assertEqual(refusals.NO_REPLICA, refused.code)
+
+
+class PlainCallTest(SideCase):
+    """Calls of plain services pass once, without hop-by-hop headers."""
+
+    def call(self, request_id, **changes):
+        self.entry.submit(
+            request_id,
+            service='api',
+            model='',
+            trainer='',
+            idempotent=False,
+            target='/lookup?id=1',
+            headers={'x-tenant': 'a', 'connection': 'close, x-hop'},
+            body=b'payload',
+            **changes,
+        )
+
+    async def test_passes_body_and_headers(self):
+        self.call('r1')
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(200, done.status)
+        self.assertEqual(b'payload', done.body)
+        self.assertEqual('a', done.headers['x-tenant'])
+        self.assertEqual('r1', done.headers['auburnroad-request-id'])
+        self.assertNotIn('connection', done.headers)
+
+    async def test_a_dead_service_was_not_given_the_call(self):
+        await self.plain.stop()
+        self.call('r1')
+        refused = await self.entry.wait_for(messages.Refused)
+        self.assertEqual(refusals.NO_REPLICA, refused.code)
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: admission, order, the run itself."""
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/request/placement.py
@@ -0,0 +1,59 @@
+"""Which of the host's replicas a request goes to."""
+
+import collections
+
+from auburnroad_core.wire import messages
+from auburnroad_daemon.connection import replica as replica_module
+
+MAX_GROUPS = 4096
+
+
+def is_fresh(replica: replica_module.Replica, submit: messages.Submit) -> bool:
+    """Tell whether a replica's weights are new enough for a request.
+
+    Args:
+      replica: The replica.
+      submit: The request.
+
+    Returns:
+      True when it is.
+    """
+    return replica.get_version(submit.model) >= submit.minimum_version
+
+
+class Placement:
+    """Chooses replicas and remembers which one has a group's prefix."""
+
+    __slots__ = ('_groups',)
+
+    def __init__(self):
+        self._groups: collections.OrderedDict[tuple, str] = (
+            collections.OrderedDict()
+        )
+
+    def choose(
+        self,
+        replicas: list[replica_module.Replica],
+        submit: messages.Submit,
+    ) -> replica_module.Replica:
+        """Choose the least loaded one, and among equals the group's own.
+
+        Args:
+          replicas: Replicas that can take the request, at least one.
+          submit: The request.
+
+        Returns:
+          The replica.
+        """
+        key = (submit.trainer, submit.step, submit.group)
+        own = self._groups.get(key) if submit.group else None
+        chosen = min(
+            replicas,
+            key=lambda r: (len(r.running), r.name != own, r.name),
+        )
+        if submit.group:
+            self._groups[key] = chosen.name
+            self._groups.move_to_end(key)
+            if len(self._groups) > MAX_GROUPS:
+                self._groups.popitem(last=False)
+        return chosen
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/request/run.py
@@ -0,0 +1,189 @@
+"""Runs one request on one replica, once, and says what became of it."""
+
+import asyncio
+
+import msgspec
+
+from auburnroad_core import clock
+from auburnroad_core.http import client
+from auburnroad_core.http import messages as http_messages
+from auburnroad_core import refusals
+from auburnroad_core import types
+from auburnroad_core.wire import messages
+from auburnroad_daemon.connection import engine
+from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.request import attempt as attempt_module
+from auburnroad_daemon.request import token_writer
+
+ENGINE_SILENCE_SECONDS = 5.0
+REQUEST_ID_HEADER = 'auburnroad-request-id'
+
+
+class CompletionBody(msgspec.Struct):
+    """What the side reads of a completion's body; the rest is passed over.
+
+    Attributes:
+      prompt: The prompt's text.
+      max_tokens: Tokens after which the engine stops.
+    """
+
+    prompt: str
+    max_tokens: int = 16
+
+
+class Result(msgspec.Struct):
+    """How a run ended.
+
+    Attributes:
+      answer: The final answer, without the host's load.
+      target_failed: Whether the target is at fault.
+    """
+
+    answer: attempt_module.Answer
+    target_failed: bool = False
+
+
+async def run_completion(
+    attempt: attempt_module.Attempt, replica: replica_module.Replica
+) -> Result:
+    """Run a completion on a model engine.
+
+    Args:
+      attempt: The request.
+      replica: Replica that runs it.
+
+    Returns:
+      How it ended.
+    """
+    submit = attempt.submit
+    try:
+        body = msgspec.json.decode(submit.body, type=CompletionBody)
+    except msgspec.DecodeError:
+        return Result(_refuse(submit, refusals.BAD_REQUEST))
+    completion = engine.Completion(
+        submit.request_id, submit.model, body.prompt, body.max_tokens
+    )
+    writer = token_writer.TokenWriter(attempt)
+    try:
+        reason = await _read_tokens(attempt, replica, completion, writer)
+    except engine.EngineUnreachableError:
+        return Result(_refuse(submit, refusals.NO_REPLICA), True)
+    except engine.EngineRejectedError as error:
+        return _build_rejection(attempt, replica, error)
+    except engine.EngineBrokenError as error:
+        outcome = types.Outcome.UNKNOWN
+        return Result(_build_done(attempt, writer, outcome, str(error)), True)
+    answer = _build_done(attempt, writer, types.Outcome.RUN)
+    answer.status = 200
+    answer.finish_reason = reason
+    return Result(answer)
+
+
+async def _read_tokens(attempt, replica, completion, writer) -> str:
+    """Read the engine's stream to its end; return why it stopped."""
+    loop = asyncio.get_running_loop()
+    model = attempt.submit.model
+    reason = None
+    try:
+        async with asyncio.timeout(ENGINE_SILENCE_SECONDS) as limit:
+            async for event in replica.engine.complete(completion):
+                limit.reschedule(loop.time() + ENGINE_SILENCE_SECONDS)
+                writer.add(event)
+                replica.note_version(model, event.version, clock.time_now_ms())
+                reason = event.finish_reason or reason
+    except TimeoutError as error:
+        raise engine.EngineBrokenError('the engine fell silent') from error
+    except engine.EngineBrokenError:
+        # Behind the reason to stop nothing is missing.
+        if reason is None:
+            raise
+    if reason is None:
+        raise engine.EngineBrokenError('the stream ended early')
+    return reason
+
+
+def _build_rejection(attempt, replica, error) -> Result:
+    """Turn the engine's own refusal into an answer."""
+    if error.status == 404:
+        replica.forget_version(attempt.submit.model)
+        return Result(_refuse(attempt.submit, refusals.MODEL_MISSING))
+    answer = build_unknown(attempt, str(error))
+    answer.status = error.status
+    if error.status < 500:
+        answer.outcome = types.Outcome.NOT_RUN
+    return Result(answer, error.status >= 500)
+
+
+def _build_done(attempt, writer, outcome, error='') -> messages.Done:
+    text = writer.close()
+    return messages.Done(
+        attempt.request_id,
+        outcome,
+        0,
+        text=text,
+        spans=writer.spans,
+        replica=attempt.replica,
+        chunks=len(attempt.chunks),
+        error=error,
+    )
+
+
+async def run_call(
+    attempt: attempt_module.Attempt, replica: replica_module.Replica
+) -> Result:
+    """Pass a call on to a plain service, once.
+
+    Args:
+      attempt: The request.
+      replica: Replica that runs it.
+
+    Returns:
+      How it ended.
+    """
+    submit = attempt.submit
+    headers = {REQUEST_ID_HEADER: submit.request_id, **submit.headers}
+    request = http_messages.Request(
+        submit.method, submit.target, headers, submit.body
+    )
+    try:
+        response = await replica.plain.call(request)
+    except client.ConnectError:
+        return Result(_refuse(submit, refusals.NO_REPLICA), True)
+    except client.BrokenError as error:
+        answer = build_unknown(attempt, str(error))
+        return Result(answer, True)
+    answer = messages.Done(
+        submit.request_id,
+        types.Outcome.RUN,
+        response.status,
+        headers=response.headers,
+        body=response.body,
+        replica=replica.name,
+    )
+    return Result(answer)
+
+
+def build_unknown(
+    attempt: attempt_module.Attempt, error: str
+) -> messages.Done:
+    """Build the answer of a request that a target may have run.
+
+    Args:
+      attempt: The request.
+      error: What went wrong.
+
+    Returns:
+      The answer.
+    """
+    return messages.Done(
+        attempt.request_id,
+        types.Outcome.UNKNOWN,
+        0,
+        replica=attempt.replica,
+        chunks=len(attempt.chunks),
+        error=error,
+    )
+
+
+def _refuse(submit: messages.Submit, code: str) -> messages.Refused:
+    return messages.Refused(submit.request_id, code, clock.time_now_ms())
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/request/side_requests.py
@@ -0,0 +1,326 @@
+"""All requests at a side: from Submit to the acknowledged answer."""
+
+import asyncio
+
+from absl import logging
+
+from auburnroad_core import clock
+from auburnroad_core import refusals
+from auburnroad_core import types
+from auburnroad_core.wire import messages
+from auburnroad_core.wire import stream
+from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.process import history as history_module
+from auburnroad_daemon.process import metrics as metrics_module
+from auburnroad_daemon.request import admission
+from auburnroad_daemon.request import attempt as attempt_module
+from auburnroad_daemon.request import attempts as attempts_module
+from auburnroad_daemon.request import run
+from auburnroad_daemon.request import side_queue
+from auburnroad_daemon.version import side_configuration
+
+SWEEP_SECONDS = 0.05
+# A call that may not be repeated goes on for this long behind its deadline,
+# since only its end can say whether it was run.
+LATE_RUN_MS = 30_000
+
+
+class SideRequests:
+    """Admits, runs and answers requests for the host's replicas."""
+
+    __slots__ = (
+        '_replicas',
+        '_queues',
+        '_attempts',
+        '_configuration',
+        '_metrics',
+        '_history',
+        '_tasks',
+        '_cancels',
+        'leaving',
+    )
+
+    def __init__(
+        self,
+        replicas: list[replica_module.Replica],
+        configuration: side_configuration.SideConfiguration,
+        metrics: metrics_module.SideMetrics,
+        history: history_module.History,
+    ):
+        self._replicas = replicas
+        self._configuration = configuration
+        self._metrics = metrics
+        self._history = history
+        self._attempts = attempts_module.Attempts()
+        self._tasks: set[asyncio.Task] = set()
+        self._cancels: set[asyncio.Task] = set()
+        self.leaving = False
+        self._queues = {
+            service: side_queue.SideQueue(
+                service,
+                [r for r in replicas if r.service == service],
+                configuration,
+                self._start,
+            )
+            for service in sorted({r.service for r in replicas})
+        }
+
+    @property
+    def running(self) -> int:
+        """How many requests run."""
+        return len(self._tasks)
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits, runs or lacks its acknowledgement.
+
+        Returns:
+          True when a planned stop harms nobody.
+        """
+        waiting = any(queue.waiting for queue in self._queues.values())
+        now_ms = clock.time_now_ms()
+        unacknowledged = self._attempts.count_unacknowledged(now_ms)
+        return not (waiting or self._tasks or unacknowledged)
+
+    def build_loads(self) -> list[types.HostLoad]:
+        """Build the load of each service on this host.
+
+        Returns:
+          The loads at this moment.
+        """
+        return [queue.build_load() for queue in self._queues.values()]
+
+    def handle_submit(
+        self, peer: stream.Stream, submit: messages.Submit
+    ) -> None:
+        """Take a request in, or refuse it at once.
+
+        Args:
+          peer: Stream that it came by.
+          submit: The request.
+        """
+        known = self._attempts.find(submit.request_id)
+        if known is not None:
+            self._attempts.move(known, peer, 0)
+            return
+        now_ms = clock.time_now_ms()
+        attempt = attempt_module.Attempt(submit, peer, now_ms)
+        self._metrics.submitted.labels(submit.service).inc()
+        self._note(attempt, 'submitted', submit.service)
+        refusal = self._admit(attempt, now_ms)
+        if refusal is not None:
+            self._refuse(attempt, refusal, now_ms)
+
+    def handle_cancel(
+        self, peer: stream.Stream, message: messages.Cancel
+    ) -> None:
+        """Stop work that nobody waits for.
+
+        Args:
+          peer: Stream that it came by.
+          message: Names the request.
+        """
+        attempt = self._attempts.find(message.request_id)
+        if attempt is not None:
+            self._cancel(attempt, refusals.CANCELLED)
+
+    def handle_resume(
+        self, peer: stream.Stream, message: messages.Resume
+    ) -> None:
+        """Say what became of a request, and answer here from now on.
+
+        Args:
+          peer: Stream that it came by.
+          message: Names the request.
+        """
+        attempt = self._attempts.find(message.request_id)
+        result = 'unknown' if attempt is None else 'known'
+        self._metrics.resumed.labels(result).inc()
+        if attempt is None:
+            peer.send(messages.NotHere(message.request_id))
+            return
+        self._note(attempt, 'resumed')
+        self._attempts.move(attempt, peer, message.next_index)
+
+    def handle_acknowledge(
+        self, peer: stream.Stream, message: messages.Acknowledge
+    ) -> None:
+        """Forget a request whose whole answer has arrived.
+
+        Args:
+          peer: Stream that it came by.
+          message: Names the request.
+        """
+        attempt = self._attempts.find(message.request_id)
+        if attempt is not None and attempt.answer is not None:
+            self._attempts.forget(attempt)
+
+    def lose_stream(self, peer: stream.Stream) -> None:
+        """Keep the work of a stream that has died, for it to be resumed.
+
+        Args:
+          peer: The stream.
+        """
+        self._attempts.lose_stream(peer, clock.time_now_ms())
+
+    def dispatch(self) -> None:
+        """Look for work again, after a replica or version has changed."""
+        now_ms = clock.time_now_ms()
+        for queue in self._queues.values():
+            queue.dispatch(now_ms)
+
+    def refuse_waiting(self, code: str) -> None:
+        """Refuse all that waits as not run.
+
+        Args:
+          code: A name of refusals.py.
+        """
+        now_ms = clock.time_now_ms()
+        for queue in self._queues.values():
+            for attempt in queue.waiting:
+                queue.remove(attempt)
+                refusal = admission.Refusal(code, now_ms)
+                self._refuse(attempt, refusal, now_ms)
+
+    async def sweep(self) -> None:
+        """End work whose time is over, until the task is cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now_ms = clock.time_now_ms()
+            self._refuse_expired(now_ms)
+            for attempt in self._attempts:
+                if attempt.answer is None:
+                    self._end_overdue(attempt, now_ms)
+            self._attempts.forget_old(now_ms)
+
+    async def close(self) -> None:
+        """Cut off what still runs and wait for its end."""
+        for attempt in self._attempts:
+            if attempt.task is not None:
+                attempt.task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        if self._cancels:
+            await asyncio.wait(self._cancels)
+
+    def _admit(self, attempt, now_ms) -> admission.Refusal | None:
+        submit = attempt.submit
+        queue = self._queues.get(submit.service)
+        if self.leaving:
+            return admission.Refusal(refusals.LEAVING, now_ms)
+        if self._configuration.deployment is None:
+            retry_at_ms = now_ms + admission.MAX_RETRY_MS
+            return admission.Refusal(refusals.NO_CONFIGURATION, retry_at_ms)
+        if queue is None:
+            return admission.Refusal(refusals.UNKNOWN_SERVICE, now_ms)
+        if self._attempts.full:
+            retry_at_ms = now_ms + admission.MAX_RETRY_MS
+            return admission.Refusal(refusals.OVERLOADED, retry_at_ms)
+        self._attempts.add(attempt)
+        refusal = queue.admit(attempt, now_ms)
+        if refusal is not None:
+            self._attempts.forget(attempt)
+        return refusal
+
+    def _refuse(self, attempt, refusal, now_ms) -> None:
+        submit = attempt.submit
+        self._metrics.refused.labels(submit.service, refusal.code).inc()
+        self._note(attempt, 'refused', refusal.code)
+        answer = messages.Refused(
+            attempt.request_id,
+            refusal.code,
+            refusal.retry_at_ms,
+            self.build_loads(),
+        )
+        attempt.finish(answer, now_ms)
+        # Not run, and NotHere says the same: nothing to remember.
+        self._attempts.forget(attempt)
+
+    def _refuse_expired(self, now_ms) -> None:
+        for queue in self._queues.values():
+            for attempt, refusal in queue.take_expired(now_ms):
+                self._refuse(attempt, refusal, now_ms)
+
+    def _end_overdue(self, attempt, now_ms) -> None:
+        submit = attempt.submit
+        if attempts_module.is_orphan(attempt, now_ms):
+            if submit.idempotent or attempt.task is None:
+                self._cancel(attempt, refusals.CANCELLED)
+        grace_ms = 0 if submit.idempotent else LATE_RUN_MS
+        if now_ms >= submit.deadline_ms + grace_ms:
+            self._cancel(attempt, refusals.DEADLINE_PASSED)
+
+    def _cancel(self, attempt, code) -> None:
+        if attempt.answer is not None:
+            return
+        now_ms = clock.time_now_ms()
+        if self._queues[attempt.submit.service].remove(attempt):
+            refusal = admission.Refusal(code, now_ms)
+            self._refuse(attempt, refusal, now_ms)
+        elif attempt.task is not None:
+            attempt.cancel_code = code
+            attempt.task.cancel()
+
+    def _start(self, attempt, replica) -> None:
+        self._note(attempt, 'started', replica.name)
+        kind = self._queues[attempt.submit.service].settings.kind
+        run_one = run.run_call if kind == 'plain' else run.run_completion
+        attempt.task = asyncio.ensure_future(run_one(attempt, replica))
+        self._tasks.add(attempt.task)
+        started_ms = clock.time_now_ms()
+        # A task that is cancelled before its first step runs no code of its
+        # own, so that what must follow stands in the callback.
+        attempt.task.add_done_callback(
+            lambda task: self._end_run(attempt, replica, task, started_ms)
+        )
+
+    def _end_run(self, attempt, replica, task, started_ms) -> None:
+        self._tasks.discard(task)
+        now_ms = clock.time_now_ms()
+        run_ms = None
+        if task.cancelled():
+            code = attempt.cancel_code or refusals.CANCELLED
+            answer = run.build_unknown(attempt, code)
+            self._stop_engine(attempt, replica)
+        elif task.exception() is not None:
+            logging.error('run failed', exc_info=task.exception())
+            answer = run.build_unknown(attempt, repr(task.exception()))
+        else:
+            answer = task.result().answer
+            self._record_health(replica, task.result(), now_ms)
+            if not task.result().target_failed:
+                run_ms = now_ms - started_ms
+        queue = self._queues[attempt.submit.service]
+        queue.release(attempt, replica, run_ms)
+        self._finish(attempt, answer, now_ms)
+        queue.dispatch(now_ms)
+
+    def _stop_engine(self, attempt, replica) -> None:
+        if not attempt.submit.model:
+            return
+        stop = replica.engine.cancel(attempt.request_id)
+        task = asyncio.ensure_future(stop)
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _record_health(self, replica, result, now_ms) -> None:
+        if not result.target_failed:
+            replica.health.record_success()
+            return
+        if replica.health.up:
+            self._metrics.ejections.labels(replica.name).inc()
+        replica.health.record_failure(now_ms)
+
+    def _finish(self, attempt, answer, now_ms) -> None:
+        service = attempt.submit.service
+        if isinstance(answer, messages.Refused):
+            refusal = admission.Refusal(answer.code, answer.retry_at_ms)
+            self._refuse(attempt, refusal, now_ms)
+            return
+        answer.loads = self.build_loads()
+        self._metrics.done.labels(service, answer.outcome.value).inc()
+        self._note(attempt, 'done', answer.outcome.value)
+        attempt.finish(answer, now_ms)
+
+    def _note(self, attempt, event, detail='') -> None:
+        now_ms = clock.time_now_ms()
+        self._history.add(attempt.request_id, now_ms, event, detail)
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of weights or configuration."""
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/version/side_configuration.py
@@ -0,0 +1,64 @@
+"""The configuration in force at a side; its revision only goes up."""
+
+from absl import logging
+import msgspec
+
+from auburnroad_core.settings import deployment
+from auburnroad_core.wire import messages
+
+NO_REVISION = -1
+
+
+class SideConfiguration:
+    """The highest revision seen, as document and as typed settings."""
+
+    __slots__ = ('_revision', '_document', '_deployment')
+
+    def __init__(self):
+        self._revision = NO_REVISION
+        self._document = b''
+        self._deployment: deployment.Deployment | None = None
+
+    @property
+    def revision(self) -> int:
+        """Highest revision seen, -1 for none."""
+        return self._revision
+
+    @property
+    def deployment(self) -> deployment.Deployment | None:
+        """The deployment in force, or None before the first one."""
+        return self._deployment
+
+    def apply(self, message: messages.Configuration) -> bool:
+        """Put a configuration in force if its revision is higher.
+
+        Args:
+          message: A peer's configuration.
+
+        Returns:
+          True when it is in force now and was not before.
+        """
+        if message.revision <= self._revision:
+            return False
+        try:
+            decoded = msgspec.json.decode(
+                message.document, type=deployment.Deployment
+            )
+        except msgspec.DecodeError as error:
+            logging.error(
+                'configuration %d is not valid: %s', message.revision, error
+            )
+            return False
+        self._revision = message.revision
+        self._document = message.document
+        self._deployment = decoded
+        logging.info('configuration %d is in force', message.revision)
+        return True
+
+    def build_message(self) -> messages.Configuration:
+        """Build the message that hands the configuration to a peer.
+
+        Returns:
+          The configuration in force.
+        """
+        return messages.Configuration(self._revision, self._document)
