--- a/packages/daemon/auburnroad_daemon/connection/__init__.py
+++ b/packages/daemon/auburnroad_daemon/connection/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for a connection."""
+"""What lives for one connection: streams, engines, plain services."""
--- a/packages/daemon/auburnroad_daemon/process/__init__.py
+++ b/packages/daemon/auburnroad_daemon/process/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for a process."""
+"""What lives for the process: roles, health, metrics, start and stop."""
--- a/packages/daemon/auburnroad_daemon/request/__init__.py
+++ b/packages/daemon/auburnroad_daemon/request/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for a request."""
+"""What lives for one request: admission, order, the run itself."""
--- a/packages/daemon/auburnroad_daemon/version/__init__.py
+++ b/packages/daemon/auburnroad_daemon/version/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for a version."""
+"""What lives for one version of weights or configuration."""
