--- a/packages/daemon/auburnroad_daemon/connection/peers.py
+++ b/packages/daemon/auburnroad_daemon/connection/peers.py
@@ -80,7 +80,7 @@
     def _rank_holder(self, link: peer_link.PeerLink):
         apart = link.failure_domain != self._failure_domain
         pair = f'{self._own_address}|{link.name}'
-        return apart, xxhash.xxh3_64_intdigest(pair)
+        return apart, xxhash.xxh3_64_intdigest(pair.encode())
 
     async def close(self) -> None:
         """Close every link."""
--- a/packages/daemon/auburnroad_daemon/request/routing.py
+++ b/packages/daemon/auburnroad_daemon/request/routing.py
@@ -113,4 +113,4 @@
 
 
 def _rank(host: str, key: int) -> int:
-    return xxhash.xxh3_64_intdigest(host, seed=key)
+    return xxhash.xxh3_64_intdigest(host.encode(), seed=key)
