--- a/packages/daemon/auburnroad_daemon/connection/peers.py
+++ b/packages/daemon/auburnroad_daemon/connection/peers.py
@@ -15,23 +15,35 @@
 class Peers:
     """Links to the other entries."""
 
-    __slots__ = ('_owner', '_own_address', '_failure_domain', '_links')
+    __slots__ = (
+        '_owner',
+        '_owner_name',
+        '_own_address',
+        '_failure_domain',
+        '_links',
+    )
 
     def __init__(
         self,
         owner: peer_link.PeerOwner,
+        owner_name: str,
         own_address: str,
         failure_domain: str,
     ):
         self._owner = owner
+        self._owner_name = owner_name
         self._own_address = own_address
         self._failure_domain = failure_domain
         self._links: dict[str, peer_link.PeerLink] = {}
 
     @property
     def links(self) -> list[peer_link.PeerLink]:
-        """Links to all of them."""
-        return list(self._links.values())
+        """Links to all of them, without one that led back to this entry."""
+        return [
+            link
+            for link in self._links.values()
+            if link.name != self._owner_name
+        ]
 
     def update(self, addresses: list[str]) -> None:
         """Begin links to entries that are new.
@@ -58,7 +70,7 @@
         Returns:
           The link, or None when no entry of that name was met.
         """
-        for link in self._links.values():
+        for link in self.links:
             if link.name == name:
                 return link
         return None
@@ -71,17 +83,15 @@
           same one for as long as it is connected.
         """
         connected = [
-            link
-            for link in self._links.values()
-            if link.connected and not link.leaving
+            link for link in self.links if link.connected and not link.leaving
         ]
         return max(connected, key=self._rank_holder, default=None)
 
     def _rank_holder(self, link: peer_link.PeerLink):
         apart = link.failure_domain != self._failure_domain
-        pair = f'{self._own_address}|{link.name}'
+        pair = f'{self._owner_name}|{link.name}'
         return apart, xxhash.xxh3_64_intdigest(pair.encode())
 
     async def close(self) -> None:
         """Close every link."""
-        await asyncio.gather(*(link.close() for link in self.links))
+        await asyncio.gather(*(link.close() for link in self._links.values()))
--- a/packages/daemon/auburnroad_daemon/process/entry.py
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -212,7 +212,10 @@
             self, host_list.HttpHostList(settings.host_list, self._http)
         )
         self._peers = entry_peers.Peers(
-            self, settings.stream_address, settings.failure_domain
+            self,
+            settings.name,
+            settings.stream_address,
+            settings.failure_domain,
         )
         self._dispatcher = dispatch.Dispatcher(
             self._membership, settings.failure_domain, self._history
