--- a/packages/e2e/auburnroad_e2e/book_files.py
+++ b/packages/e2e/auburnroad_e2e/book_files.py
@@ -8,6 +8,7 @@
 from auburnroad_e2e import book_types
 from auburnroad_e2e import books
 from auburnroad_e2e import cluster as cluster_module
+from auburnroad_standins import books as standin_books
 from auburnroad_standins import record_file
 
 # A crash leaves the last span of a run open: what the engine had produced by
@@ -54,7 +55,9 @@
             if kinds[replica.service] == 'model':
                 engine_runs.extend(read_engine_runs(path))
             else:
-                plain_runs.extend(_read_plain_runs(path))
+                plain_runs.extend(
+                    standin_books.read_lines(path, book_types.PlainRun)
+                )
     return book_types.Books(
         _read_trainers(cluster),
         [
@@ -78,7 +81,7 @@
     """
     ended: list[_EngineLine] = []
     last: dict[int, _EngineLine] = {}
-    for line in _read_lines(path, _EngineLine):
+    for line in standin_books.read_lines(path, _EngineLine):
         if line.event == 'started' and line.run.number in last:
             ended.append(last[line.run.number])
         last[line.run.number] = line
@@ -93,19 +96,6 @@
     return book_types.EngineRun(line.run.request_id, line.engine, spans)
 
 
-def _read_plain_runs(path: pathlib.Path) -> list[book_types.PlainRun]:
-    return _read_lines(path, book_types.PlainRun)
-
-
-def _read_lines(path: pathlib.Path, shape):
-    if not path.exists():
-        return []
-    whole, _, _ = path.read_bytes().rpartition(b'\n')
-    return [
-        msgspec.json.decode(line, type=shape) for line in whole.splitlines()
-    ]
-
-
 def _read_trainers(cluster) -> list[book_types.TrainerBooks]:
     deployment = generate.build_deployment(cluster.answers)
     return [
--- a/packages/e2e/auburnroad_e2e/books.py
+++ b/packages/e2e/auburnroad_e2e/books.py
@@ -29,15 +29,6 @@
     staleness_mean: float = 0.0
 
 
-class Findings(msgspec.Struct):
-    """Broken promises that the figures don't hold, each as a text."""
-
-    answers_wrong: list[str] = []
-    keys_run_twice: list[str] = []
-    refused_but_run: list[str] = []
-    bytes_differ: list[str] = []
-
-
 def build_figures(books: book_types.Books) -> Figures:
     """Compare the books.
 
@@ -63,26 +54,76 @@
     return figures
 
 
-def build_findings(books: book_types.Books) -> Findings:
-    """Look for broken promises beside the figures.
+def list_problems(
+    books: book_types.Books, excused: frozenset[str] = frozenset()
+) -> list[str]:
+    """List every promise that the books show to be broken.
 
     Args:
       books: All books of one run.
+      excused: Addresses of entries that were killed on purpose, whose open
+        connections could not but break.
 
     Returns:
-      The findings, each list empty when its promise held.
+      A text for each, naming the promise.
     """
-    return Findings(
-        caller_books.find_wrong(books.callers),
-        caller_books.find_keys_run_twice(books.plain_runs),
-        caller_books.find_refused_but_run(books),
-        [
-            event['target']
-            for trainer in books.trainers
-            for event in trainer.select('asked-twice')
-            if not event['same']
-        ],
-    )
+    found = {
+        'too few samples': _find_missing(books.trainers),
+        'delivered twice': _find_duplicates(books.trainers),
+        'too stale': _find_too_stale(books.trainers),
+        'misattributed': find_misattributed(books.trainers, books.engine_runs),
+        'not the same bytes': _find_different_bytes(books.trainers),
+        'cut off': caller_books.find_cut_off(books.callers, excused),
+        'wrong answer': caller_books.find_wrong(books.callers),
+        'run twice': caller_books.find_keys_run_twice(books.plain_runs),
+        'refused but run': caller_books.find_refused_but_run(books),
+    }
+    return [
+        f'{promise}: {text}'
+        for promise, texts in found.items()
+        for text in texts
+    ]
+
+
+def _find_missing(trainers) -> list[str]:
+    return [
+        f'{trainer.name}/{taken["step"]} lacks {missing}'
+        for trainer in trainers
+        for taken in trainer.select('taken')
+        if (missing := _count_missing(trainer, taken))
+    ]
+
+
+def _find_duplicates(trainers) -> list[str]:
+    found = []
+    for trainer in trainers:
+        seen = collections.Counter(
+            _sample_key(sample)
+            for taken in trainer.select('taken')
+            for sample in taken['samples']
+        )
+        found.extend(
+            f'{trainer.name}/{key}' for key, n in seen.items() if n > 1
+        )
+    return found
+
+
+def _find_too_stale(trainers) -> list[str]:
+    return [
+        f'{trainer.name}: a sample is {age} versions old'
+        for trainer in trainers
+        for age in list_staleness(trainer)
+        if age > trainer.staleness_bound
+    ]
+
+
+def _find_different_bytes(trainers) -> list[str]:
+    return [
+        event['target']
+        for trainer in trainers
+        for event in trainer.select('asked-twice')
+        if not event['same']
+    ]
 
 
 def _count_samples(trainer: book_types.TrainerBooks, figures: Figures) -> None:
--- a/packages/standins/auburnroad_standins/record_file.py
+++ b/packages/standins/auburnroad_standins/record_file.py
@@ -1,16 +1,10 @@
-"""A file of JSON lines in which a stand-in keeps its books.
-
-Each line is flushed at once, so that a stand-in that is killed leaves whole
-books behind: the verdict of a run is drawn from them and not from what the
-system says of itself.
-"""
+"""A file of JSON lines in which a user's stand-in keeps its books."""
 
 import pathlib
 import typing
 
-import msgspec
-
 from auburnroad_core import clock
+from auburnroad_standins import books
 
 
 class RecordFile:
@@ -19,7 +13,7 @@
     __slots__ = ('_file',)
 
     def __init__(self, path: str):
-        self._file = pathlib.Path(path).open('ab')
+        self._file = books.BooksFile(path)
 
     def write(self, event: str, **fields: object) -> None:
         """Append an event with the time at which it happened.
@@ -29,15 +23,10 @@
           fields: What is to be known of it; anything msgspec encodes.
         """
         record = {'event': event, 'at_ms': clock.time_now_ms(), **fields}
-        self._file.write(msgspec.json.encode(record) + b'\n')
-        self._file.flush()
-
-    def close(self) -> None:
-        """Close the file."""
-        self._file.close()
+        self._file.append(record)
 
 
-def read_records(path: str) -> list[dict[str, typing.Any]]:
+def read_records(path: str | pathlib.Path) -> list[dict[str, typing.Any]]:
     """Read the events of a file.
 
     Args:
@@ -46,9 +35,4 @@
     Returns:
       The events in order; a last line that was cut short does not count.
     """
-    try:
-        data = pathlib.Path(path).read_bytes()
-    except FileNotFoundError:
-        return []
-    whole = data[: data.rfind(b'\n') + 1]
-    return [msgspec.json.decode(line) for line in whole.splitlines()]
+    return books.read_lines(pathlib.Path(path), dict)
--- a/packages/standins/auburnroad_standins/trainer.py
+++ b/packages/standins/auburnroad_standins/trainer.py
@@ -209,7 +209,7 @@
             'attempt': sample['attempt'],
             'replica': sample['replica'],
             'request_id': sample['request_id'],
-            'text_digest': xxhash.xxh3_128_hexdigest(sample['text']),
+            'text_digest': xxhash.xxh3_128_hexdigest(sample['text'].encode()),
             'text_right': sample['text'] == expected,
         }
 
--- /dev/null
+++ b/packages/standins/auburnroad_standins/trainer_test.py
@@ -0,0 +1,119 @@
+"""Tests of the trainer against entries that answer by script."""
+
+import pathlib
+import tempfile
+import unittest
+
+import msgspec
+
+from auburnroad_core.http import messages
+from auburnroad_core.http import server
+from auburnroad_standins import record_file
+from auburnroad_standins import text
+from auburnroad_standins import trainer
+from auburnroad_standins import trainer_options
+
+
+def refuse(status, code):
+    return messages.json_response(
+        status, {'error': {'code': code}}, {'retry-after': '0'}
+    )
+
+
+class TrainerTest(unittest.IsolatedAsyncioTestCase):
+    """Each documented answer, and entries that fail."""
+
+    async def asyncSetUp(self):
+        self.refusals = []
+        self.submitted = {}
+        self.calls = []
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.books = str(pathlib.Path(directory.name) / 'books')
+        self.server = server.HttpServer(self.handle)
+        host, port = await self.server.start('127.0.0.1', 0)
+        self.address = f'{host}:{port}'
+        self.addAsyncCleanup(self.server.close)
+
+    async def handle(self, request):
+        path = request.path.removeprefix('/v1/trainers/t/')
+        self.calls.append(f'{request.method} {path}')
+        if request.method == 'POST':
+            return messages.json_response(200, {'generation': 1})
+        if path.endswith('/groups'):
+            body = msgspec.json.decode(request.body)
+            self.submitted[int(path.split('/')[1])] = body
+        if request.method == 'GET':
+            if self.refusals:
+                return refuse(*self.refusals.pop(0))
+            return self.build_step(int(path.split('/')[1]))
+        return messages.json_response(200, {})
+
+    def build_step(self, step):
+        body = self.submitted[step]
+        groups = []
+        for group in body['groups']:
+            said = text.expected_text('m', group['prompt'], 0, 24)
+            sample = {
+                'index': 0,
+                'text': said,
+                'spans': [[1, 0, 24]],
+                'attempt': 1,
+                'replica': 'e',
+                'request_id': 'r',
+            }
+            groups.append(
+                {'name': group['name'], 'step': step, 'samples': [sample]}
+            )
+        return messages.json_response(
+            200,
+            {
+                'generation': body['generation'],
+                'digest': 'd',
+                'groups': groups,
+            },
+        )
+
+    async def run_trainer(self, entries=None, steps=2):
+        options = trainer_options.Options(
+            name='t',
+            model='m',
+            entries=tuple(entries or [self.address]),
+            weight_store=self.address,
+            books_file=self.books,
+            steps=steps,
+            train_ms=0,
+        )
+        await trainer.Trainer(options).run()
+        return record_file.read_records(self.books)
+
+    async def test_takes_steps_with_the_next_one_submitted_ahead(self):
+        events = await self.run_trainer()
+        taken = [e for e in events if e['event'] == 'taken']
+        self.assertEqual([1, 2], [e['step'] for e in taken])
+        self.assertTrue(all(s['text_right'] for s in taken[0]['samples']))
+        ahead = self.calls.index('PUT steps/2/groups')
+        self.assertLess(ahead, self.calls.index('GET steps/1'))
+
+    async def test_submits_a_step_again_that_no_entry_holds(self):
+        self.refusals = [(404, 'unknown_step'), (503, 'step_not_ready')]
+        await self.run_trainer(steps=1)
+        self.assertEqual(2, self.calls.count('PUT steps/1/groups'))
+
+    async def test_voids_a_lost_step_and_goes_on_with_its_generation(self):
+        self.refusals = [(409, 'sealed_contents_lost')]
+        await self.run_trainer(steps=1)
+        self.assertEqual(1, self.calls.count('POST steps/1/void'))
+        self.assertEqual(1, self.submitted[1]['generation'])
+
+    async def test_asks_another_entry_when_one_fails(self):
+        events = await self.run_trainer(['127.0.0.1:1', self.address])
+        failed = [e for e in events if e['event'] == 'failed']
+        self.assertEqual(['ConnectError'], [e['kind'] for e in failed])
+
+    async def test_goes_on_after_the_steps_that_it_has_taken(self):
+        await self.run_trainer(steps=2)
+        self.calls.clear()
+        await self.run_trainer(steps=1)
+        self.assertIn('GET steps/3', self.calls)
+        self.assertNotIn('GET steps/2', self.calls)
