Keep the owner's work per sample constant

Cause: each whole sample searched the ledger for stale and for missing ones, which is quadratic in the 2,048 samples of a step. Ruled out: searching less often by a timer; it would hold samples back. Change: a queue of wanted samples, rebuilt only when groups, versions or the plan change; staleness of a new sample is checked on that sample alone. The step's digest stands in its body, as docs/API.md says.

--- a/packages/daemon/auburnroad_daemon/version/ledger.py
+++ b/packages/daemon/auburnroad_daemon/version/ledger.py
@@ -80,7 +80,7 @@
       groups: Names of its own groups and identities of carried ones.
       carried: Identities of groups of earlier steps among them.
       body: What the trainer receives, in bytes.
-      digest: Hexadecimal xxh3_128 of the body.
+      digest: Hexadecimal xxh3_128 of the body without the digest itself.
       oldest_version: Lowest weight version of any token.
     """
 
@@ -337,7 +337,7 @@
       The contents with the body that the trainer receives.
     """
     samples = [s for group in groups for s in group.samples.values()]
-    body = msgspec.json.encode(
+    contents = msgspec.json.encode(
         {
             'trainer': ledger.trainer,
             'step': step,
@@ -346,6 +346,8 @@
             'groups': [_describe_group(group) for group in groups],
         }
     )
+    digest = xxhash.xxh3_128_hexdigest(contents)
+    body = contents[:-1] + b',"digest":"' + digest.encode() + b'"}'
     oldest = [types.oldest_version(sample.spans) for sample in samples]
     return Sealed(
         step,
@@ -353,7 +355,7 @@
         [g.prompt.name if g.step == step else g.identity for g in groups],
         [group.identity for group in groups if group.step != step],
         body,
-        xxhash.xxh3_128_hexdigest(body),
+        digest,
         min((v for v in oldest if v is not None), default=version),
     )
 
--- a/packages/daemon/auburnroad_daemon/version/owner.py
+++ b/packages/daemon/auburnroad_daemon/version/owner.py
@@ -13,6 +13,7 @@
 from auburnroad_core.log import trainer_fold
 from auburnroad_core.platform import log_service
 from auburnroad_core.settings import deployment
+from auburnroad_core import types
 from auburnroad_daemon.process import entry_metrics as metrics
 from auburnroad_daemon.request import dispatch
 from auburnroad_daemon.version import copies
@@ -95,7 +96,7 @@
         self._generator = samples.Generator(
             dispatcher, count_slots, self._accept, ledger, trainer, claim
         )
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         self._sealing = asyncio.Lock()
         self._asked_step = -1
         self._on_version = on_version
@@ -137,7 +138,7 @@
         """Stop to generate; nothing is handed over any more."""
         self.closed = True
         await self._generator.close()
-        await self._notify()
+        self._changed.set()
 
     async def set_version(self, version: int, strict: bool = False) -> None:
         """Take in the trainer's weight version.
@@ -159,7 +160,7 @@
             self._copier.apply(ledgers.SetVersion(version))
             self._on_version(self._trainer.model, version)
             self._drop_stale()
-            await self._notify()
+            self._changed.set()
 
     async def submit(self, change: ledgers.AddGroups) -> int:
         """Take groups in.
@@ -188,7 +189,7 @@
                 ledgers.AddGroups(change.step, change.generation, new)
             )
             self._plan()
-            await self._notify()
+            self._changed.set()
         await self._copier.wait_copied()
         return len(change.prompts)
 
@@ -280,9 +281,12 @@
         if group is None or want.index in group.samples:
             metrics.SAMPLES.labels('superseded').inc()
             return
+        oldest = self._ledger.version - self._trainer.staleness_bound
+        if (types.oldest_version(sample.spans) or 0) < oldest:
+            metrics.SAMPLES.labels('stale').inc()
+            return
         self._copier.apply(ledgers.AddSample(want.group, sample))
-        self._drop_stale()
-        asyncio.ensure_future(self._notify())
+        self._changed.set()
 
     def _drop_stale(self) -> None:
         """Drop samples that can't be handed over any more."""
@@ -293,10 +297,6 @@
                 self._copier.apply(ledgers.DropSamples(identity, indices))
         self._generator.wake()
 
-    async def _notify(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
-
     def _is_sealed(self, step: int, generation: int) -> bool:
         sealed = self._state.sealed.get(step)
         return sealed is not None and sealed.generation == generation
@@ -358,10 +358,10 @@
                 Refusal.UNKNOWN_STEP, f'submit the groups of step {step}'
             )
         try:
-            async with asyncio.timeout(wait_seconds), self._changed:
-                await self._changed.wait_for(
-                    lambda: self.closed or self._choose(step, generation)
-                )
+            async with asyncio.timeout(wait_seconds):
+                while not (self.closed or self._choose(step, generation)):
+                    self._changed.clear()
+                    await self._changed.wait()
         except TimeoutError:
             raise RefusedError(
                 Refusal.NOT_READY, f'step {step} is not whole yet'
--- a/packages/daemon/auburnroad_daemon/version/samples.py
+++ b/packages/daemon/auburnroad_daemon/version/samples.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import typing
 
 import msgspec
@@ -96,6 +97,8 @@
         '_trainer',
         '_claim',
         '_running',
+        '_wanted',
+        '_outdated',
         '_wake',
         '_pump',
         '_attempts',
@@ -119,6 +122,8 @@
         self._claim = claim
         self._running: dict[Want, asyncio.Task] = {}
         self._attempts: dict[Want, int] = {}
+        self._wanted: collections.deque[Want] = collections.deque()
+        self._outdated = True
         self._wake = asyncio.Event()
         self._pump = asyncio.create_task(self._run())
         self.last_step = 0
@@ -129,7 +134,8 @@
         self.wake()
 
     def wake(self) -> None:
-        """Look again for samples to generate."""
+        """Look again through the whole ledger for samples to generate."""
+        self._outdated = True
         self._wake.set()
 
     async def drain(self) -> None:
@@ -149,26 +155,33 @@
     async def _run(self) -> None:
         while True:
             self._wake.clear()
-            self._cancel_unwanted()
+            if self._outdated:
+                self._outdated = False
+                self._cancel_unwanted()
+                self._wanted = collections.deque(self._find_wanted())
             self._begin_wanted()
             await self._wake.wait()
 
-    def _begin_wanted(self) -> None:
-        slots = self._count_slots(self._trainer.service)
-        window = max(MIN_WINDOW, int(slots * WINDOW_FACTOR))
-        free = window - len(self._running)
-        if free <= 0:
-            return
-        wanted = find_wanted(
+    def _find_wanted(self) -> list[Want]:
+        return find_wanted(
             self._ledger,
             self._trainer.samples_per_group,
             self.last_step,
             self._running,
         )
-        for want in wanted[:free]:
-            task = asyncio.create_task(self._generate(want))
-            self._running[want] = task
-            task.add_done_callback(lambda _, w=want: self._forget(w))
+
+    def _begin_wanted(self) -> None:
+        slots = self._count_slots(self._trainer.service)
+        window = max(MIN_WINDOW, int(slots * WINDOW_FACTOR))
+        while self._wanted and len(self._running) < window:
+            self._begin(self._wanted.popleft())
+
+    def _begin(self, want: Want) -> None:
+        if want.group not in self._ledger.groups:
+            return
+        task = asyncio.create_task(self._generate(want))
+        self._running[want] = task
+        task.add_done_callback(lambda _: self._forget(want))
 
     def _cancel_unwanted(self) -> None:
         for want, task in self._running.items():
@@ -178,7 +191,11 @@
 
     def _forget(self, want: Want) -> None:
         self._running.pop(want, None)
-        self.wake()
+        group = self._ledger.groups.get(want.group)
+        if group is not None and want.index not in group.samples:
+            # It failed, and its step may be the one that is waited for.
+            self._wanted.appendleft(want)
+        self._wake.set()
 
     async def _generate(self, want: Want) -> None:
         group = self._ledger.groups[want.group]
