--- a/packages/standins/auburnroad_standins/engine/batch.py
+++ b/packages/standins/auburnroad_standins/engine/batch.py
@@ -33,6 +33,22 @@
         """Take note that the number of requests has changed."""
 
 
+def compute_step_ms(
+    engine_options: options.EngineOptions, running: int
+) -> float:
+    """Compute how long a token step takes.
+
+    Args:
+      engine_options: The engine's options.
+      running: Requests in the batch, at least 1.
+
+    Returns:
+      Milliseconds.
+    """
+    growth = 1 + engine_options.batch_slowdown * (running - 1)
+    return engine_options.token_ms * growth
+
+
 class Batch:
     """The slots and the queue before them."""
 
@@ -127,8 +143,7 @@
         start = self._step_end
         if now - start > CATCH_UP_SECONDS:
             start = now
-        growth = 1 + self._options.batch_slowdown * (len(self._running) - 1)
-        step_ms = self._options.token_ms * growth * self.factor
+        step_ms = compute_step_ms(self._options, self.running) * self.factor
         self._step_end = start + step_ms / clock.MS_PER_SECOND
         return start
 
--- a/packages/standins/auburnroad_standins/engine/orders.py
+++ b/packages/standins/auburnroad_standins/engine/orders.py
@@ -68,6 +68,7 @@
         '_lock',
         'versions',
         'role',
+        'begun',
         'records',
         'swap_fails',
         'swap_half',
@@ -87,6 +88,7 @@
         self._lock = asyncio.Lock()
         self.versions = dict(engine_options.versions)
         self.role = engine_options.role
+        self.begun = 0
         self.records: list[OrderRecord] = []
         self.swap_fails = faults.Countdown()
         self.swap_half = faults.Countdown()
@@ -100,6 +102,7 @@
         Raises:
           RefusedError: If it is unknown or old, or if the swap failed.
         """
+        self.begun += 1
         outcome = 'cut_off'
         try:
             await self._apply(order)
--- a/packages/standins/auburnroad_standins/engine/service.py
+++ b/packages/standins/auburnroad_standins/engine/service.py
@@ -204,6 +204,7 @@
             'name': self._options.name,
             'service': self._options.service,
             'runs': self._books.build(),
+            'orders_begun': self.orders.begun,
             'orders': self.orders.records,
         }
 
--- a/packages/standins/auburnroad_standins/log_service.py
+++ b/packages/standins/auburnroad_standins/log_service.py
@@ -211,6 +211,7 @@
           LostAnswerError: If a fault takes the answer.
         """
         # A slow append takes effect even when its caller has given up.
+        self.counts['append_requests'] += 1
         offsets = await serving.finish_anyway(self._append_late(name, batch))
         if self.lose_answers.strike():
             self.counts['answers_lost'] += 1
--- a/packages/standins/auburnroad_standins/main.py
+++ b/packages/standins/auburnroad_standins/main.py
@@ -6,9 +6,12 @@
 """
 
 import asyncio
+import sys
 
 import fire
+import msgspec
 
+from auburnroad_core import registry
 from auburnroad_standins.engine import service as engine_service
 from auburnroad_standins import host_list
 from auburnroad_standins import log_service
@@ -26,14 +29,26 @@
 )
 
 
-def start(kind: str, **options) -> None:
+def start(kind: str, address: str = '127.0.0.1:0', **options) -> None:
     """Run one stand-in until SIGTERM.
 
     Args:
       kind: log_service, weight_store, host_list, engine or plain_service.
+      address: 'IP number:port' to listen on; port 0 has one chosen.
       options: Options of the kind, as PROTOCOL.md lists them.
     """
-    asyncio.run(serving.run(kind, options))
+    try:
+        asyncio.run(_serve(kind, address, options))
+    except (
+        registry.UnknownNameError,
+        msgspec.ValidationError,
+        OSError,
+    ) as error:
+        sys.exit(f'{kind}: {error}')
+
+
+async def _serve(kind, address, options) -> None:
+    await serving.run(serving.build(kind, options), address)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/standins/auburnroad_standins/main_test.py
@@ -0,0 +1,74 @@
+"""Tests of a stand-in as a process: ready line, kill and crash."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+import tempfile
+
+from auburnroad_core.http import client
+from auburnroad_standins.engine import audit
+from auburnroad_standins import faults
+from auburnroad_standins import testing
+
+
+class ProcessTest(testing.StandinTestCase):
+    async def open(self, *arguments: str):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'auburnroad_standins.main',
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self.addAsyncCleanup(self.stop, process)
+        line = (await process.stdout.readline()).split()
+        return process, line[-1].decode() if line else ''
+
+    async def stop(self, process) -> None:
+        if process.returncode is None:
+            process.kill()
+        await process.communicate()
+
+    async def test_books_file_outlives_a_kill(self):
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / 'books'
+            process, address = await self.open(
+                'engine', '--versions={"m-1": 4}', f'--books_file={path}'
+            )
+            body = {'request_id': 'r', 'model': 'm-1', 'prompt': 'p'}
+            body['max_tokens'] = 100_000
+            reply = await self.http.open(
+                address, client.json_request('POST', '/v1/completions', body)
+            )
+            parts = reply.iterate()
+            await anext(parts)
+            process.send_signal(signal.SIGKILL)
+            with self.assertRaises(client.BrokenError):
+                async for _ in parts:
+                    pass
+            history = audit.read_histories(path)['r']
+        self.assertFalse(history.record.finished)
+        self.assertEqual(history.version_at(0), 4)
+
+    async def test_sigterm_ends_it_with_a_stream_open(self):
+        process, address = await self.open('engine', '--versions={"m": 0}')
+        body = {'model': 'm', 'prompt': 'p', 'max_tokens': 100_000}
+        reply = await self.http.open(
+            address, client.json_request('POST', '/v1/completions', body)
+        )
+        process.terminate()
+        self.assertEqual(await process.wait(), 0)
+        reply.close()
+
+    async def test_crash_ends_it_at_once(self):
+        process, address = await self.open('host_list')
+        await self.command(address, 'crash')
+        self.assertEqual(await process.wait(), faults.CRASH_STATUS)
+
+    async def test_unknown_option_is_named(self):
+        process, address = await self.open('engine', '--slotz=3')
+        _, errors = await process.communicate()
+        self.assertEqual(address, '')
+        self.assertIn(b'slotz', errors)
--- a/packages/standins/auburnroad_standins/serving.py
+++ b/packages/standins/auburnroad_standins/serving.py
@@ -30,11 +30,9 @@
     """Options of every kind.
 
     Attributes:
-      address: 'IP number:port' to listen on; port 0 has one chosen.
       name: Name in the books and answers.
     """
 
-    address: str = '127.0.0.1:0'
     name: str = ''
 
 
@@ -213,24 +211,40 @@
     return http_server, f'{host}:{port}'
 
 
-async def run(kind: str, options: dict[str, object]) -> None:
-    """Serve one stand-in until the process is told to end.
+def build(kind: str, options: dict[str, object]) -> Standin:
+    """Build a stand-in.
 
     Args:
       kind: Name in KINDS.
       options: Options as the command line gave them.
 
+    Returns:
+      The stand-in.
+
     Raises:
       UnknownNameError: If there is no such kind.
       ValidationError: If the options don't fit the kind.
     """
     kind_class = KINDS.get(kind)
     checked = msgspec.convert(options, kind_class.OPTIONS, strict=False)
+    return kind_class(checked)
+
+
+async def run(standin: Standin, address: str) -> None:
+    """Serve one stand-in until the process is told to end.
+
+    Args:
+      standin: The stand-in.
+      address: 'IP number:port' to listen on; port 0 has one chosen.
+
+    Raises:
+      OSError: If the address can't be had.
+    """
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
-    http_server, address = await start(kind_class(checked), checked.address)
+    http_server, address = await start(standin, address)
     print(f'ready {address}', flush=True)
     await ended.wait()
     await http_server.close()
--- a/packages/standins/auburnroad_standins/weight_store.py
+++ b/packages/standins/auburnroad_standins/weight_store.py
@@ -9,7 +9,10 @@
 from auburnroad_standins import faults
 from auburnroad_standins import serving
 
+# Small parts share the rate fairly; a part takes at least as long as the
+# loop needs to keep a rate.
 PART_BYTES = 16384
+PART_SECONDS = 0.02
 
 FAULTS = faults.build_registry('weight store')
 ROUTES = registry.Registry('weight store route')
@@ -107,8 +110,9 @@
           LostAnswerError: If the store goes down meanwhile.
         """
         loop = asyncio.get_running_loop()
-        for start in range(0, len(data), PART_BYTES):
-            part = data[start : start + PART_BYTES]
+        part_bytes = self._compute_part_bytes()
+        for start in range(0, len(data), part_bytes):
+            part = data[start : start + part_bytes]
             seconds = self._compute_seconds(len(part))
             if seconds:
                 await asyncio.sleep(self._rate.reserve(seconds, loop.time()))
@@ -136,6 +140,10 @@
         self.down = False
         self.factor = 1.0
 
+    def _compute_part_bytes(self) -> int:
+        rate = self._options.bytes_per_second
+        return max(PART_BYTES, int(rate * PART_SECONDS))
+
     def _compute_seconds(self, size: int) -> float:
         if not self._options.bytes_per_second:
             return 0.0
