Say in Hello where a side relays weights

Cause: sides fetch weights from each other, and the host list names only the addresses of streams. Change: a last field with a default. Nothing measured.

--- a/packages/core/auburnroad_core/wire/messages.py
+++ b/packages/core/auburnroad_core/wire/messages.py
@@ -28,6 +28,7 @@
       revision: Highest configuration revision seen, -1 for none.
       services: Services of the replicas behind a side.
       leaving: Whether the daemon refuses new work.
+      http_address: Where a side relays weights to others; empty otherwise.
     """
 
     daemon: str
@@ -38,6 +39,7 @@
     revision: int
     services: list[str]
     leaving: bool = False
+    http_address: str = ''
 
 
 class Heartbeat(Message, tag=2):
