Order weight versions to engines and relay weights between sides

Cause: new weights must reach every replica through a rate-limited store. Ruled out: every engine reading the store, which is one read a replica; and a parent told by the entries, which needs them to know every side's state. Change: announced versions go up only; pure plans (rolling, all) choose the next order; a failed or lost order is given again after what the engine reports; a host fetches a version once, from sides before it in an order that all compute, and at last from the store. Conclusion: unit tests over loopback pass; the relay between many sides is not measured yet.

--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -13,6 +13,7 @@
 from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import server
+from auburnroad_core.platform import host_list
 from auburnroad_core import refusals
 from auburnroad_core.settings import daemon
 from auburnroad_core.wire import messages
@@ -26,7 +27,10 @@
 from auburnroad_daemon.process import roles
 from auburnroad_daemon.process import side_status
 from auburnroad_daemon.request import side_requests
+from auburnroad_daemon.version import relay
+from auburnroad_daemon.version import relay_peers
 from auburnroad_daemon.version import side_configuration
+from auburnroad_daemon.version import swapper
 
 DEFAULT_DRAIN_MS = 30_000
 # What waits is refused by then, so that what runs has time to end.
@@ -55,6 +59,21 @@
         self._requests = side_requests.SideRequests(
             self._replicas, self._configuration, self._metrics, self._history
         )
+        self._relay = relay.WeightRelay(
+            relay_peers.RelayPeers(
+                settings,
+                host_list.HttpHostList(settings.host_list, self._client),
+                self._client,
+            ),
+            self._metrics,
+        )
+        self._swapper = swapper.Swapper(
+            self._replicas,
+            self._configuration,
+            self._relay,
+            self._metrics,
+            self._requests.dispatch,
+        )
         self._probes = probes.Probes(
             self._replicas, self._configuration, self._requests.dispatch
         )
@@ -66,6 +85,7 @@
         )
         self._router = health.Router()
         health.add_monitoring(self._router, self)
+        self._router.add(relay.PATH_PREFIX, self._relay.handle)
         self._http = server.HttpServer(self._router.handle)
         self._tasks: list[asyncio.Task] = []
         self._drain_task: asyncio.Task | None = None
@@ -127,13 +147,15 @@
         Raises:
           OSError: If an address of the settings can't be had.
         """
+        self.http_address = await self._http.start(
+            *_split_address(self._settings.http_address)
+        )
+        self._swapper.source = _join_address(self.http_address)
         self._tasks = [
             asyncio.ensure_future(self._requests.sweep()),
             asyncio.ensure_future(self._probes.run()),
+            asyncio.ensure_future(self._swapper.run()),
         ]
-        self.http_address = await self._http.start(
-            *_split_address(self._settings.http_address)
-        )
         self.stream_address = await self._streams.start(
             *_split_address(self._settings.stream_address)
         )
@@ -156,6 +178,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._relay.close()
         await self._streams.close()
         await self._http.close()
         self._client.close()
@@ -176,6 +199,7 @@
             self.revision,
             sorted({replica.service for replica in self._replicas}),
             self.leaving,
+            self._swapper.source,
         )
 
     def build_heartbeat(self) -> messages.Heartbeat:
@@ -214,9 +238,9 @@
         requests = self._requests
         add = self._streams.add_handler
         add(messages.Hello, self._handle_revision)
-        add(messages.Heartbeat, self._handle_revision)
+        add(messages.Heartbeat, self._handle_heartbeat)
         add(messages.Configuration, self._handle_configuration)
-        add(messages.Submit, requests.handle_submit)
+        add(messages.Submit, self._handle_submit)
         add(messages.Cancel, requests.handle_cancel)
         add(messages.Resume, requests.handle_resume)
         add(messages.Acknowledge, requests.handle_acknowledge)
@@ -225,6 +249,16 @@
         if message.revision < self.revision:
             peer.send(self._configuration.build_message())
 
+    def _handle_heartbeat(self, peer: stream.Stream, message) -> None:
+        self._handle_revision(peer, message)
+        self._swapper.announce(message.versions)
+
+    def _handle_submit(self, peer: stream.Stream, submit) -> None:
+        if submit.model:
+            # The request may have overtaken the heartbeat that announces.
+            self._swapper.announce({submit.model: submit.minimum_version})
+        self._requests.handle_submit(peer, submit)
+
     def _handle_configuration(self, peer: stream.Stream, message) -> None:
         if self._configuration.apply(message):
             self._requests.dispatch()
@@ -257,3 +291,7 @@
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
+
+
+def _join_address(address: tuple[str, int]) -> str:
+    return f'{address[0]}:{address[1]}'
--- a/packages/daemon/auburnroad_daemon/process/side_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_test.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core.http import messages as http_messages
+from auburnroad_core.http import server
 from auburnroad_core import refusals
 from auburnroad_core.settings import daemon
 from auburnroad_core.settings import deployment
@@ -119,6 +121,8 @@
         self.plain = fake_engine_test.FakeEngine()
         address = await self.engine.start()
         plain_address = await self.plain.start()
+        self.store = server.HttpServer(self.read_weights)
+        store_address = await self.store.start('127.0.0.1', 0)
         self.side = side_module.Side(
             daemon.Daemon(
                 'side-1',
@@ -129,7 +133,7 @@
                 '127.0.0.1:0',
                 '127.0.0.1:1',
                 '127.0.0.1:1',
-                '127.0.0.1:1',
+                f'{store_address[0]}:{store_address[1]}',
                 replicas=[
                     daemon.Replica('llm-1', 'llm', address),
                     daemon.Replica('api-1', 'api', plain_address),
@@ -149,6 +153,10 @@
         await self.entry.close()
         await self.engine.stop()
         await self.plain.stop()
+        await self.store.close()
+
+    async def read_weights(self, request):
+        return http_messages.Response(200, {}, b'weights')
 
     async def until(self, condition):
         """Wait until a condition holds."""
@@ -272,3 +280,78 @@
         self.call('r1')
         refused = await self.entry.wait_for(messages.Refused)
         self.assertEqual(refusals.NO_REPLICA, refused.code)
+
+
+class VersionTest(SideCase):
+    """What is announced is served in the end, and samples say what was."""
+
+    async def test_a_swap_in_the_middle_shows_in_the_spans(self):
+        self.engine.gate.clear()
+        self.entry.submit('r1')
+        await self.until(lambda: self.engine.runs)
+        self.entry.versions = {'m': 2}
+        await self.until(lambda: self.engine.versions['m'] == 2)
+        self.engine.gate.set()
+        done = await self.entry.wait_for(messages.Done)
+        spans = [types.VersionSpan(1, 0, 1), types.VersionSpan(2, 1, 4)]
+        self.assertEqual(spans, done.spans)
+        order = self.engine.orders[0]
+        self.assertEqual((2, 2), (order.version, order.fence))
+
+    async def test_a_failed_swap_is_tried_again(self):
+        self.engine.order_statuses = [500, 500]
+        self.entry.versions = {'m': 2}
+        await self.until(lambda: self.engine.versions['m'] == 2)
+        await self.entry.wait_for(messages.Heartbeat, versions={'m': 2})
+        self.assertEqual(3, len(self.engine.orders))
+
+    async def test_a_model_that_is_missing_is_loaded(self):
+        self.engine.versions.clear()
+        self.side.replicas[0].forget_version('m')
+        self.entry.versions = {'m': 2}
+        await self.until(lambda: self.engine.orders)
+        self.assertEqual('load_adapter', self.engine.orders[0].order)
+
+    async def test_what_an_old_order_took_back_is_swapped_again(self):
+        self.entry.versions = {'m': 3}
+        await self.until(lambda: self.engine.versions['m'] == 3)
+        self.engine.versions['m'] = 2
+        await self.until(lambda: self.engine.versions['m'] == 3)
+
+    async def test_a_request_waits_for_its_minimum_version(self):
+        self.entry.submit('r1', minimum_version=4)
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual([types.VersionSpan(4, 0, 4)], done.spans)
+
+    async def test_a_version_that_does_not_come_is_refused(self):
+        self.engine.order_statuses = [500] * 100
+        self.entry.submit('r1', minimum_version=4)
+        refused = await self.entry.wait_for(messages.Refused)
+        self.assertEqual(refusals.VERSION_BEHIND, refused.code)
+        self.assertEqual([], self.engine.runs)
+
+
+class ConfigurationTest(SideCase):
+    """Revisions only go up, and peers that are behind are told."""
+
+    async def test_a_lower_revision_changes_nothing(self):
+        lower = messages.Configuration(6, build_deployment(drain_ms=1))
+        self.entry.stream.send(lower)
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        self.assertEqual(7, self.side.revision)
+
+    async def test_a_peer_that_is_behind_is_told(self):
+        other = FakeEntry('entry-2')
+        other.revision = 3
+        await other.connect(self.side.stream_address)
+        told = await other.wait_for(messages.Configuration)
+        self.assertEqual(7, told.revision)
+        self.assertEqual(build_deployment(), told.document)
+        await other.close()
+
+    async def test_a_broken_document_changes_nothing(self):
+        self.entry.stream.send(messages.Configuration(9, b'{"name": 1}'))
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        self.assertEqual(7, self.side.revision)
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/version/relay_peers.py
@@ -0,0 +1,143 @@
+"""Finds the sides that weights can be fetched from.
+
+The host list names the streams' addresses; where a side relays weights it
+says itself, in the Hello that opens each stream.
+"""
+
+import asyncio
+
+from auburnroad_core import clock
+from auburnroad_core.http import client
+from auburnroad_core.platform import host_list as host_list_module
+from auburnroad_core.platform import weight_store
+from auburnroad_core.settings import daemon
+from auburnroad_core.wire import codec
+from auburnroad_core.wire import messages
+from auburnroad_daemon.version import relay_tree
+
+HELLO_TIMEOUT_SECONDS = 1.0
+# A parent that is itself without the weights must not hold its children up.
+PEER_TIMEOUT_SECONDS = 10.0
+HOSTS_KEPT_MS = 10_000
+READ_BYTES = 65536
+# Further ancestors are rarely worth their wait: the store comes next.
+MAX_ANCESTORS = 2
+
+
+class PeerStore:
+    """Another side as a weight store."""
+
+    __slots__ = ('_stream_address', '_client')
+
+    def __init__(self, stream_address: str, http_client: client.HttpClient):
+        self._stream_address = stream_address
+        self._client = http_client
+
+    async def fetch(
+        self, model: str, version: int, timeout_seconds: float
+    ) -> bytes:
+        """Fetch one version's weights from the side.
+
+        Args:
+          model: Model's or adapter's name.
+          version: Weight version.
+          timeout_seconds: How long all of it may take.
+
+        Returns:
+          The weights in bytes.
+
+        Raises:
+          WeightsMissingError: If the side can't find such a version.
+          WeightStoreError: If the side doesn't give them now.
+        """
+        try:
+            hello = await read_hello(self._stream_address)
+        except (OSError, TimeoutError, codec.WireError) as error:
+            raise weight_store.WeightStoreError(str(error)) from error
+        if hello.leaving or not hello.http_address:
+            raise weight_store.WeightStoreError('the side does not relay')
+        store = weight_store.HttpWeightStore(hello.http_address, self._client)
+        limit_seconds = min(timeout_seconds, PEER_TIMEOUT_SECONDS)
+        return await store.fetch(model, version, limit_seconds)
+
+
+class RelayPeers:
+    """Sources of weights: the side's ancestors, then the store."""
+
+    __slots__ = ('_settings', '_client', '_host_list', '_hosts', '_read_ms')
+
+    def __init__(
+        self,
+        settings: daemon.Daemon,
+        hosts: host_list_module.HostList,
+        http_client: client.HttpClient,
+    ):
+        self._settings = settings
+        self._client = http_client
+        self._host_list = hosts
+        self._hosts: list[host_list_module.Host] = []
+        self._read_ms = 0
+
+    async def find_stores(
+        self, model: str, version: int
+    ) -> list[tuple[str, weight_store.WeightStore]]:
+        """Find sources for one version, best first.
+
+        Args:
+          model: Model's or adapter's name.
+          version: Weight version.
+
+        Returns:
+          Sources with the kind that metrics count them under.
+        """
+        await self._refresh_hosts()
+        ancestors = relay_tree.find_ancestors(
+            self._hosts, self._settings.host, model, version
+        )
+        sources = [
+            ('side', PeerStore(host.address, self._client))
+            for host in ancestors[:MAX_ANCESTORS]
+        ]
+        store = weight_store.HttpWeightStore(
+            self._settings.weight_store, self._client
+        )
+        return [*sources, ('store', store)]
+
+    async def _refresh_hosts(self) -> None:
+        now_ms = clock.time_now_ms()
+        if now_ms - self._read_ms < HOSTS_KEPT_MS:
+            return
+        self._read_ms = now_ms
+        try:
+            self._hosts = await self._host_list.read()
+        except host_list_module.HostListError:
+            # What was known before still serves; the store is always there.
+            return
+
+
+async def read_hello(address: str) -> messages.Hello:
+    """Read how a daemon introduces itself.
+
+    Args:
+      address: 'IP number:port' of its streams.
+
+    Returns:
+      Its first message.
+
+    Raises:
+      OSError: If it can't be reached.
+      TimeoutError: If it says nothing.
+      WireError: If what it says is no Hello.
+    """
+    host, _, port = address.rpartition(':')
+    decoder = codec.Decoder()
+    async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            while data := await reader.read(READ_BYTES):
+                for message in decoder.feed(data):
+                    if isinstance(message, messages.Hello):
+                        return message
+        finally:
+            writer.close()
+    raise codec.WireError('closed without a Hello')
