--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -283,6 +283,7 @@
                 self._settings.name,
                 self._requests.running,
             )
+            await self._requests.close()
         await asyncio.sleep(LINGER_SECONDS)
         await self._http.drain(HTTP_DRAIN_SECONDS)
         await self.close()
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/process/side_stop_test.py
@@ -0,0 +1,137 @@
+"""Tests of streams that die and of the planned stop of a side."""
+
+import asyncio
+from unittest import mock
+
+from auburnroad_core import refusals
+from auburnroad_core import types
+from auburnroad_core.wire import messages
+from auburnroad_daemon.process import side_test
+from auburnroad_daemon.request import attempts
+
+
+class StreamLossTest(side_test.SideCase):
+    """The work outlives its stream until somebody asks or nobody does."""
+
+    async def reconnect(self, name='entry-1'):
+        await self.entry.close()
+        self.entry = side_test.FakeEntry(name)
+        await self.entry.connect(self.side.stream_address)
+
+    async def test_a_new_stream_gets_what_is_missing(self):
+        self.engine.gate.clear()
+        self.entry.submit('r1', streamed=True)
+        first = await self.entry.wait_for(messages.Chunk)
+        await self.reconnect('entry-2')
+        self.entry.stream.send(messages.Resume('r1', first.index + 1))
+        self.engine.gate.set()
+        done = await self.entry.wait_for(messages.Done)
+        chunks = [
+            m for m in self.entry.received if isinstance(m, messages.Chunk)
+        ]
+        self.assertEqual(
+            'xxxx', first.text + ''.join(chunk.text for chunk in chunks)
+        )
+        self.assertEqual(1, chunks[0].index)
+        self.assertEqual(done.chunks, 1 + len(chunks))
+        self.assertEqual(['r1'], self.engine.runs)
+
+    async def test_a_finished_answer_is_kept_until_acknowledged(self):
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        await self.reconnect()
+        self.entry.stream.send(messages.Resume('r1', 0))
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual('xxxx', done.text)
+        self.entry.stream.send(messages.Acknowledge('r1'))
+        self.entry.stream.send(messages.Resume('r1', 0))
+        await self.entry.wait_for(messages.NotHere)
+
+    async def test_the_newer_of_two_streams_counts(self):
+        self.engine.gate.clear()
+        self.entry.submit('r1')
+        await self.until(lambda: self.engine.runs)
+        newer = side_test.FakeEntry()
+        await newer.connect(self.side.stream_address)
+        newer.stream.send(messages.Resume('r1', 0))
+        await self.until(lambda: self.entry.stream.closed)
+        self.engine.gate.set()
+        await newer.wait_for(messages.Done)
+        await newer.close()
+
+    async def test_orphans_end_but_for_calls_that_may_not_be_repeated(self):
+        self.engine.gate.clear()
+        self.entry.submit('r1')
+        self.entry.submit('r2', idempotent=False)
+        self.entry.submit('r3', idempotent=False)
+        await self.until(lambda: len(self.engine.runs) == 2)
+        with mock.patch.object(attempts, 'ORPHAN_MS', 50):
+            await self.entry.close()
+            await self.until(lambda: 'r1' in self.engine.cancelled)
+        self.engine.gate.set()
+        await self.reconnect()
+        self.entry.stream.send(messages.Resume('r2', 0))
+        self.entry.stream.send(messages.Resume('r3', 0))
+        done = await self.entry.wait_for(messages.Done, 'r2')
+        self.assertEqual(types.Outcome.RUN, done.outcome)
+        await self.entry.wait_for(messages.NotHere, 'r3')
+        self.assertEqual({'r1', 'r2'}, set(self.engine.runs))
+
+    async def test_a_hostile_frame_ends_only_its_own_stream(self):
+        hostile = side_test.FakeEntry('hostile')
+        await hostile.connect(self.side.stream_address)
+        hostile.stream._writer.write(b'\xc1' * 100)
+        await self.until(lambda: hostile.stream.closed)
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        await hostile.close()
+
+    async def test_a_stream_without_introduction_is_closed(self):
+        reader, writer = await asyncio.open_connection(
+            *self.side.stream_address
+        )
+        writer.write(b'\x92\x08\xa1r')
+        async with asyncio.timeout(side_test.WAIT_SECONDS):
+            while await reader.read(1024):
+                continue
+        writer.close()
+
+
+class DrainTest(side_test.SideCase):
+    """A planned stop refuses new work and lets the rest end."""
+
+    async def test_work_ends_and_new_work_is_not_run(self):
+        self.engine.gate.clear()
+        for number in range(3):
+            self.entry.submit(f'r{number}')
+        await self.until(lambda: len(self.engine.runs) == 2)
+        self.side.drain()
+        await self.entry.wait_for(messages.Heartbeat, leaving=True)
+        self.entry.submit('late')
+        refused = await self.entry.wait_for(messages.Refused)
+        self.assertEqual(refusals.LEAVING, refused.code)
+        self.engine.gate.set()
+        for number in range(3):
+            await self.entry.wait_for(messages.Done, f'r{number}')
+            self.assertFalse(self.entry.stream.closed)
+            self.entry.stream.send(messages.Acknowledge(f'r{number}'))
+        await self.side.wait_closed()
+        self.assertEqual(3, len(self.engine.runs))
+
+
+class DrainDeadlineTest(side_test.SideCase):
+    """A planned stop ends by its deadline, and says what was not run."""
+
+    limits = {'drain_ms': 400}
+
+    async def test_what_waits_is_refused_before_what_runs_is_cut(self):
+        self.engine.gate.clear()
+        for number in range(3):
+            self.entry.submit(f'r{number}')
+        await self.until(lambda: len(self.engine.runs) == 2)
+        self.side.drain()
+        refused = await self.entry.wait_for(messages.Refused, 'r2')
+        self.assertEqual(refusals.LEAVING, refused.code)
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.UNKNOWN, done.outcome)
+        await self.side.wait_closed()
