--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""A small language in which scenarios of failures are written."""
