--- a/packages/e2e/auburnroad_e2e/launch/process.py
+++ b/packages/e2e/auburnroad_e2e/launch/process.py
@@ -38,6 +38,11 @@
         """Whether the process was started and has not ended."""
         return self._popen is not None and self._popen.poll() is None
 
+    @property
+    def responsive(self) -> bool:
+        """Whether the process runs and isn't paused."""
+        return self.running and not self._frozen
+
     @property
     def status(self) -> int | None:
         """Exit status, negative for a signal; None while it runs."""
