--- a/packages/core/auburnroad_core/log/trainer_fold_test.py
+++ b/packages/core/auburnroad_core/log/trainer_fold_test.py
@@ -88,6 +88,17 @@
             self.log.seal(3, 0, ['late'], 0, ['1/late']), CONFLICT
         )
 
+    def test_carried_group_is_remembered_as_long_as_it_may_be_carried(self):
+        self.log.seal(1, 0, ['a'])
+        self.log.seal(2, 0, ['late'], 0, ['1/late'])
+        last = 1 + trainer_fold.CARRY_STEPS
+        for step in range(3, last):
+            self.log.seal(step, 0, ['a'])
+        self.assertEqual(
+            self.log.seal(last, 0, ['late'], 0, ['1/late']), CONFLICT
+        )
+        self.assertEqual(self.log.seal(last, 0, ['a'], 0, ['1/a']), CONFLICT)
+
     def test_group_named_twice_or_carried_too_far_is_invalid(self):
         self.assertEqual(self.log.seal(9, 0, ['a', 'a']), INVALID)
         too_far = f'{9 - trainer_fold.CARRY_STEPS - 1}/a'
@@ -116,70 +127,82 @@
         log.void(2, 0)
         self.assertEqual(log.void(1, 0), CONFLICT)
 
+    def test_late_copy_of_a_void_spares_the_next_generation(self):
+        log = Log()
+        log.claim()
+        log.seal(1, 0, ['a'])
+        log.void(1, 0)
+        log.seal(1, 0, ['a'], 1)
+        self.assertEqual(log.void(1, 0), CONFLICT)
+        self.assertEqual(log.state.trainers['t'].sealed[1].generation, 1)
+
 
-SMALL = strategies.integers(0, 7)
-GROUPS = strategies.lists(strategies.sampled_from('abc'), max_size=3)
-CARRIED = strategies.lists(
-    strategies.tuples(SMALL, strategies.sampled_from('abc')), max_size=2
+CLAIMS = strategies.tuples(
+    strategies.just('claim'),
+    strategies.sampled_from(['e1', 'e2']),
+    # How many claims ago the writer looked.
+    strategies.sampled_from([0, 0, 1]),
 )
-# Claims name offsets, so those drawn from a small range often match.
-OFFSETS = strategies.integers(-1, 12)
-RECORDS = strategies.one_of(
-    strategies.builds(
-        records.Claim,
-        strategies.just('t'),
-        strategies.sampled_from(['e1', 'e2']),
-        strategies.just('i'),
-        OFFSETS,
-    ),
-    strategies.builds(
-        lambda step, generation, claim, groups, carried: records.Seal(
-            't',
-            step,
-            generation,
-            claim,
-            1,
-            groups + [name for _, name in carried],
-            'd',
-            [f'{origin}/{name}' for origin, name in carried],
+SEALS = strategies.tuples(
+    strategies.just('seal'),
+    # Step and generation, counted from those that would take effect.
+    strategies.sampled_from([0, 1, 1, 1, 2, -1]),
+    strategies.sampled_from([0, 0, 0, 1, -1]),
+    strategies.lists(strategies.sampled_from('abc'), max_size=2, unique=True),
+    # Carried groups by how many steps ago they were submitted.
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, trainer_fold.CARRY_STEPS + 1),
+            strategies.sampled_from('abc'),
         ),
-        SMALL,
-        strategies.integers(0, 2),
-        OFFSETS,
-        GROUPS,
-        CARRIED,
-    ),
-    strategies.builds(
-        records.Void,
-        strategies.just('t'),
-        SMALL,
-        strategies.integers(0, 2),
-        OFFSETS,
+        max_size=2,
     ),
 )
+VOIDS = strategies.tuples(
+    strategies.just('void'),
+    strategies.sampled_from([0, 0, 0, -1]),
+    strategies.sampled_from([0, 0, -1]),
+)
+
+
+def build_record(log, kind, details):
+    """Build a record near to what would take effect."""
+    trainer = log.state.find_trainer('t')
+    if kind == 'claim':
+        owner, age = details
+        return records.Claim('t', owner, 'i', trainer.claim - age)
+    step = max(0, trainer.newest_step + details[0])
+    generation = trainer.find_generation(step) + details[1]
+    if kind == 'void':
+        return records.Void('t', step, generation, trainer.claim)
+    own, carried = details[2:]
+    names = own + [name for _, name in carried]
+    identities = [f'{max(0, step - ago)}/{name}' for ago, name in carried]
+    return records.Seal(
+        't', step, generation, trainer.claim, 1, names, 'd', identities
+    )
 
 
 def play(log, drawn):
-    """Append records, with claims and generations made current half the time.
-
-    Random offsets alone would leave most records without effect.
-    """
-    for record, current, copied in drawn:
-        trainer = log.state.find_trainer('t')
-        if current and isinstance(record, records.Claim):
-            record.supersedes = trainer.claim
-        elif current:
-            record.claim = trainer.claim
-            record.generation = trainer.find_generation(record.step)
-        outcome = log.append(record)
+    """Append records; some are written by an owner that was paused."""
+    written = []
+    for (kind, *details), late in drawn:
+        record_id = ''
+        if late and written:
+            # A record from before, as its writer wakes up or tries again.
+            record, record_id = written[-1 - late % len(written)]
+        else:
+            record = build_record(log, kind, details)
+        outcome = log.append(record, record_id)
+        written.append((record, log.entries[-1].record_id))
         yield record, outcome
-        if copied:
-            copy_id = log.entries[-1].record_id
-            yield record, log.append(record, copy_id)
 
 
 DRAWN = strategies.lists(
-    strategies.tuples(RECORDS, strategies.booleans(), strategies.booleans()),
+    strategies.tuples(
+        strategies.one_of(CLAIMS, SEALS, SEALS, SEALS, VOIDS),
+        strategies.sampled_from([0, 0, 0, 1, 2, 3]),
+    ),
     min_size=8,
     max_size=30,
 )
