Believe engines' reports by their time, and their own cancel

Cause: reading the stand-in engine showed four ways to be misled: a load report older than an order's answer took a version back; an engine that was started anew kept its old version here; an answer that ended with the reason 'cancelled' was passed on as whole; and a body's resume_at was dropped, so a streamed answer tried elsewhere would repeat its tokens. Ruled out: taking the report's arrival as its time, which is what misled. Change: reports count from their own time, one older than the last starts anew; 'cancelled' is outcome unknown; resume_at is passed on; no replica gets more than the engine's own slots; calls that miss their deadlines in a row eject a plain replica; refusals of calls that may not be repeated are kept for a while. The scripted engine of the tests now gives its reports a time, as PROTOCOL.md says; without it a test failed, rightly.

--- a/packages/daemon/auburnroad_daemon/connection/engine.py
+++ b/packages/daemon/auburnroad_daemon/connection/engine.py
@@ -10,6 +10,8 @@
 
 from auburnroad_core import errors
 
+CANCELLED_REASON = 'cancelled'
+
 
 class EngineError(errors.AuburnroadError):
     """Base of an engine's failures."""
@@ -31,6 +33,10 @@
         self.status = status
 
 
+class EngineCancelledError(EngineError):
+    """The engine stopped the request because somebody cancelled it."""
+
+
 class OldFenceError(EngineError):
     """The engine has obeyed an order with a higher fencing number."""
 
--- a/packages/daemon/auburnroad_daemon/connection/fake_engine_test.py
+++ b/packages/daemon/auburnroad_daemon/connection/fake_engine_test.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
@@ -25,7 +26,7 @@
       orders: Orders received.
       order_statuses: Statuses for the next orders instead of success.
       break_after: Tokens after which a stream is cut, or None.
-      silent: Whether nothing follows the first token.
+      reason: Why completions stop.
     """
 
     def __init__(self):
@@ -37,6 +38,7 @@
         self.orders: list[engine.Order] = []
         self.order_statuses: list[int] = []
         self.break_after: int | None = None
+        self.reason = 'length'
         self.address = ''
         self._server = server.HttpServer(self._handle)
 
@@ -52,7 +54,9 @@
 
     async def _handle(self, request):
         if request.path == '/load':
-            load = engine.EngineLoad(0, 0, 8, self.versions)
+            load = engine.EngineLoad(
+                0, 0, 8, self.versions, at_ms=clock.time_now_ms()
+            )
             return messages.json_response(200, load)
         if request.path == '/cancel':
             self.cancelled.append(
@@ -90,7 +94,7 @@
                 1,
                 self.versions.get(completion.model, 0),
                 index,
-                'length' if last else None,
+                self.reason if last else None,
             )
             yield messages.server_sent_event(msgspec.json.encode(event))
         yield messages.server_sent_event(http_engine.END_OF_STREAM)
--- a/packages/daemon/auburnroad_daemon/connection/probes.py
+++ b/packages/daemon/auburnroad_daemon/connection/probes.py
@@ -78,7 +78,5 @@
         load = await replica.engine.read_load()
     except engine.EngineError:
         return False
-    at_ms = load.at_ms or clock.time_now_ms()
-    for model, version in load.versions.items():
-        replica.note_version(model, version, at_ms)
+    replica.note_load(load)
     return True
--- a/packages/daemon/auburnroad_daemon/connection/replica.py
+++ b/packages/daemon/auburnroad_daemon/connection/replica.py
@@ -21,6 +21,8 @@
         'running',
         'versions',
         '_noted_ms',
+        '_load_ms',
+        '_engine_slots',
     )
 
     def __init__(
@@ -36,6 +38,8 @@
         self.running: set[str] = set()
         self.versions: dict[str, int] = {}
         self._noted_ms: dict[str, int] = {}
+        self._load_ms = 0
+        self._engine_slots = 0
 
     @property
     def name(self) -> str:
@@ -58,9 +62,21 @@
         """
         if not self.health.up:
             return False
-        limit = 1 if self.health.on_trial else slots
+        limit = 1 if self.health.on_trial else self.count_slots(slots)
         return len(self.running) < limit
 
+    def count_slots(self, slots: int) -> int:
+        """Count the requests that it takes at a time.
+
+        Args:
+          slots: Requests as configured.
+
+        Returns:
+          That number, or the engine's own where that is lower: more would
+          only wait in the engine.
+        """
+        return min(slots, self._engine_slots) if self._engine_slots else slots
+
     def get_version(self, model: str) -> int:
         """Find the weight version that it serves.
 
@@ -86,6 +102,21 @@
             self.versions[model] = version
             self._noted_ms[model] = at_ms
 
+    def note_load(self, load: engine.EngineLoad) -> None:
+        """Note what the engine says of itself, some time ago.
+
+        Args:
+          load: Its report. One that is older than the report before it comes
+            from an engine that was started anew.
+        """
+        if load.at_ms < self._load_ms:
+            self.versions.clear()
+            self._noted_ms.clear()
+        self._load_ms = load.at_ms
+        self._engine_slots = load.slots
+        for model, version in load.versions.items():
+            self.note_version(model, version, load.at_ms)
+
     def forget_version(self, model: str) -> None:
         """Note that the engine does not have a model.
 
--- a/packages/daemon/auburnroad_daemon/connection/target_health.py
+++ b/packages/daemon/auburnroad_daemon/connection/target_health.py
@@ -8,6 +8,7 @@
 MAX_EJECTION_MS = 10_000
 PROBE_INTERVAL_MS = 2_000
 FAILED_PROBES_TO_EJECT = 2
+MISSED_DEADLINES_TO_EJECT = 3
 
 
 class TargetHealth:
@@ -17,6 +18,7 @@
         '_up',
         '_failures',
         '_missed_probes',
+        '_missed_deadlines',
         '_on_trial',
         '_probe_ms',
     )
@@ -25,6 +27,7 @@
         self._up = False
         self._failures = 0
         self._missed_probes = 0
+        self._missed_deadlines = 0
         self._on_trial = False
         self._probe_ms = 0
 
@@ -46,8 +49,22 @@
     def record_success(self) -> None:
         """Note that a request was answered."""
         self._failures = 0
+        self._missed_deadlines = 0
         self._on_trial = False
 
+    def record_missed_deadline(self, now_ms: int) -> None:
+        """Note that a request had no answer by its deadline.
+
+        A single one may be the fault of a short deadline.
+
+        Args:
+          now_ms: Unix milliseconds.
+        """
+        self._missed_deadlines += 1
+        if self._missed_deadlines >= MISSED_DEADLINES_TO_EJECT:
+            self._missed_deadlines = 0
+            self.record_failure(now_ms)
+
     def record_failure(self, now_ms: int) -> None:
         """Note that a request failed by the target's fault.
 
--- a/packages/daemon/auburnroad_daemon/process/side_stop_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_stop_test.py
@@ -74,7 +74,8 @@
         self.entry.stream.send(messages.Resume('r3', 0))
         done = await self.entry.wait_for(messages.Done, 'r2')
         self.assertEqual(types.Outcome.RUN, done.outcome)
-        await self.entry.wait_for(messages.NotHere, 'r3')
+        refused = await self.entry.wait_for(messages.Refused, 'r3')
+        self.assertEqual(refusals.CANCELLED, refused.code)
         self.assertEqual({'r1', 'r2'}, set(self.engine.runs))
 
     async def test_a_hostile_frame_ends_only_its_own_stream(self):
--- a/packages/daemon/auburnroad_daemon/process/side_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from auburnroad_core.wire import stream as stream_module
 from auburnroad_daemon.connection import fake_engine_test
 from auburnroad_daemon.process import side as side_module
+from auburnroad_daemon.request import run
 
 WAIT_SECONDS = 10.0
 FAR_MS = 60_000
@@ -243,6 +245,21 @@
         self.entry.submit('r3')
         await self.entry.wait_for(messages.Done, 'r3')
 
+    async def test_an_answer_that_the_engine_cancelled_is_not_whole(self):
+        self.engine.reason = 'cancelled'
+        self.entry.submit('r1')
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.UNKNOWN, done.outcome)
+        self.assertTrue(self.side.replicas[0].health.up)
+
+    async def test_a_silent_engine_is_given_up(self):
+        self.engine.gate.clear()
+        with mock.patch.object(run, 'ENGINE_SILENCE_SECONDS', 0.05):
+            self.entry.submit('r1')
+            done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.UNKNOWN, done.outcome)
+        self.assertEqual('x', done.text)
+
     async def test_a_dead_engine_was_not_given_the_request(self):
         await self.engine.stop()
         self.entry.submit('r1')
--- a/packages/daemon/auburnroad_daemon/request/attempts.py
+++ b/packages/daemon/auburnroad_daemon/request/attempts.py
@@ -1,9 +1,10 @@
 """All requests that this side knows, by id.
 
-An id that is known never runs again, and an id that may have run is never
-called unknown: NotHere means not run to an entry that asks.
+An id that is known never runs again, and an id that may have run is kept for
+long, so that its entry hears what became of it.
 """
 
+from auburnroad_core.wire import messages
 from auburnroad_core.wire import stream
 from auburnroad_daemon.request import attempt as attempt_module
 
@@ -101,7 +102,8 @@
         return sum(
             1
             for attempt in self._by_id.values()
-            if attempt.answer is not None and not is_orphan(attempt, now_ms)
+            if isinstance(attempt.answer, messages.Done)
+            and not is_orphan(attempt, now_ms)
         )
 
     def forget_old(self, now_ms: int) -> None:
@@ -141,8 +143,8 @@
 def is_old(attempt: attempt_module.Attempt, now_ms: int) -> bool:
     """Tell whether a finished request may be forgotten.
 
-    A call that may not be repeated is kept for much longer, since the entry
-    would take its id's absence for 'not run'.
+    A call that may not be repeated is kept for much longer, since nothing
+    else can tell whether it was run.
 
     Args:
       attempt: A finished request.
@@ -151,6 +153,8 @@
     Returns:
       True when it may be forgotten.
     """
+    if isinstance(attempt.answer, messages.Refused):
+        return now_ms >= attempt.finished_ms + ORPHAN_MS
     if attempt.submit.idempotent:
         deadline_ms = attempt.submit.deadline_ms
         return now_ms >= max(deadline_ms, attempt.finished_ms + ORPHAN_MS)
--- a/packages/daemon/auburnroad_daemon/request/run.py
+++ b/packages/daemon/auburnroad_daemon/request/run.py
@@ -25,10 +25,13 @@
     Attributes:
       prompt: The prompt's text.
       max_tokens: Tokens after which the engine stops.
+      resume_at: Index of the first token that is wanted, when another
+        attempt has delivered those before it.
     """
 
     prompt: str
     max_tokens: int = 16
+    resume_at: int = 0
 
 
 class Result(msgspec.Struct):
@@ -61,7 +64,11 @@
     except msgspec.DecodeError:
         return Result(_refuse(submit, refusals.BAD_REQUEST))
     completion = engine.Completion(
-        submit.request_id, submit.model, body.prompt, body.max_tokens
+        submit.request_id,
+        submit.model,
+        body.prompt,
+        body.max_tokens,
+        body.resume_at,
     )
     writer = token_writer.TokenWriter(attempt)
     try:
@@ -70,6 +77,9 @@
         return Result(_refuse(submit, refusals.NO_REPLICA), True)
     except engine.EngineRejectedError as error:
         return _build_rejection(attempt, replica, error)
+    except engine.EngineCancelledError as error:
+        outcome = types.Outcome.UNKNOWN
+        return Result(_build_done(attempt, writer, outcome, str(error)))
     except engine.EngineBrokenError as error:
         outcome = types.Outcome.UNKNOWN
         return Result(_build_done(attempt, writer, outcome, str(error)), True)
@@ -99,6 +109,9 @@
             raise
     if reason is None:
         raise engine.EngineBrokenError('the stream ended early')
+    if reason == engine.CANCELLED_REASON:
+        # Somebody else's cancel: what has come is not the whole answer.
+        raise engine.EngineCancelledError('the engine cancelled it')
     return reason
 
 
--- a/packages/daemon/auburnroad_daemon/request/side_queue.py
+++ b/packages/daemon/auburnroad_daemon/request/side_queue.py
@@ -89,7 +89,7 @@
         slots = settings.slots_per_replica if settings is not None else 0
         return types.HostLoad(
             self._service,
-            slots * len(ready),
+            sum(r.count_slots(slots) for r in ready),
             sum(len(r.running) for r in self._replicas),
             len(self._waiting),
             len(ready),
@@ -208,23 +208,22 @@
         return None
 
     def _choose(self, free, settings) -> ordering.Waiting | None:
-        ready = sum(1 for r in self._replicas if r.health.up)
+        ready = [r for r in self._replicas if r.health.up]
         configured = self._configuration.deployment
         waiting = [
             self._waiting[attempt.request_id]
             for attempt in self._attempts.values()
             if any(placement.is_fresh(r, attempt.submit) for r in free)
         ]
-        slots = settings.slots_per_replica
+        slots = [r.count_slots(settings.slots_per_replica) for r in ready]
         share = configured.limits.interactive_share
-        reserved = ordering.count_reserved(slots, share)
         view = ordering.View(
             waiting,
             self._running,
             {t.name: t.share for t in configured.trainers},
             self._progress,
-            slots * ready,
-            reserved * ready,
+            sum(slots),
+            sum(ordering.count_reserved(s, share) for s in slots),
         )
         return ordering.ORDERINGS.get(configured.policies.ordering)(view)
 
--- a/packages/daemon/auburnroad_daemon/request/side_requests.py
+++ b/packages/daemon/auburnroad_daemon/request/side_requests.py
@@ -216,10 +216,7 @@
             retry_at_ms = now_ms + admission.MAX_RETRY_MS
             return admission.Refusal(refusals.OVERLOADED, retry_at_ms)
         self._attempts.add(attempt)
-        refusal = queue.admit(attempt, now_ms)
-        if refusal is not None:
-            self._attempts.forget(attempt)
-        return refusal
+        return queue.admit(attempt, now_ms)
 
     def _refuse(self, attempt, refusal, now_ms) -> None:
         submit = attempt.submit
@@ -232,8 +229,9 @@
             self.build_loads(),
         )
         attempt.finish(answer, now_ms)
-        # Not run, and NotHere says the same: nothing to remember.
-        self._attempts.forget(attempt)
+        if submit.idempotent:
+            # Its entry tries again, whether it hears 'refused' or 'unknown'.
+            self._attempts.forget(attempt)
 
     def _refuse_expired(self, now_ms) -> None:
         for queue in self._queues.values():
@@ -281,6 +279,8 @@
             code = attempt.cancel_code or refusals.CANCELLED
             answer = run.build_unknown(attempt, code)
             self._stop_engine(attempt, replica)
+            if code == refusals.DEADLINE_PASSED:
+                replica.health.record_missed_deadline(now_ms)
         elif task.exception() is not None:
             logging.error('run failed', exc_info=task.exception())
             answer = run.build_unknown(attempt, repr(task.exception()))
