Pass on to the engine where a resumed stream goes on

The entry asks for resume_at, and the side left it out. Ruled out: chunks lost by the entry; the text was too long, not too short. Change: the side reads resume_at and passes it on. Its own test failed before and passes now.

--- a/packages/daemon/auburnroad_daemon/request/run.py
+++ b/packages/daemon/auburnroad_daemon/request/run.py
@@ -25,10 +25,13 @@
     Attributes:
       prompt: The prompt's text.
       max_tokens: Tokens after which the engine stops.
+      resume_at: Index of the first token that is wanted, when another
+        attempt has delivered those before it.
     """
 
     prompt: str
     max_tokens: int = 16
+    resume_at: int = 0
 
 
 class Result(msgspec.Struct):
@@ -61,7 +64,11 @@
     except msgspec.DecodeError:
         return Result(_refuse(submit, refusals.BAD_REQUEST))
     completion = engine.Completion(
-        submit.request_id, submit.model, body.prompt, body.max_tokens
+        submit.request_id,
+        submit.model,
+        body.prompt,
+        body.max_tokens,
+        body.resume_at,
     )
     writer = token_writer.TokenWriter(attempt)
     try:
