--- a/packages/e2e/auburnroad_e2e/book_files.py
+++ b/packages/e2e/auburnroad_e2e/book_files.py
@@ -5,9 +5,11 @@
 import msgspec
 
 from auburnroad_client.questionnaire import generate
+from auburnroad_core.http import client
 from auburnroad_e2e import book_types
 from auburnroad_e2e import books
 from auburnroad_e2e import cluster as cluster_module
+from auburnroad_e2e.launch import commands
 from auburnroad_standins import books as standin_books
 from auburnroad_standins import record_file
 
@@ -29,12 +31,34 @@
 class _EngineLine(msgspec.Struct):
     """A line in an engine's books file."""
 
+    at_ms: int
     engine: str
     event: str
     version: int
     run: _RunLine
 
 
+class _PlainLine(msgspec.Struct):
+    """A line in the books file of a plain service."""
+
+    at_ms: int
+    key: str
+    request_id: str
+
+
+class _LogEntry(msgspec.Struct):
+    """The part of a record that the verdict needs."""
+
+    data: dict
+
+
+class _LogBatch(msgspec.Struct):
+    """Records of the log service."""
+
+    next_offset: int
+    records: list[_LogEntry]
+
+
 def read_books(cluster: cluster_module.Cluster) -> book_types.Books:
     """Read all books of a deployment's run.
 
@@ -55,9 +79,7 @@
             if kinds[replica.service] == 'model':
                 engine_runs.extend(read_engine_runs(path))
             else:
-                plain_runs.extend(
-                    standin_books.read_lines(path, book_types.PlainRun)
-                )
+                plain_runs.extend(_read_plain_runs(path, replica.name))
     return book_types.Books(
         _read_trainers(cluster),
         [
@@ -79,21 +101,73 @@
     Returns:
       The runs; one that a crash ended has an open last span.
     """
-    ended: list[_EngineLine] = []
-    last: dict[int, _EngineLine] = {}
+    last: dict[tuple[int, int], _EngineLine] = {}
+    started: dict[tuple[int, int], int] = {}
+    process = 0
     for line in standin_books.read_lines(path, _EngineLine):
-        if line.event == 'started' and line.run.number in last:
-            ended.append(last[line.run.number])
-        last[line.run.number] = line
-    return [_build_run(line) for line in (*ended, *last.values())]
+        key = (process, line.run.number)
+        if line.event == 'started' and key in started:
+            # Numbers begin anew when the engine was started again.
+            process += 1
+            key = (process, line.run.number)
+        if line.event == 'started':
+            started[key] = line.at_ms
+        last[key] = line
+    return [
+        _build_run(line, started.get(key, 0)) for key, line in last.items()
+    ]
 
 
-def _build_run(line: _EngineLine) -> book_types.EngineRun:
+def _build_run(line: _EngineLine, at_ms: int) -> book_types.EngineRun:
     spans = list(line.run.spans)
     if line.event == 'version':
         start = line.run.resume_at + line.run.tokens
         spans.append((line.version, start, OPEN_END))
-    return book_types.EngineRun(line.run.request_id, line.engine, spans)
+    return book_types.EngineRun(line.run.request_id, line.engine, spans, at_ms)
+
+
+def _read_plain_runs(path, replica: str) -> list[book_types.PlainRun]:
+    return [
+        book_types.PlainRun(line.key, line.request_id, replica, line.at_ms)
+        for line in standin_books.read_lines(path, _PlainLine)
+    ]
+
+
+async def read_all(cluster: cluster_module.Cluster) -> book_types.Books:
+    """Read all books, with those of the log service that still runs.
+
+    Args:
+      cluster: The deployment.
+
+    Returns:
+      The books.
+    """
+    found = read_books(cluster)
+    found.seals = await _read_seals(cluster)
+    return found
+
+
+async def _read_seals(cluster) -> list[book_types.Seal] | None:
+    """Read every seal, unless the log is down or has been truncated."""
+    seals = []
+    offset = 0
+    while True:
+        target = f'/streams/trainers/records?from={offset}&wait_ms=0'
+        try:
+            response = await cluster.get(commands.LOG_SERVICE, target)
+        except client.HttpError:
+            return None
+        if response.status != 200:
+            return None
+        batch = msgspec.json.decode(response.body, type=_LogBatch)
+        for entry in batch.records:
+            if entry.data['type'] == 'seal':
+                seals.append(msgspec.convert(entry.data, book_types.Seal))
+            elif entry.data['type'] == 'checkpoint':
+                return None
+        if not batch.records:
+            return seals
+        offset += len(batch.records)
 
 
 def _read_trainers(cluster) -> list[book_types.TrainerBooks]:
--- a/packages/e2e/auburnroad_e2e/book_types.py
+++ b/packages/e2e/auburnroad_e2e/book_types.py
@@ -37,11 +37,13 @@
       request_id: Attempt that it was for.
       replica: Engine's name.
       spans: Weight versions by token.
+      at_ms: Unix milliseconds at which it got a slot.
     """
 
     request_id: str
     replica: str
     spans: list[Span]
+    at_ms: int = 0
 
 
 class PlainRun(msgspec.Struct):
@@ -49,12 +51,32 @@
 
     key: str
     request_id: str
+    replica: str = ''
+    at_ms: int = 0
+
+
+class Seal(msgspec.Struct):
+    """A step's seal, as the log service keeps it."""
+
+    trainer: str
+    step: int
+    generation: int
+    digest: str
 
 
 class Books(msgspec.Struct):
-    """All books of one run."""
+    """All books of one run.
+
+    Attributes:
+      trainers: Books of the trainers.
+      callers: Events of the callers.
+      engine_runs: Books of all engines.
+      plain_runs: Books of all plain services.
+      seals: Seals in the log service; None when its books can't be read.
+    """
 
     trainers: list[TrainerBooks]
     callers: list[Event]
     engine_runs: list[EngineRun]
     plain_runs: list[PlainRun]
+    seals: list[Seal] | None = None
--- a/packages/e2e/auburnroad_e2e/books.py
+++ b/packages/e2e/auburnroad_e2e/books.py
@@ -73,6 +73,7 @@
         'too stale': _find_too_stale(books.trainers),
         'misattributed': find_misattributed(books.trainers, books.engine_runs),
         'not the same bytes': _find_different_bytes(books.trainers),
+        'not sealed': find_unsealed(books),
         'cut off': caller_books.find_cut_off(books.callers, excused),
         'wrong answer': caller_books.find_wrong(books.callers),
         'run twice': caller_books.find_keys_run_twice(books.plain_runs),
@@ -117,6 +118,32 @@
     ]
 
 
+def find_unsealed(books: book_types.Books) -> list[str]:
+    """Find steps whose bytes aren't those that the log service has sealed.
+
+    Args:
+      books: All books of one run.
+
+    Returns:
+      A text for each; none when the log's books can't be read.
+    """
+    if books.seals is None:
+        return []
+    known = {(s.trainer, s.step, s.generation, s.digest) for s in books.seals}
+    return [
+        f'{trainer.name}/{taken["step"]}'
+        for trainer in books.trainers
+        for taken in trainer.select('taken')
+        if (
+            trainer.name,
+            taken['step'],
+            taken['generation'],
+            taken['digest'],
+        )
+        not in known
+    ]
+
+
 def _find_different_bytes(trainers) -> list[str]:
     return [
         event['target']
@@ -131,7 +158,7 @@
     size = trainer.samples_per_group
     for taken in trainer.select('taken'):
         figures.steps += 1
-        figures.samples_wanted += trainer.groups_wanted * size
+        figures.samples_wanted += _count_submitted(trainer, taken) * size
         figures.samples_lost += _count_missing(trainer, taken)
         seen.update(_sample_key(sample) for sample in taken['samples'])
     figures.samples_delivered += len(seen)
@@ -141,6 +168,19 @@
     figures.samples_too_stale += len(late)
 
 
+def _count_submitted(trainer: book_types.TrainerBooks, taken) -> int:
+    """Count the groups that were submitted for a step that was taken."""
+    key = (taken['step'], taken['generation'])
+    return max(
+        (
+            len(event['groups'])
+            for event in trainer.select('submitted')
+            if (event['step'], event['generation']) == key
+        ),
+        default=0,
+    )
+
+
 def _count_missing(
     trainer: book_types.TrainerBooks, taken: book_types.Event
 ) -> int:
--- a/packages/e2e/auburnroad_e2e/demo.py
+++ b/packages/e2e/auburnroad_e2e/demo.py
@@ -51,14 +51,19 @@
     """
     answers = shape.shrink(shape.load_answers(name))
     deployment = cluster.Cluster(answers, directory, commands.Options())
+    try:
+        await _drive_in_time(deployment, name)
+        return await book_files.read_all(deployment)
+    finally:
+        await deployment.close()
+
+
+async def _drive_in_time(deployment: cluster.Cluster, name: str) -> None:
     try:
         async with asyncio.timeout(DEADLINE_SECONDS):
             await _drive(deployment, name)
     except TimeoutError:
         say(f'{name}: the time is up')
-    finally:
-        await deployment.close()
-    return book_files.read_books(deployment)
 
 
 async def _drive(deployment: cluster.Cluster, name: str) -> None:
@@ -136,6 +141,7 @@
         [event for part in parts for event in part.callers],
         [run for part in parts for run in part.engine_runs],
         [run for part in parts for run in part.plain_runs],
+        [seal for part in parts for seal in part.seals or ()],
     )
 
 
