Hedge stragglers, and keep retry budgets of callers and trainers apart

Cause: a late sample had no second attempt; refusals of samples spent the retries of interactive callers of the same service; a step that was not whole told its trainer to come back in a second, which is idle time. Ruled out: hedging by age alone everywhere; it costs engine time in the middle of a step.

--- a/packages/core/auburnroad_core/settings/deployment.py
+++ b/packages/core/auburnroad_core/settings/deployment.py
@@ -83,6 +83,7 @@
     routing: str = 'affinity'
     ordering: str = 'fair'
     swapping: str = 'rolling'
+    hedging: str = 'tail'
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/packages/daemon/auburnroad_daemon/request/answers.py
+++ b/packages/daemon/auburnroad_daemon/request/answers.py
@@ -99,7 +99,7 @@
     if not retry_at_ms:
         return {}
     seconds = math.ceil(max(0, retry_at_ms - now_ms) / clock.MS_PER_SECOND)
-    return {RETRY_AFTER_HEADER: str(max(1, seconds))}
+    return {RETRY_AFTER_HEADER: str(seconds)}
 
 
 def build_refusal(
--- a/packages/daemon/auburnroad_daemon/request/dispatch.py
+++ b/packages/daemon/auburnroad_daemon/request/dispatch.py
@@ -38,10 +38,14 @@
       submit: The message for a side; its request id is set anew for each
         attempt, from the call's own.
       prefix: Start of the prompt, for prefix affinity; empty for none.
+      avoid: Hosts that are taken only if there is no other.
+      tried: Hosts that attempts were made at, filled while it runs.
     """
 
     submit: messages.Submit
     prefix: bytes = b''
+    avoid: frozenset[str] = frozenset()
+    tried: list[str] = []
 
 
 class Result(msgspec.Struct):
@@ -103,7 +107,7 @@
         self._hosts = hosts
         self._failure_domain = failure_domain
         self._history = events
-        self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._budgets: dict[tuple[str, str], retry_budget.RetryBudget] = {}
         self._rng = random.Random()
         self._turn = 0
         self.policy = routing.POLICIES.get('affinity')
@@ -164,13 +168,16 @@
         choice = routing.Choice(key, self._failure_domain, self._turn)
         return by_host[self.policy(candidates, choice, self._rng).host]
 
-    def find_budget(self, service: str) -> retry_budget.RetryBudget:
-        """Find the retry budget of a service."""
-        if service not in self._budgets:
-            self._budgets[service] = retry_budget.RetryBudget(
-                self.retry_fraction
-            )
-        return self._budgets[service]
+    def find_budget(self, call: Call) -> retry_budget.RetryBudget:
+        """Find the retry budget that a call draws on.
+
+        Callers and trainers have budgets of their own, so that samples that
+        are refused in plenty leave the callers theirs.
+        """
+        key = (call.submit.service, call.submit.request_class)
+        if key not in self._budgets:
+            self._budgets[key] = retry_budget.RetryBudget(self.retry_fraction)
+        return self._budgets[key]
 
     def record(self, key: str, event: str, detail: str = '') -> None:
         """Note an event of a request for `auburnroad explain`."""
@@ -222,7 +229,7 @@
         self._call_id = call.submit.request_id or uuid.uuid4().hex
         self._attempts = 0
         self._maybe_run = False
-        self._avoid: set[str] = set()
+        self._avoid: set[str] = set(call.avoid)
         self._spans: list[types.VersionSpan] = []
         self._delivered: list[str] = []
         self._current: tuple | None = None
@@ -258,7 +265,7 @@
 
     async def complete(self) -> Result:
         """Make attempts until one gives the result."""
-        budget = self._dispatcher.find_budget(self._call.submit.service)
+        budget = self._dispatcher.find_budget(self._call)
         budget.record_request()
         while True:
             link = self._dispatcher.choose_link(self._call, self._avoid)
@@ -278,6 +285,7 @@
     async def _attempt(self, link) -> Result | tuple[str, int]:
         """Make one attempt; return its result, or why there is none."""
         self._attempts += 1
+        self._call.tried.append(link.host.name)
         attempt = remote_attempt.Attempt(self._build_submit(), link.host.name)
         self._current = (link, attempt)
         link.submit(attempt)
--- a/packages/daemon/auburnroad_daemon/version/owner.py
+++ b/packages/daemon/auburnroad_daemon/version/owner.py
@@ -17,6 +17,7 @@
 from auburnroad_daemon.process import entry_metrics as metrics
 from auburnroad_daemon.request import dispatch
 from auburnroad_daemon.version import copies
+from auburnroad_daemon.version import generator
 from auburnroad_daemon.version import ledger as ledgers
 from auburnroad_daemon.version import samples
 
@@ -82,7 +83,7 @@
         log: Log,
         ledger: ledgers.Ledger,
         claim: int,
-        trainer: deployment.Trainer,
+        current: deployment.Deployment,
         dispatcher: dispatch.Dispatcher,
         count_slots: typing.Callable[[str], int],
         choose_holder: typing.Callable[[], copies.Holder | None],
@@ -91,18 +92,19 @@
         self._log = log
         self._ledger = ledger
         self._claim = claim
-        self._trainer = trainer
+        self._trainer = current.find_trainer(ledger.trainer)
         self._copier = copies.Copier(ledger, claim, choose_holder)
-        self._generator = samples.Generator(
-            dispatcher, count_slots, self._accept, ledger, trainer, claim
+        self._generator = generator.Generator(
+            dispatcher, count_slots, self._accept, ledger, self._trainer, claim
         )
+        self._generator.configure(self._trainer, current.policies)
         self._changed = asyncio.Event()
         self._sealing = asyncio.Lock()
         self._asked_step = -1
         self._on_version = on_version
         self.closed = False
         if ledger.version >= 0:
-            on_version(trainer.model, ledger.version)
+            on_version(self._trainer.model, ledger.version)
         self._plan()
 
     @property
@@ -124,10 +126,10 @@
     def _state(self) -> trainer_fold.TrainerState:
         return self._log.find(self._trainer.name)
 
-    def set_trainer(self, trainer: deployment.Trainer) -> None:
-        """Take over a changed configuration of the trainer."""
-        self._trainer = trainer
-        self._generator.set_trainer(trainer)
+    def configure(self, current: deployment.Deployment) -> None:
+        """Take a configuration over that still has the trainer."""
+        self._trainer = current.find_trainer(self._ledger.trainer)
+        self._generator.configure(self._trainer, current.policies)
 
     async def drain(self) -> None:
         """Begin no more samples and let those in flight end."""
@@ -274,6 +276,7 @@
             self._asked_step,
             self._trainer.staleness_bound,
         )
+        self._generator.asked_step = self._asked_step
         self._generator.wake()
 
     def _accept(self, want: samples.Want, sample: ledgers.Sample) -> None:
--- a/packages/daemon/auburnroad_daemon/version/ownership.py
+++ b/packages/daemon/auburnroad_daemon/version/ownership.py
@@ -34,6 +34,7 @@
 RETRY_SECONDS = 0.1
 SERVE_SECONDS = 40.0
 COME_BACK_MS = 500
+SETTLE_MS = 2000
 
 _STATUSES = {
     owners.Refusal.UNKNOWN_STEP: 404,
@@ -72,6 +73,7 @@
     name: str,
     incarnation: str,
     peer: peer_link.PeerLink | None,
+    settled: bool,
 ) -> Way:
     """Choose what to do with a trainer's request.
 
@@ -80,6 +82,8 @@
       name: This daemon's name.
       incarnation: This daemon's incarnation.
       peer: Link to the owner that the log names, if one is known.
+      settled: Whether this daemon has run for long enough to have met every
+        entry that is alive.
 
     Returns:
       The way.
@@ -90,7 +94,7 @@
         mine = state.incarnation == incarnation
         return Way.SERVE if mine else Way.CLAIM
     if peer is None:
-        return Way.CLAIM
+        return Way.CLAIM if settled else Way.WAIT
     if peer.connected:
         same = peer.incarnation == state.incarnation
         return Way.FORWARD if same else Way.CLAIM
@@ -113,6 +117,7 @@
         '_claiming',
         '_deployment',
         '_leaving',
+        '_settled_at_ms',
     )
 
     def __init__(
@@ -137,6 +142,7 @@
         self._claiming: dict[str, asyncio.Lock] = {}
         self._deployment: deployment.Deployment | None = None
         self._leaving = False
+        self._settled_at_ms = clock.time_now_ms() + SETTLE_MS
 
     @property
     def store(self) -> copies.CopyStore:
@@ -151,12 +157,11 @@
         """Take a new configuration over."""
         self._deployment = new
         for name, owner in list(self._owners.items()):
-            trainer = new.find_trainer(name)
-            if trainer is None:
+            if new.find_trainer(name) is None:
                 del self._owners[name]
                 await owner.close()
             else:
-                owner.set_trainer(trainer)
+                owner.configure(new)
 
     async def check_claims(self) -> None:
         """Close owners whose claim was superseded."""
@@ -251,7 +256,13 @@
     async def _try_once(self, name, request) -> messages.Response | None:
         state = self._log.find(name)
         peer = self._peers.find(state.owner)
-        way = choose_way(state, self._name, self._incarnation, peer)
+        way = choose_way(
+            state,
+            self._name,
+            self._incarnation,
+            peer,
+            clock.time_now_ms() >= self._settled_at_ms,
+        )
         if way is Way.SERVE:
             response = await self._serve(name, request)
             return response or await self._rebuild(name, state.claim)
@@ -332,8 +343,7 @@
         """Begin to own a trainer if our claim was the one let through."""
         won = self._log.find(name).claim == offset
         metrics.CLAIMS.labels('effective' if won else 'no effect').inc()
-        trainer = self._deployment.find_trainer(name)
-        if not won or trainer is None:
+        if not won or self._deployment.find_trainer(name) is None:
             return
         ledger = await self._find_ledger(name)
         former = self._owners.pop(name, None)
@@ -344,7 +354,7 @@
             self._log,
             ledger,
             offset,
-            trainer,
+            self._deployment,
             self._dispatcher,
             self._count_slots,
             self._peers.choose_holder,
@@ -407,7 +417,10 @@
 def _refuse(error: owners.RefusedError) -> messages.Response:
     status = _STATUSES.get(error.refusal, CONFLICT_STATUS)
     retry_at_ms = 0
-    if status == 503:
+    if error.refusal is owners.Refusal.NOT_READY:
+        # It has waited as long as it wanted; the next question may wait on.
+        retry_at_ms = clock.time_now_ms()
+    elif status == 503:
         retry_at_ms = clock.time_now_ms() + COME_BACK_MS
     return answers.build_refusal(
         status, str(error.refusal), str(error), retry_at_ms=retry_at_ms
