Leave open what became of an append with a strange answer

Cause: an answer that is not JSON, or a status that is no refusal, was taken for 'nothing was appended'; the record may stand in the log. Seen with the test: a 502 between daemon and log service raised the error of an outage.

Change: only a failed connect, 429 and 503 say that nothing was appended. All else is a lost answer, which is resolved by reading back.

--- a/packages/core/auburnroad_core/platform/log_service.py
+++ b/packages/core/auburnroad_core/platform/log_service.py
@@ -117,7 +117,11 @@
             raise AppendLostError(str(error)) from error
         if response.status in (429, 503):
             raise LogUnavailableError(f'refused with {response.status}')
-        return self._parse(response, _Appended).offsets
+        try:
+            return self._parse(response, _Appended).offsets
+        except LogUnavailableError as error:
+            # Only the two statuses above say that nothing was appended.
+            raise AppendLostError(str(error)) from error
 
     async def read(
         self, stream: str, from_offset: int, wait_seconds: float
