--- a/packages/core/auburnroad_core/log/appender.py
+++ b/packages/core/auburnroad_core/log/appender.py
@@ -14,9 +14,9 @@
 import uuid
 
 import msgspec
-import prometheus_client
 
 from auburnroad_core import clock
+from auburnroad_core.log import counters
 from auburnroad_core.log import records
 from auburnroad_core.log import replay
 from auburnroad_core.log import tail as tails
@@ -25,17 +25,6 @@
 
 GROUP_MS = 5
 GROUP_RECORDS = 500
-_APPENDS = prometheus_client.Counter(
-    'auburnroad_log_appends',
-    'Appends sent to the log service, by their end',
-    ['stream', 'end'],
-)
-_RECORDS = prometheus_client.Counter(
-    'auburnroad_log_records',
-    'Records sent to the log service, copies included',
-    ['stream'],
-)
-
 # Beyond the end of any stream: reads nothing but the end's offset.
 FAR_OFFSET = 2**53
 
@@ -142,6 +131,21 @@
         """
         self._enqueue(record, deadline_ms, str(uuid.uuid4()))
 
+    async def flush(self, deadline_ms: int) -> bool:
+        """Wait until nothing is left to be sent, before a planned stop.
+
+        Args:
+          deadline_ms: Unix milliseconds at which to give up.
+
+        Returns:
+          Whether the log service has answered for every record.
+        """
+        while any(not p.settled for p in self._pending.values()):
+            if clock.seconds_until(deadline_ms) <= 0:
+                return False
+            await asyncio.sleep(self._group_ms / clock.MS_PER_SECOND)
+        return True
+
     async def run(self) -> None:
         """Send what is waiting, one group at a time, until cancelled."""
         failures = 0
@@ -191,18 +195,18 @@
         for pending in unsent:
             pending.sent = True
         records_sent = [pending.record for pending in group]
-        _RECORDS.labels(self._stream).inc(len(group))
+        counters.RECORDS.labels(self._stream).inc(len(group))
         try:
             await self._service.append(self._stream, records_sent)
         except log_service.LogUnavailableError:
-            _APPENDS.labels(self._stream, 'unavailable').inc()
+            counters.APPENDS.labels(self._stream, 'unavailable').inc()
             for pending in unsent:
                 pending.sent = False
             return False
         except log_service.AppendLostError:
-            _APPENDS.labels(self._stream, 'lost').inc()
+            counters.APPENDS.labels(self._stream, 'lost').inc()
             return False
-        _APPENDS.labels(self._stream, 'answered').inc()
+        counters.APPENDS.labels(self._stream, 'answered').inc()
         for pending in group:
             pending.settled = True
         return True
--- a/packages/core/auburnroad_core/log/configuration_fold.py
+++ b/packages/core/auburnroad_core/log/configuration_fold.py
@@ -40,6 +40,7 @@
       applied: Offset of the last record folded in, -1 for none.
       checkpoint: Offset of the last checkpoint, -1 for none.
       checkpoint_ms: Unix milliseconds of it by its writer's clock.
+      checkpoint_covers: Offset of the last record that it covers.
     """
 
     revision: int = -1
@@ -53,6 +54,7 @@
     applied: int = -1
     checkpoint: int = -1
     checkpoint_ms: int = 0
+    checkpoint_covers: int = -1
 
 
 def start(batch: log_service.Batch) -> State | None:
@@ -163,6 +165,7 @@
         return verdict.Verdict.INVALID
     state.checkpoint = entry.offset
     state.checkpoint_ms = record.at_ms
+    state.checkpoint_covers = record.covers
     return verdict.Verdict.EFFECTIVE
 
 
--- a/packages/core/auburnroad_core/log/intent_fold.py
+++ b/packages/core/auburnroad_core/log/intent_fold.py
@@ -73,6 +73,7 @@
       applied: Offset of the last record folded in, -1 for none.
       checkpoint: Offset of the last checkpoint, -1 for none.
       checkpoint_ms: Unix milliseconds of it by its writer's clock.
+      checkpoint_covers: Offset of the last record that it covers.
     """
 
     keys: dict[str, Held] = {}
@@ -80,6 +81,7 @@
     applied: int = -1
     checkpoint: int = -1
     checkpoint_ms: int = 0
+    checkpoint_covers: int = -1
 
 
 def start(batch: log_service.Batch) -> State | None:
@@ -203,6 +205,7 @@
         return verdict.Verdict.INVALID
     state.checkpoint = entry.offset
     state.checkpoint_ms = record.at_ms
+    state.checkpoint_covers = record.covers
     _raise_floor(state, carried.floor_ms)
     return verdict.Verdict.EFFECTIVE
 
--- a/packages/core/auburnroad_core/log/tail.py
+++ b/packages/core/auburnroad_core/log/tail.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from auburnroad_core import clock
+from auburnroad_core.log import counters
 from auburnroad_core.log import replay
 from auburnroad_core.log import verdict
 from auburnroad_core.platform import log_service
@@ -138,7 +139,7 @@
           Whether it was in time.
         """
         while self.applied < offset:
-            if not await self._wait_change(deadline_ms):
+            if not await self.wait_change(deadline_ms):
                 return False
         return True
 
@@ -152,10 +153,32 @@
           Whether it was in time.
         """
         while not self._up:
-            if not await self._wait_change(deadline_ms):
+            if not await self.wait_change(deadline_ms):
                 return False
         return True
 
+    async def wait_change(self, deadline_ms: int) -> bool:
+        """Wait until records are folded in or `up` changes.
+
+        Args:
+          deadline_ms: Unix milliseconds at which to give up.
+
+        Returns:
+          Whether there was a change in time.
+        """
+        seconds = clock.seconds_until(deadline_ms)
+        if seconds <= 0:
+            return False
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
+        try:
+            await asyncio.wait_for(waiter, seconds)
+        except TimeoutError:
+            return False
+        finally:
+            self._waiters.discard(waiter)
+        return True
+
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         failures = 0
@@ -176,6 +199,8 @@
             self._fold.STREAM, offset, wait_seconds
         )
         steps = self._replay.take(batch)
+        for step in steps:
+            counters.VERDICTS.labels(self._fold.STREAM, step.verdict).inc()
         was_up = self._up
         self._set_up(self._replay.caught_up, 'behind')
         if steps or was_up != self._up:
@@ -201,17 +226,3 @@
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(None)
-
-    async def _wait_change(self, deadline_ms: int) -> bool:
-        seconds = clock.seconds_until(deadline_ms)
-        if seconds <= 0:
-            return False
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiters.add(waiter)
-        try:
-            await asyncio.wait_for(waiter, seconds)
-        except TimeoutError:
-            return False
-        finally:
-            self._waiters.discard(waiter)
-        return True
--- a/packages/core/auburnroad_core/log/trainer_fold.py
+++ b/packages/core/auburnroad_core/log/trainer_fold.py
@@ -93,12 +93,14 @@
       applied: Offset of the last record folded in, -1 for none.
       checkpoint: Offset of the last checkpoint, -1 for none.
       checkpoint_ms: Unix milliseconds of it by its writer's clock.
+      checkpoint_covers: Offset of the last record that it covers.
     """
 
     trainers: dict[str, TrainerState] = {}
     applied: int = -1
     checkpoint: int = -1
     checkpoint_ms: int = 0
+    checkpoint_covers: int = -1
 
     def find_trainer(self, name: str) -> TrainerState:
         """Find what holds for a trainer, an empty state for a new one."""
@@ -192,6 +194,7 @@
         return verdict.Verdict.INVALID
     state.checkpoint = entry.offset
     state.checkpoint_ms = record.at_ms
+    state.checkpoint_covers = record.covers
     return verdict.Verdict.EFFECTIVE
 
 
--- a/packages/daemon/auburnroad_daemon/process/entry_metrics.py
+++ b/packages/daemon/auburnroad_daemon/process/entry_metrics.py
@@ -5,6 +5,8 @@
 
 import prometheus_client
 
+from auburnroad_core.log import counters
+
 REGISTRY = prometheus_client.CollectorRegistry()
 
 CALLS = prometheus_client.Counter(
@@ -28,6 +30,12 @@
     ['code'],
     registry=REGISTRY,
 )
+INTENTS = prometheus_client.Counter(
+    'auburnroad_intents',
+    'Non-idempotent requests that asked for their key, by the answer.',
+    ['admission'],
+    registry=REGISTRY,
+)
 CLAIMS = prometheus_client.Counter(
     'auburnroad_claims',
     'Claims on trainers, by verdict.',
@@ -57,3 +65,5 @@
     ['direction'],
     registry=REGISTRY,
 )
+for _collector in counters.COLLECTORS:
+    REGISTRY.register(_collector)
--- a/packages/daemon/auburnroad_daemon/request/services.py
+++ b/packages/daemon/auburnroad_daemon/request/services.py
@@ -127,7 +127,7 @@
         return _refuse(admission)
     call.submit.headers[KEY_HEADER] = admission.key
     result = await dispatcher.run(call)
-    gate.record_result(admission, result.outcome, result.status)
+    await gate.settle(admission, result.outcome, result.status)
     return build_answer(result)
 
 
