--- a/packages/standins/auburnroad_standins/caller.py
+++ b/packages/standins/auburnroad_standins/caller.py
@@ -226,7 +226,9 @@
       flags: Further members of Options.
     """
     if kinds:
-        flags['kinds'] = tuple(kinds.split(','))
+        # Fire has split a list of words already, but not a single word.
+        words = kinds.split(',') if isinstance(kinds, str) else kinds
+        flags['kinds'] = tuple(words)
     options = Options(
         name=name,
         entries=tuple(entries.split(',')),
