Carry the log's states past the horizon

Cause: records expire, and a daemon that started later had no state to start from; nothing appended checkpoints.

A planned stop of an entry waits up to 1 s for the results of requests, so that no key stays taken for nothing.

Ruled out: one chosen entry. Two checkpoints are equal in effect, so nobody has to be chosen.

Shared file: entry.py starts them and flushes at the stop.

--- a/packages/daemon/auburnroad_daemon/process/entry.py
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -10,6 +10,7 @@
 from absl import logging
 import prometheus_client
 
+from auburnroad_core import clock
 from auburnroad_core.http import client as http_client
 from auburnroad_core.http import messages as http_messages
 from auburnroad_core.http import server as http_server
@@ -38,6 +39,7 @@
 from auburnroad_daemon.request import dispatch
 from auburnroad_daemon.request import intents
 from auburnroad_daemon.request import services
+from auburnroad_daemon.version import checkpoints
 from auburnroad_daemon.version import configuration
 from auburnroad_daemon.version import ownership
 from auburnroad_daemon.version import trainer_api
@@ -46,6 +48,8 @@
 PLATFORM_POLL_SECONDS = 1.0
 # Time for the platform's balancer to see that we aren't ready any more.
 UNREADY_GRACE_SECONDS = 1.0
+# Time for records that nobody waits for, after the last request.
+FLUSH_LIMIT_MS = 1000
 DEFAULT_LIMITS = deployment.Limits()
 
 
@@ -107,6 +111,8 @@
             self._intents_tail.run(),
             self._trainers_appender.run(),
             self._intents_appender.run(),
+            self._configuration_appender.run(),
+            *(checkpointer.run() for checkpointer in self._checkpointers),
             self._membership.run(),
             self._follow_host_list(),
         ):
@@ -201,6 +207,17 @@
         self._intents_appender = appenders.Appender(
             service, self._intents_tail
         )
+        self._configuration_appender = appenders.Appender(
+            service, self._configuration_tail
+        )
+        self._checkpointers = [
+            checkpoints.Checkpointer(tail, appender, lambda: self._limits)
+            for tail, appender in (
+                (self._configuration_tail, self._configuration_appender),
+                (self._trainers_tail, self._trainers_appender),
+                (self._intents_tail, self._intents_appender),
+            )
+        ]
         self._configuration_tail.on_change(self._handle_configuration_log)
         self._trainers_tail.on_change(self._handle_trainers_log)
         self._configuration.on_change(self._handle_configuration)
@@ -340,6 +357,10 @@
             logging.warning('%s: drain is late', self._settings.name)
         if not await self._http_server.drain(deadline_seconds):
             logging.warning('%s: requests were cut off', self._settings.name)
+        # Keys of requests that weren't run stay taken without this.
+        await self._intents_appender.flush(
+            clock.time_now_ms() + FLUSH_LIMIT_MS
+        )
         await self._close()
 
     async def _close(self) -> None:
