Keep appending while one append hangs

Cause: groups went one at a time, so a connection to the log service that fell silent stopped every claim, seal and intent of the entry for the 3 s of the append's timeout.

Change: up to four groups are under way, with at least 20 ms between two, which bounds an entry's appends on a stream to 50 a second. A record is in one group under way at a time.

Ruled out: a shorter timeout; a slow log service would then lose every answer. Conclusion: the test with a silent append passes; before, the second record waited for the first one's timeout by construction.

--- a/packages/core/auburnroad_core/log/appender.py
+++ b/packages/core/auburnroad_core/log/appender.py
@@ -23,11 +23,18 @@
 from auburnroad_core.log import verdict
 from auburnroad_core.platform import log_service
 
+# How long the first record of a group waits for others.
 GROUP_MS = 5
+# Least time between two appends, which bounds their number under load.
+SPACING_MS = 20
 GROUP_RECORDS = 500
+# More than one, so that a connection gone silent stops only its own group.
+GROUPS_IN_FLIGHT = 4
 # Beyond the end of any stream: reads nothing but the end's offset.
 FAR_OFFSET = 2**53
 
+ANSWERED = 'answered'
+
 Error = log_service.LogError
 
 
@@ -56,18 +63,37 @@
 class _Pending:
     """A record on its way.
 
-    `sent` counts appends that may have taken effect; `settled` is set once
-    an append was answered, so that only the reading back is waited for.
+    Attributes:
+      record: The record as it is sent.
+      deadline_ms: Unix milliseconds after which it is no longer sent.
+      future: Gets what became of it.
+      flying: Whether an append that holds it has not ended.
+      sent: Whether an append that held it may have taken effect.
+      settled: Whether such an append was answered, so that only the reading
+        back is waited for.
     """
 
-    __slots__ = ('record', 'deadline_ms', 'sent', 'settled', 'future')
+    __slots__ = (
+        'record',
+        'deadline_ms',
+        'future',
+        'flying',
+        'sent',
+        'settled',
+    )
 
     def __init__(self, record, deadline_ms, future):
         self.record = record
         self.deadline_ms = deadline_ms
+        self.future = future
+        self.flying = False
         self.sent = False
         self.settled = False
-        self.future = future
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it has to be sent, or sent again."""
+        return not self.flying and not self.settled
 
 
 class Appender:
@@ -77,8 +103,10 @@
         '_service',
         '_stream',
         '_group_ms',
+        '_spacing_ms',
         '_pending',
         '_wake',
+        '_failures',
     )
 
     def __init__(
@@ -86,12 +114,15 @@
         service: log_service.LogService,
         tail: tails.Tail,
         group_ms: int = GROUP_MS,
+        spacing_ms: int = SPACING_MS,
     ):
         self._service = service
         self._stream = tail.fold.STREAM
         self._group_ms = group_ms
+        self._spacing_ms = max(group_ms, spacing_ms)
         self._pending: dict[str, _Pending] = {}
         self._wake = asyncio.Event()
+        self._failures = 0
         tail.on_change(self._handle_steps)
 
     async def append(
@@ -147,20 +178,28 @@
         return True
 
     async def run(self) -> None:
-        """Send what is waiting, one group at a time, until cancelled."""
-        failures = 0
-        while True:
-            await self._wake.wait()
-            await asyncio.sleep(self._group_ms / clock.MS_PER_SECOND)
-            group = self._take_group(clock.time_now_ms())
-            if not group:
-                self._wake.clear()
-                continue
-            if await self._send(group):
-                failures = 0
-                continue
-            failures += 1
-            await asyncio.sleep(tails.backoff_seconds(failures))
+        """Send what is waiting, in groups, until cancelled."""
+        in_flight = asyncio.Semaphore(GROUPS_IN_FLIGHT)
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                await self._wake.wait()
+                await asyncio.sleep(self._group_ms / clock.MS_PER_SECOND)
+                await in_flight.acquire()
+                group = self._take_group(clock.time_now_ms())
+                if not group:
+                    self._wake.clear()
+                    in_flight.release()
+                    continue
+                sending = tasks.create_task(self._send(group))
+                sending.add_done_callback(lambda _: in_flight.release())
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Keep the distance to the next append; a longer one in trouble."""
+        rest_ms = self._spacing_ms - self._group_ms
+        await asyncio.sleep(rest_ms / clock.MS_PER_SECOND)
+        if self._failures:
+            await asyncio.sleep(tails.backoff_seconds(self._failures))
 
     def _enqueue(self, record, deadline_ms, record_id) -> _Pending:
         new = log_service.NewRecord(
@@ -181,35 +220,40 @@
         ]
         for record_id in late:
             del self._pending[record_id]
-        waiting = [p for p in self._pending.values() if not p.settled]
-        return waiting[:GROUP_RECORDS]
+        waiting = [p for p in self._pending.values() if p.waiting]
+        group = waiting[:GROUP_RECORDS]
+        for pending in group:
+            pending.flying = True
+        return group
 
-    async def _send(self, group: list[_Pending]) -> bool:
-        """Append one group.
+    async def _send(self, group: list[_Pending]) -> None:
+        """Append one group; what fails waits to be sent again."""
+        end = await self._append_group(group)
+        counters.APPENDS.labels(self._stream, end).inc()
+        counters.RECORDS.labels(self._stream).inc(len(group))
+        self._failures = 0 if end == ANSWERED else self._failures + 1
+        for pending in group:
+            pending.flying = False
+            pending.settled = end == ANSWERED
+        self._wake.set()
 
-        Returns:
-          Whether the log service answered.
-        """
+    async def _append_group(self, group: list[_Pending]) -> str:
+        """Append one group and say how it ended."""
         unsent = [pending for pending in group if not pending.sent]
-        # Set before the append, since this task may be cancelled within it.
+        # Set before the append, since whoever waits may look within it.
         for pending in unsent:
             pending.sent = True
-        records_sent = [pending.record for pending in group]
-        counters.RECORDS.labels(self._stream).inc(len(group))
         try:
-            await self._service.append(self._stream, records_sent)
+            await self._service.append(
+                self._stream, [pending.record for pending in group]
+            )
         except log_service.LogUnavailableError:
-            counters.APPENDS.labels(self._stream, 'unavailable').inc()
             for pending in unsent:
                 pending.sent = False
-            return False
+            return 'unavailable'
         except log_service.AppendLostError:
-            counters.APPENDS.labels(self._stream, 'lost').inc()
-            return False
-        counters.APPENDS.labels(self._stream, 'answered').inc()
-        for pending in group:
-            pending.settled = True
-        return True
+            return 'lost'
+        return ANSWERED
 
     def _handle_steps(self, steps: list[replay.Step]) -> None:
         for step in steps:
--- a/packages/core/auburnroad_core/log/appender_test.py
+++ b/packages/core/auburnroad_core/log/appender_test.py
@@ -101,6 +101,20 @@
         self.assertEqual(result.verdict, verdict.Verdict.EFFECTIVE)
         self.assertEqual(len(self.log.list_entries(STREAM)), 1)
 
+    async def test_silent_connection_stops_only_its_own_group(self):
+        self.log.silent_appends = 1
+        async with running(self.tail, self.subject):
+            stopped = asyncio.create_task(
+                self.subject.append(build_claim(), soon())
+            )
+            while not self.log.appends:
+                await asyncio.sleep(0.001)
+            result = await self.subject.append(build_claim(), soon())
+            self.assertEqual(result.offset, 0)
+            self.assertFalse(stopped.done())
+            self.assertFalse(await self.subject.flush(clock.time_now_ms()))
+            stopped.cancel()
+
     async def test_record_that_nobody_waits_for_is_appended(self):
         self.log.lose_answers = 1
         self.log.down = True
--- a/packages/e2e/auburnroad_e2e/memory_log.py
+++ b/packages/e2e/auburnroad_e2e/memory_log.py
@@ -21,6 +21,7 @@
       lose_answers: How many of the next appends take effect unanswered.
       hold_appends: How many of the next appends are unanswered and take
         effect only at `release`.
+      silent_appends: How many of the next appends do nothing and never end.
       append_seconds: Time that one append takes; calls queue for it.
       appends: How many appends were tried.
     """
@@ -29,6 +30,7 @@
         'down',
         'lose_answers',
         'hold_appends',
+        'silent_appends',
         'append_seconds',
         'appends',
         '_streams',
@@ -42,6 +44,7 @@
         self.down = False
         self.lose_answers = 0
         self.hold_appends = 0
+        self.silent_appends = 0
         self.append_seconds = append_seconds
         self.appends = 0
         self._streams = collections.defaultdict(list)
@@ -69,6 +72,9 @@
     ) -> list[int]:
         """Append records; see log_service.LogService."""
         self.appends += 1
+        if self.silent_appends:
+            self.silent_appends -= 1
+            await asyncio.Event().wait()
         async with self._busy:
             await asyncio.sleep(self.append_seconds)
         if self.down:
