Bound the stand-ins' tests in time, so that a fault fails them

Cause: in trials with 16 changes that break one behaviour each, 13 failed a test, 2 made the tests hang (a closed stream that is not cancelled, imported KV cache that is not used) and 1 passed after a minute (a log that goes down without waking its waiting reads).

Ruled out: shorter waits in the stand-ins, which are not at fault.

Change: streams and waiting reads of the tests end after 10 s; the base class imports all kinds, so that one test file runs alone.

--- a/packages/standins/auburnroad_standins/engine/orders_test.py
+++ b/packages/standins/auburnroad_standins/engine/orders_test.py
@@ -14,7 +14,7 @@
         body = testing.build_completion('r', max_tokens=300)
         reply = await self.open_stream(address, body)
         self.assertEqual((await self.order(address, 1)).status, 200)
-        events = testing.parse_events(await reply.read())
+        events = await self.read_stream(reply)
         versions = [event['version'] for event in events]
         change = versions.index(1)
         self.assertEqual(versions, [0] * change + [1] * (300 - change))
--- a/packages/standins/auburnroad_standins/engine/service_test.py
+++ b/packages/standins/auburnroad_standins/engine/service_test.py
@@ -78,7 +78,7 @@
         cancel = {'request_id': 'r'}
         answer = await self.send(address, 'POST', '/cancel', cancel)
         self.assertEqual(answer.body, b'{"cancelled":true}')
-        events = testing.parse_events(await reply.read())
+        events = await self.read_stream(reply)
         self.assertEqual(events[-1]['finish_reason'], 'cancelled')
         answer = await self.send(address, 'POST', '/cancel', cancel)
         self.assertEqual(answer.body, b'{"cancelled":false}')
--- a/packages/standins/auburnroad_standins/engine/testing.py
+++ b/packages/standins/auburnroad_standins/engine/testing.py
@@ -1,10 +1,10 @@
 """Base of tests that speak to an engine."""
 
+import asyncio
 import json
 
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
-from auburnroad_standins.engine import service
 from auburnroad_standins import testing
 
 DONE = '[DONE]'
@@ -36,9 +36,6 @@
 class EngineTestCase(testing.StandinTestCase):
     """Starts engines and reads their streams."""
 
-    # Importing the module registers the kind.
-    KIND = service.Engine
-
     async def start_engine(self, **options) -> str:
         """Start an engine that has model 'm' at version 0."""
         defaults = {'versions': {'m': 0}, 'token_ms': 1, 'load_lag_ms': 0}
@@ -47,12 +44,18 @@
     async def open_stream(self, address: str, body: dict) -> client.Reply:
         """Start a completion and wait for its first event."""
         request = client.json_request('POST', '/v1/completions', body)
-        return await self.http.open(address, request)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            return await self.http.open(address, request)
 
     async def complete(self, address: str, body: dict) -> list[dict]:
         """Run a completion and return its events."""
         reply = await self.open_stream(address, body)
-        return parse_events(await reply.read())
+        return await self.read_stream(reply)
+
+    async def read_stream(self, reply: client.Reply) -> list[dict]:
+        """Read a completion's events to the end."""
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            return parse_events(await reply.read())
 
     async def order(self, address: str, version: int, **fields):
         """Order an engine to load a version of model 'm'."""
--- a/packages/standins/auburnroad_standins/log_service_test.py
+++ b/packages/standins/auburnroad_standins/log_service_test.py
@@ -71,7 +71,7 @@
         await self.wait_for_book(self.address, 'reads')
         await self.command(self.address, 'down')
         with self.assertRaises(platform.LogUnavailableError):
-            await reading
+            await asyncio.wait_for(reading, testing.TIMEOUT_SECONDS)
         with self.assertRaises(platform.LogUnavailableError):
             await log.append('s', build_records('a'))
         await self.command(self.address, 'none')
@@ -82,7 +82,8 @@
         reading = asyncio.ensure_future(log.read('s', 0, 60))
         await self.wait_for_book(self.address, 'reads')
         await log.append('s', build_records('a'))
-        self.assertEqual((await reading).next_offset, 1)
+        batch = await asyncio.wait_for(reading, testing.TIMEOUT_SECONDS)
+        self.assertEqual(batch.next_offset, 1)
 
     async def test_slow_append_takes_effect_without_its_caller(self):
         log = await self.open()
--- a/packages/standins/auburnroad_standins/testing.py
+++ b/packages/standins/auburnroad_standins/testing.py
@@ -8,6 +8,7 @@
 
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
+from auburnroad_standins import main
 from auburnroad_standins import serving
 
 TIMEOUT_SECONDS = 10.0
@@ -17,6 +18,9 @@
 class StandinTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts stand-ins and stops them after each test."""
 
+    # Importing them registers the kinds.
+    MODULES = main.MODULES
+
     async def asyncSetUp(self):
         self.http = client.HttpClient()
         self.addCleanup(self.http.close)
