Leave the reading of engines' books to the checker

Cause: engine/audit.py and the e2e package's book_files.py both fold the lines of an engine's books file; only the latter is used by a verdict.

Ruled out: moving book_files.py over here, since it also pairs runs over restarts of a process, which only the launcher knows of.

Conclusion: one reader.

--- a/packages/standins/auburnroad_standins/engine/orders_test.py
+++ b/packages/standins/auburnroad_standins/engine/orders_test.py
@@ -3,8 +3,6 @@
 import asyncio
 
 from auburnroad_core.http import messages
-from auburnroad_standins.engine import audit
-from auburnroad_standins.engine import runs
 from auburnroad_standins.engine import testing
 
 
@@ -78,25 +76,3 @@
         body = testing.build_completion('r', model='a')
         events = await self.complete(address, body)
         self.assertEqual({event['version'] for event in events}, {7})
-
-
-class AuditTest(testing.EngineTestCase):
-    def build_line(self, event: str, tokens: int, version: int = -1):
-        record = runs.RunRecord(
-            0, 'r', 'm', '', 10, tokens, [], True, event == 'finished', False
-        )
-        return runs.BooksLine(0, 'e', event, version, record)
-
-    def test_open_span_of_a_killed_engine(self):
-        lines = [
-            self.build_line('started', 0),
-            self.build_line('version', 0, 4),
-            self.build_line('version', 6, 5),
-        ]
-        history = audit.build_histories(lines)['r']
-        found = [history.version_at(offset) for offset in (9, 10, 15, 16, 99)]
-        self.assertEqual(found, [None, 4, 4, 5, 5])
-        lines.append(self.build_line('finished', 8))
-        history = audit.build_histories(lines)['r']
-        self.assertEqual(history.version_at(17), 5)
-        self.assertIsNone(history.version_at(18))
--- a/packages/standins/auburnroad_standins/main_test.py
+++ b/packages/standins/auburnroad_standins/main_test.py
@@ -7,7 +7,8 @@
 import tempfile
 
 from auburnroad_core.http import client
-from auburnroad_standins.engine import audit
+from auburnroad_standins import books
+from auburnroad_standins.engine import runs
 from auburnroad_standins import faults
 from auburnroad_standins import testing
 
@@ -48,9 +49,10 @@
             with self.assertRaises(client.BrokenError):
                 async for _ in parts:
                     pass
-            history = audit.read_histories(path)['r']
-        self.assertFalse(history.record.finished)
-        self.assertEqual(history.version_at(0), 4)
+            lines = books.read_lines(path, runs.BooksLine)
+        events = [(line.event, line.version) for line in lines]
+        self.assertEqual(events, [('started', -1), ('version', 4)])
+        self.assertEqual(lines[-1].run.request_id, 'r')
 
     async def test_sigterm_ends_it_with_a_stream_open(self):
         process, address = await self.open('engine', '--versions={"m": 0}')
