Put a balancer before the users

Cause: planned-stop-entries failed once: a caller's connection waited in the accept queue of an entry that closed its listener ('Connection lost'). The entry says that it isn't ready a second before, for the platform's balancer, and the users' stand-ins took no notice of it. Ruled out: an entry that never closes its listener; a real balancer looks at readiness, so the stand-in was wrong.

--- a/packages/standins/auburnroad_standins/caller.py
+++ b/packages/standins/auburnroad_standins/caller.py
@@ -17,6 +17,7 @@
 from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
+from auburnroad_standins import balancer
 from auburnroad_standins import caller_kinds
 from auburnroad_standins import entry_pool
 from auburnroad_standins import record_file
@@ -106,17 +107,32 @@
 class Caller:
     """Makes requests at a rate and keeps books of them."""
 
-    __slots__ = ('options', 'books', 'stopping', '_client', '_random')
+    __slots__ = (
+        'options',
+        'books',
+        'stopping',
+        '_balancer',
+        '_client',
+        '_random',
+    )
 
     def __init__(self, options: Options):
         self.options = options
         self.books = record_file.RecordFile(options.books_file)
         self.stopping = asyncio.Event()
+        self._balancer = balancer.Balancer(options.entries)
         self._client = client.HttpClient()
         self._random = random.Random(options.seed)
 
     async def run(self) -> None:
         """Make requests until there are enough, then wait for the last."""
+        watch = asyncio.create_task(self._balancer.run())
+        try:
+            await self._make_calls()
+        finally:
+            watch.cancel()
+
+    async def _make_calls(self) -> None:
         running: set[asyncio.Task] = set()
         number = 0
         while not self.stopping.is_set():
@@ -155,7 +171,10 @@
         self._random.shuffle(entries)
         tries: list[Try] = []
         while len(tries) < options.tries:
-            entry = entries[len(tries) % len(entries)]
+            entry = self._balancer.order(entries)[0]
+            # The next try goes to another entry, if there is one.
+            entries.remove(entry)
+            entries.append(entry)
             done = await self._try(kind, call, entry)
             tries.append(done)
             if _is_final(done):
--- a/packages/standins/auburnroad_standins/caller_test.py
+++ b/packages/standins/auburnroad_standins/caller_test.py
@@ -42,6 +42,8 @@
         self.addAsyncCleanup(self.server.close)
 
     async def handle(self, request):
+        if request.path == '/health/ready':
+            return messages.json_response(200, {})
         self.keys.append(request.headers.get('idempotency-key'))
         if self.first is not None:
             response, self.first = self.first, None
--- a/packages/standins/auburnroad_standins/entry_pool.py
+++ b/packages/standins/auburnroad_standins/entry_pool.py
@@ -1,7 +1,7 @@
 """Asks one entry after another until one gives an answer.
 
-Users stand behind the platform's balancer; in tests this pool takes its
-place: it stays with an entry until that one fails.
+Users stand behind the platform's balancer: the pool stays with an entry until
+that one fails or is not ready any more.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
+from auburnroad_standins import balancer
 from auburnroad_standins import record_file
 
 PAUSE_SECONDS = 0.05
@@ -24,7 +25,13 @@
 class EntryPool:
     """The entries in the order in which they are asked."""
 
-    __slots__ = ('_books', '_client', '_entries', '_timeout_seconds')
+    __slots__ = (
+        '_balancer',
+        '_books',
+        '_client',
+        '_entries',
+        '_timeout_seconds',
+    )
 
     def __init__(
         self,
@@ -32,6 +39,7 @@
         books: record_file.RecordFile,
         timeout_seconds: float,
     ):
+        self._balancer = balancer.Balancer(entries)
         self._books = books
         self._client = client.HttpClient()
         self._entries = list(entries)
@@ -42,6 +50,10 @@
         """Address of the entry that is asked first."""
         return self._entries[0]
 
+    async def run(self) -> None:
+        """Keep asking which entries are ready, until cancelled."""
+        await self._balancer.run()
+
     def rotate(self) -> None:
         """Ask the next entry first from now on."""
         self._entries.append(self._entries.pop(0))
@@ -59,6 +71,7 @@
           UnknownAnswerError: If the answer isn't one of the documents.
         """
         while True:
+            self._entries = self._balancer.order(self._entries)
             try:
                 response = await self._client.fetch(
                     self.current, request, self._timeout_seconds
--- a/packages/standins/auburnroad_standins/trainer.py
+++ b/packages/standins/auburnroad_standins/trainer.py
@@ -61,17 +61,11 @@
 
     async def run(self) -> None:
         """Take steps until there are enough of them."""
-        past = record_file.read_records(self.options.books_file)
-        taken = [r['step'] for r in past if r['event'] == 'taken']
-        self.version = max(
-            (r['version'] for r in past if r['event'] == 'version'),
-            default=0,
-        )
-        self._remember(past)
-        first = max(taken, default=0) + 1
-        await self._publish(max(1, self.version))
-        await self._take_steps(first)
-        self.books.write('finished', trainer=self.options.name)
+        watch = asyncio.create_task(self._entries.run())
+        try:
+            await self._run()
+        finally:
+            watch.cancel()
 
     def generation(self, step: int) -> int:
         """Tell under which generation a step stands."""
@@ -126,6 +120,19 @@
         )
         await self.submit(step)
 
+    async def _run(self) -> None:
+        past = record_file.read_records(self.options.books_file)
+        taken = [r['step'] for r in past if r['event'] == 'taken']
+        self.version = max(
+            (r['version'] for r in past if r['event'] == 'version'),
+            default=0,
+        )
+        self._remember(past)
+        first = max(taken, default=0) + 1
+        await self._publish(max(1, self.version))
+        await self._take_steps(first)
+        self.books.write('finished', trainer=self.options.name)
+
     def _remember(self, past: list[dict]) -> None:
         """Take over what the books say, after a restart."""
         for record in past:
