--- a/packages/daemon/auburnroad_daemon/request/run.py
+++ b/packages/daemon/auburnroad_daemon/request/run.py
@@ -77,6 +77,9 @@
         return Result(_refuse(submit, refusals.NO_REPLICA), True)
     except engine.EngineRejectedError as error:
         return _build_rejection(attempt, replica, error)
+    except engine.EngineCancelledError as error:
+        outcome = types.Outcome.UNKNOWN
+        return Result(_build_done(attempt, writer, outcome, str(error)))
     except engine.EngineBrokenError as error:
         outcome = types.Outcome.UNKNOWN
         return Result(_build_done(attempt, writer, outcome, str(error)), True)
@@ -106,6 +109,9 @@
             raise
     if reason is None:
         raise engine.EngineBrokenError('the stream ended early')
+    if reason == engine.CANCELLED_REASON:
+        # Somebody else's cancel: what has come is not the whole answer.
+        raise engine.EngineCancelledError('the engine cancelled it')
     return reason
 
 
