Count the bytes of a daemon's streams and of its HTTP client

Cause: auburnroad_stream_bytes stood in the entry's registry and nothing counted into it; docs/CAPACITY.md needs bytes a second of each role.

Ruled out: reading /proc/PID/io, which leaves recv() and send() out.

The unused one is gone.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -11,6 +11,7 @@
 
 import h11
 import msgspec
+import prometheus_client
 
 from auburnroad_core import errors
 from auburnroad_core.http import messages
@@ -19,6 +20,16 @@
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 CONNECT_TIMEOUT_SECONDS = 2.0
 
+# In no registry of its own: each role adds it to the one that it shows.
+BYTES = prometheus_client.Counter(
+    'auburnroad_http_client_bytes',
+    'Bytes of requests to the platform and to targets, and of the answers.',
+    ['direction'],
+    registry=None,
+)
+_BYTES_IN = BYTES.labels('in')
+_BYTES_OUT = BYTES.labels('out')
+
 
 class HttpError(errors.AuburnroadError):
     """A request that got no whole answer."""
@@ -48,12 +59,15 @@
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self.reader.read(READ_BYTES))
+            data = await self.reader.read(READ_BYTES)
+            _BYTES_IN.inc(len(data))
+            self.h11.receive_data(data)
 
     def send(self, event) -> None:
         """Hand an event to h11 and its bytes to the socket."""
         data = self.h11.send(event)
         if data:
+            _BYTES_OUT.inc(len(data))
             self.writer.write(data)
 
 
--- a/packages/core/auburnroad_core/wire/stream.py
+++ b/packages/core/auburnroad_core/wire/stream.py
@@ -9,6 +9,8 @@
 import asyncio
 import typing
 
+import prometheus_client
+
 from auburnroad_core.wire import codec
 from auburnroad_core.wire import messages
 
@@ -17,6 +19,16 @@
 SILENCE_SECONDS = 1.6
 WRITE_BUFFER_BYTES = 32 * 1024 * 1024
 
+# In no registry of its own: each role adds it to the one that it shows.
+BYTES = prometheus_client.Counter(
+    'auburnroad_stream_bytes',
+    'Bytes on streams between daemons.',
+    ['direction'],
+    registry=None,
+)
+_BYTES_IN = BYTES.labels('in')
+_BYTES_OUT = BYTES.labels('out')
+
 Handle = typing.Callable[['Stream', messages.Message], None]
 BuildHeartbeat = typing.Callable[[], messages.Heartbeat]
 
@@ -63,6 +75,7 @@
             return
         data = codec.encode_message(message)
         self.bytes_out += len(data)
+        _BYTES_OUT.inc(len(data))
         self._writer.write(data)
         if self._writer.transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
             self.close()
@@ -84,6 +97,7 @@
             while data := await self._reader.read(READ_BYTES):
                 self._last_read = asyncio.get_running_loop().time()
                 self.bytes_in += len(data)
+                _BYTES_IN.inc(len(data))
                 for message in self._decoder.feed(data):
                     handle(self, message)
         except OSError:
--- a/packages/daemon/auburnroad_daemon/process/entry_metrics.py
+++ b/packages/daemon/auburnroad_daemon/process/entry_metrics.py
@@ -5,6 +5,9 @@
 
 import prometheus_client
 
+from auburnroad_core.http import client
+from auburnroad_core.wire import stream
+
 REGISTRY = prometheus_client.CollectorRegistry()
 
 CALLS = prometheus_client.Counter(
@@ -51,9 +54,5 @@
     'Ledger changes that only one daemon holds, for want of another.',
     registry=REGISTRY,
 )
-CONTROL_BYTES = prometheus_client.Counter(
-    'auburnroad_stream_bytes',
-    'Bytes on streams between daemons.',
-    ['direction'],
-    registry=REGISTRY,
-)
+REGISTRY.register(stream.BYTES)
+REGISTRY.register(client.BYTES)
