Limit headers that come in one read, and let handlers fail a connection

Cause: h11 limits only headers that are incomplete after a read; a test of the server with 4,000 bytes of headers under a limit of 2,048 was served. The answer to failed handlers also answered stand-ins that lose answers on purpose. Ruled out: a smaller read size; it would only move the hole. Change: the size of the parsed head is checked; an OSError of a handler closes the connection as before.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -114,6 +114,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Request):
                 head = event
+                self._check_header_size(head)
                 self._check_declared_size(head)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
@@ -124,6 +125,17 @@
             else:
                 return None
 
+    def _check_header_size(self, head) -> None:
+        # h11 only limits headers that come in several reads.
+        size = len(head.target) + sum(
+            len(name) + len(value) for name, value in head.headers
+        )
+        limit = self._server.limits.header_bytes
+        if size > limit:
+            raise _RefusedError(
+                431, 'headers_too_large', f'the headers are over {limit} bytes'
+            )
+
     def _check_declared_size(self, head) -> None:
         for name, value in head.headers:
             if name == b'content-length':
@@ -215,7 +227,8 @@
 def _take_result(work: asyncio.Task) -> messages.Response:
     """Take the handler's response; a fault of ours is answered as such."""
     error = work.exception()
-    if error is None:
+    if error is None or isinstance(error, OSError):
+        # A handler that can't answer says so by a failed connection.
         return work.result()
     logging.error('a handler failed', exc_info=error)
     return messages.json_response(
