Add the operators' commands on top of the log's fold

Cause: operators need to create, compare, publish, drain, audit and look, with exit codes that scripts can act on.

Ruled out: running a command inside Fire, which calls it before it has seen all arguments: a trial published first and then refused a mistyped flag, so commands return plans. Comparing structs by to_builtins, which shows a tuple and the list that the log holds as a change (seen failing in publishing_test).

Change: commands over configuration.py, which says accepted only of a record read back as effective and shows the other operator's change on conflict; the questionnaire at the terminal; status and explain from the daemons.

--- /dev/null
+++ b/packages/client/auburnroad_client/commands/looking.py
@@ -0,0 +1,179 @@
+"""The commands status, audit and explain: what is and what happened."""
+
+import datetime
+import urllib.parse
+
+import msgspec
+
+from auburnroad_client import configuration
+from auburnroad_client import daemons
+from auburnroad_client import exit_codes
+from auburnroad_client import options as client_options
+from auburnroad_client import output
+from auburnroad_client import overview
+from auburnroad_client import session
+from auburnroad_core import clock
+
+Options = client_options.Options
+
+CHANGES_SHOWN = 6
+
+
+async def status(options: Options) -> output.Report:
+    """Show daemons, hosts, replicas, trainers and versions.
+
+    Args:
+      options: Flags of the command.
+
+    Returns:
+      The overview.
+
+    Raises:
+      UnavailableError: If no daemon answers.
+    """
+    places = await session.find_daemons(options)
+    replies = await daemons.ask(places, '/status')
+    if not any(daemons.parse_status(reply) for reply in replies):
+        raise _build_silence(replies)
+    merged = overview.build_overview(replies)
+    return output.Report(merged, overview.describe_overview(merged))
+
+
+def _build_silence(
+    replies: list[daemons.Reply],
+) -> exit_codes.UnavailableError:
+    return exit_codes.UnavailableError(
+        'no daemon answers',
+        'are they started, and are the addresses right?',
+        [f'{r.place.address}: {r.error or r.status}' for r in replies],
+    )
+
+
+async def audit(options: Options, limit: int) -> output.Report:
+    """Show who changed what and when.
+
+    Args:
+      options: Flags of the command.
+      limit: How many of the last changes to show, 0 for all.
+
+    Returns:
+      The changes, oldest first.
+
+    Raises:
+      LogUnavailableError: If the log service can't be read.
+    """
+    known = None
+    if not options.log_service:
+        known = client_options.read_answers(options)
+    async with session.open_log(options, known) as log:
+        trail = await configuration.read_trail(log)
+    shown = trail[-limit:] if limit else trail
+    return output.Report(shown, describe_trail(shown))
+
+
+def describe_trail(trail: list[configuration.Change]) -> str:
+    """Write the audit trail for people.
+
+    Args:
+      trail: The changes, oldest first.
+
+    Returns:
+      A line for each, with the fields changed below.
+    """
+    if not trail:
+        return 'no change yet'
+    lines = []
+    for change in trail:
+        lines.append(
+            f'{change.revision:>6}  {format_time(change.at_ms)}'
+            f'  {change.act:<8} {change.effect:<11} {change.author}:'
+            f' {change.summary}'
+        )
+        if change.act == 'publish' and change.base_revision >= 0:
+            lines += [f'          {c}' for c in change.changes[:CHANGES_SHOWN]]
+            more = len(change.changes) - CHANGES_SHOWN
+            if more > 0:
+                lines.append(f'          and {more} more (--json has all)')
+    return '\n'.join(lines)
+
+
+def format_time(at_ms: int) -> str:
+    """Write a time for people.
+
+    Args:
+      at_ms: Unix milliseconds.
+
+    Returns:
+      Such as '2026-01-31 12:00:00Z'; a dash for an unknown time.
+    """
+    if not 0 < at_ms < 253402300799000:
+        return '-' * 20
+    moment = datetime.datetime.fromtimestamp(
+        at_ms / clock.MS_PER_SECOND, datetime.timezone.utc
+    )
+    return moment.strftime('%Y-%m-%d %H:%M:%SZ')
+
+
+async def explain(options: Options, identity: str) -> output.Report:
+    """Show where a sample or a request went.
+
+    Args:
+      options: Flags of the command.
+      identity: Sample id or request id.
+
+    Returns:
+      The events that the daemons know, oldest first.
+
+    Raises:
+      UnavailableError: If no daemon answers.
+      NotFoundError: If no daemon that answered knows it.
+    """
+    places = await session.find_daemons(options)
+    query = urllib.parse.quote(identity, safe='')
+    replies = await daemons.ask(places, f'/explain?id={query}')
+    silent = [r.place.host or r.place.address for r in replies if not r.status]
+    if len(silent) == len(replies):
+        raise _build_silence(replies)
+    events = build_events(replies)
+    if not events:
+        raise exit_codes.NotFoundError(
+            f'no daemon that answers knows {identity!r}',
+            'daemons remember requests for a limited time and forget them'
+            ' when they are restarted',
+            [f'no answer: {name}' for name in silent],
+        )
+    for name in silent:
+        output.print_progress(f'no answer from {name}')
+    shown = [{**row, 'at_ms': _show_time(row)} for row in events]
+    return output.Report(events, output.build_table(shown))
+
+
+def _show_time(event: dict) -> str:
+    at_ms = event.get('at_ms')
+    if not isinstance(at_ms, int):
+        return ''
+    return f'{format_time(at_ms)[:-1]}.{at_ms % clock.MS_PER_SECOND:03}Z'
+
+
+def build_events(replies: list[daemons.Reply]) -> daemons.Rows:
+    """Merge the events that daemons know.
+
+    Args:
+      replies: Answers to GET /explain.
+
+    Returns:
+      Rows with the daemon's host and the event, by time.
+    """
+    events = []
+    for reply in replies:
+        if reply.status != 200:
+            continue
+        try:
+            body = msgspec.json.decode(reply.body)
+        except msgspec.DecodeError:
+            continue
+        if isinstance(body, dict):
+            body = body.get('events', [])
+        name = reply.place.host or reply.place.address
+        events += [{'daemon': name, **row} for row in daemons.build_rows(body)]
+    return sorted(events, key=lambda row: row.get('at_ms', 0))
--- /dev/null
+++ b/packages/client/auburnroad_client/commands/publishing.py
@@ -0,0 +1,324 @@
+"""The commands publish and wait: a configuration comes into force."""
+
+import asyncio
+import contextlib
+import typing
+
+import msgspec
+
+from auburnroad_client.commands import answering
+from auburnroad_client import configuration
+from auburnroad_client import daemons
+from auburnroad_client import exit_codes
+from auburnroad_client import options as client_options
+from auburnroad_client import output
+from auburnroad_client.questionnaire import answer_checks
+from auburnroad_client.questionnaire import answers as answer_types
+from auburnroad_client.questionnaire import compare
+from auburnroad_client.questionnaire import generate
+from auburnroad_client import session
+from auburnroad_core import clock
+from auburnroad_core.log import records
+from auburnroad_core.platform import log_service
+
+Options = client_options.Options
+
+SUMMARY_CHANGES = 4
+POLL_SECONDS = 0.25
+PROGRESS_SECONDS = 2.0
+
+
+class Published(msgspec.Struct):
+    """Result of publish.
+
+    Attributes:
+      accepted: True; the record was read back in force.
+      revision: Its revision.
+      base_revision: Revision that it was made from.
+      superseded_by: Revision that another operator put on top of it since,
+        -1 for none.
+      changes: Answers that differ from the base's.
+      settings: Hosts whose daemons have to be started anew with new settings.
+    """
+
+    accepted: bool
+    revision: int
+    base_revision: int
+    superseded_by: int
+    changes: list[compare.Change]
+    settings: list[str]
+
+
+class InForce(msgspec.Struct):
+    """Result of wait."""
+
+    revision: int
+    daemons: int
+    silent: list[str]
+
+
+async def publish(
+    options: Options,
+    file: str,
+    author: str,
+    base: int | None,
+    timeout_seconds: float,
+) -> output.Report:
+    """Publish the configuration that an answers file generates.
+
+    Args:
+      options: Flags of the command.
+      file: Path of the answers file.
+      author: Operator's name.
+      base: Revision that the answers were made from; None for the one that
+        is in force.
+      timeout_seconds: How long to try.
+
+    Returns:
+      The revision that was read back in force.
+
+    Raises:
+      InvalidInputError: With every mistake of the file.
+      ConflictError: If another operator's change was in force first.
+      LogUnavailableError: If nothing was published.
+      OutcomeUnknownError: If it could not be found out.
+    """
+    answers = answer_checks.read_answers(file)
+    deadline_ms = _build_deadline(timeout_seconds)
+    async with session.open_log(options, answers) as log:
+        return await publish_answers(log, answers, author, base, deadline_ms)
+
+
+def _build_deadline(timeout_seconds: float) -> int:
+    return clock.time_now_ms() + int(timeout_seconds * clock.MS_PER_SECOND)
+
+
+async def publish_answers(
+    log: log_service.LogService,
+    answers: answer_types.Answers,
+    author: str,
+    base: int | None,
+    deadline_ms: int,
+) -> output.Report:
+    """Publish what checked answers generate.
+
+    Args:
+      log: The log service.
+      answers: Checked answers.
+      author: Operator's name.
+      base: Revision that the answers were made from; None for the one that
+        is in force.
+      deadline_ms: Unix milliseconds at which to give up.
+
+    Returns:
+      The revision that was read back in force.
+
+    Raises:
+      ConflictError: If another operator's change was in force first.
+      BadInputError: If the log belongs to another deployment.
+      LogUnavailableError: If nothing was published.
+      OutcomeUnknownError: If it could not be found out.
+    """
+    state = await configuration.read_state(log)
+    _check_deployment(state, answers)
+    if base is not None and base != state.revision:
+        raise await configuration.build_conflict(log, base)
+    difference = answering.build_difference(state, answers)
+    record = build_publish(difference, answers, author, clock.time_now_ms())
+    accepted = await _append(log, record, deadline_ms)
+    newest = accepted.state.revision
+    published = Published(
+        True,
+        accepted.revision,
+        difference.base_revision,
+        newest if newest != accepted.revision else -1,
+        difference.answers,
+        difference.settings,
+    )
+    return output.Report(published, _describe(published))
+
+
+def _check_deployment(state, answers) -> None:
+    """Check that the log doesn't belong to another deployment."""
+    if state.revision < 0:
+        return
+    name = msgspec.json.decode(state.deployment).get('name')
+    if name != answers.deployment:
+        raise exit_codes.BadInputError(
+            f'the deployment in force is {name!r}, and the answers are for'
+            f' {answers.deployment!r}',
+            'is the address of the log service right?',
+        )
+
+
+def build_publish(
+    difference: answering.Difference,
+    answers: answer_types.Answers,
+    author: str,
+    now_ms: int,
+) -> records.Publish:
+    """Build the record that publishes answers.
+
+    Args:
+      difference: What they change.
+      answers: Checked answers.
+      author: Operator's name.
+      now_ms: Unix milliseconds.
+
+    Returns:
+      The record.
+    """
+    deployment = generate.build_deployment(answers)
+    return records.Publish(
+        base_revision=difference.base_revision,
+        author=author,
+        at_ms=now_ms,
+        summary=summarize(difference),
+        deployment=msgspec.Raw(msgspec.json.encode(deployment)),
+        answers=msgspec.Raw(msgspec.json.encode(answers)),
+    )
+
+
+def summarize(difference: answering.Difference) -> str:
+    """Say in one line what answers change, for the audit trail.
+
+    Args:
+      difference: What they change.
+
+    Returns:
+      The first changes and how many more there are.
+    """
+    if difference.base_revision < 0:
+        return 'first configuration'
+    changes = difference.answers
+    lines = [str(change) for change in changes[:SUMMARY_CHANGES]]
+    if len(changes) > SUMMARY_CHANGES:
+        lines.append(f'and {len(changes) - SUMMARY_CHANGES} more')
+    return '; '.join(lines) or 'no change'
+
+
+async def _append(log, record, deadline_ms) -> configuration.Accepted:
+    async with say_waiting('waiting until the record is read back in force'):
+        return await configuration.append(log, record, deadline_ms)
+
+
+@contextlib.asynccontextmanager
+async def say_waiting(text: str) -> typing.AsyncIterator[None]:
+    """Say on standard error what takes long, while the body runs.
+
+    Args:
+      text: What is waited for.
+
+    Yields:
+      Nothing.
+    """
+
+    async def repeat() -> None:
+        while True:
+            await asyncio.sleep(PROGRESS_SECONDS)
+            output.print_progress(f'{text} ...')
+
+    task = asyncio.ensure_future(repeat())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+def _describe(published: Published) -> str:
+    lines = [f'accepted: revision {published.revision} is in force']
+    if published.superseded_by >= 0:
+        lines = [
+            f'accepted: revision {published.revision} was in force, and'
+            f' revision {published.superseded_by} has replaced it since'
+        ]
+    lines += [f'  {change}' for change in published.changes]
+    if published.settings:
+        hosts = ', '.join(published.settings)
+        lines.append(f'start the daemons with new settings on: {hosts}')
+    lines.append(f'next: auburnroad wait {published.revision}')
+    return '\n'.join(lines)
+
+
+async def wait(
+    options: Options,
+    revision: int,
+    timeout_seconds: float,
+    skip_silent: bool,
+) -> output.Report:
+    """Wait until a revision is in force on all daemons.
+
+    Args:
+      options: Flags of the command.
+      revision: The revision, or a higher one.
+      timeout_seconds: How long to wait.
+      skip_silent: Whether daemons that don't answer are passed over.
+
+    Returns:
+      On how many daemons it is in force.
+
+    Raises:
+      TimedOutError: If a daemon doesn't have it in time; the error names all
+        of these.
+    """
+    deadline_ms = _build_deadline(timeout_seconds)
+    places = await session.find_daemons(options)
+    shown = ''
+    while True:
+        behind, silent = split_behind(
+            await daemons.ask(places, '/status'), revision
+        )
+        count = len(places) - len(behind) - len(silent)
+        if not behind and (not silent or (skip_silent and count)):
+            report = InForce(revision, count, silent)
+            return output.Report(report, _describe_in_force(report))
+        line = f'revision {revision}: on {count} of {len(places)} daemons'
+        if line != shown:
+            output.print_progress(line)
+            shown = line
+        if not clock.seconds_until(deadline_ms):
+            raise _build_timed_out(line, behind, silent)
+        await asyncio.sleep(POLL_SECONDS)
+
+
+def split_behind(
+    replies: list[daemons.Reply], revision: int
+) -> tuple[list[str], list[str]]:
+    """Find the daemons that don't have a revision.
+
+    Args:
+      replies: Answers of all daemons to GET /status.
+      revision: The revision wanted.
+
+    Returns:
+      What to show of those that have a lower one, and of those that don't
+      answer.
+    """
+    behind, silent = [], []
+    for reply in replies:
+        status = daemons.parse_status(reply)
+        name = f'{reply.place.host or "?"} ({reply.place.address})'
+        if status is None:
+            silent.append(name)
+        elif status.revision < revision:
+            behind.append(f'{name} at {status.revision}')
+    return behind, silent
+
+
+def _describe_in_force(report: InForce) -> str:
+    text = (
+        f'revision {report.revision} is in force on {report.daemons} daemons'
+    )
+    if report.silent:
+        text += '; without an answer: ' + ', '.join(report.silent)
+    return text
+
+
+def _build_timed_out(line, behind, silent) -> exit_codes.TimedOutError:
+    details = [f'behind: {name}' for name in behind]
+    details += [f'no answer: {name}' for name in silent]
+    return exit_codes.TimedOutError(
+        f'{line} in time',
+        'look at auburnroad status; --skip_silent passes over dead hosts',
+        details,
+    )
--- /dev/null
+++ b/packages/client/auburnroad_client/commands/publishing_test.py
@@ -0,0 +1,196 @@
+"""Tests of publishing: racing operators, lost answers, outages."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from auburnroad_client.commands import hosts
+from auburnroad_client.commands import publishing
+from auburnroad_client import configuration
+from auburnroad_client import daemons
+from auburnroad_client import deployments
+from auburnroad_client import exit_codes
+from auburnroad_client.questionnaire import answer_checks
+from auburnroad_core import clock
+from auburnroad_core.log import configuration_fold
+from auburnroad_core.platform import log_service
+from auburnroad_e2e import memory_log
+
+
+def read_shipped(name='kiadasi'):
+    """Read one of the shipped answers files."""
+    return answer_checks.read_answers(deployments.find_answers(name))
+
+
+def change_share(answers, share):
+    """Build answers that differ in one trainer's share."""
+    trainer = msgspec.structs.replace(answers.trainers[0], share=share)
+    return msgspec.structs.replace(answers, trainers=[trainer])
+
+
+class LogTest(unittest.IsolatedAsyncioTestCase):
+    """Base: a log in memory and a short way to publish on it."""
+
+    def setUp(self):
+        self.log = memory_log.MemoryLog()
+        self.answers = read_shipped()
+
+    async def publish(self, answers, author='eszter', base=None, seconds=5):
+        deadline_ms = clock.time_now_ms() + int(seconds * 1000)
+        report = await publishing.publish_answers(
+            self.log, answers, author, base, deadline_ms
+        )
+        return report.value
+
+    def list_records(self):
+        return self.log.list_entries(configuration.STREAM)
+
+
+class PublishTest(LogTest):
+    """Accepted is said of what is in force, and of nothing else."""
+
+    async def test_first_and_second_publication(self):
+        first = await self.publish(self.answers)
+        second = await self.publish(change_share(self.answers, 3))
+        self.assertEqual((0, -1), (first.revision, first.base_revision))
+        self.assertEqual((1, 0), (second.revision, second.base_revision))
+        self.assertEqual(
+            ['trainers[drafter].share: 1 -> 3'],
+            [str(change) for change in second.changes],
+        )
+        state = await configuration.read_state(self.log)
+        self.assertEqual(1, state.revision)
+        self.assertEqual(
+            change_share(self.answers, 3), configuration.parse_answers(state)
+        )
+
+    async def test_of_racing_operators_one_sees_the_others_change(self):
+        await self.publish(self.answers)
+        results = await asyncio.gather(
+            self.publish(change_share(self.answers, 2), 'eszter', 0),
+            self.publish(change_share(self.answers, 5), 'bence', 0),
+            return_exceptions=True,
+        )
+        lost = [r for r in results if isinstance(r, Exception)]
+        won = [r for r in results if not isinstance(r, Exception)]
+        self.assertEqual([1, 1], [len(lost), len(won)])
+        self.assertIsInstance(lost[0], exit_codes.ConflictError)
+        shown = [str(change) for change in won[0].changes]
+        for line in shown:
+            self.assertIn(f'  {line}', lost[0].details)
+        state = await configuration.read_state(self.log)
+        self.assertEqual(won[0].revision, state.revision)
+
+    async def test_an_old_base_is_refused_without_a_record(self):
+        await self.publish(self.answers)
+        await self.publish(change_share(self.answers, 2))
+        with self.assertRaises(exit_codes.ConflictError):
+            await self.publish(change_share(self.answers, 3), base=0)
+        self.assertEqual(2, len(self.list_records()))
+
+    async def test_a_lost_answer_is_resolved_by_reading_back(self):
+        self.log.lose_answers = 1
+        published = await self.publish(self.answers)
+        self.assertEqual(0, published.revision)
+        self.assertEqual(0, self.list_records()[0].offset)
+
+    async def test_an_outage_publishes_nothing(self):
+        self.log.down = True
+        with self.assertRaises(log_service.LogUnavailableError):
+            await self.publish(self.answers)
+        self.assertEqual([], self.list_records())
+
+    async def test_a_held_append_is_told_as_unknown(self):
+        self.log.hold_appends = 1000
+        with self.assertRaises(exit_codes.OutcomeUnknownError) as caught:
+            await self.publish(self.answers, seconds=0.3)
+        self.assertTrue(caught.exception.details[0].startswith('record id'))
+
+    async def test_a_log_of_another_deployment_is_refused(self):
+        await self.publish(self.answers)
+        with self.assertRaises(exit_codes.BadInputError):
+            await self.publish(read_shipped('kehys'))
+
+
+class OrderHostTest(LogTest):
+    """Drain and undrain are read back, and known hosts only."""
+
+    async def order(self, host, draining):
+        deadline_ms = clock.time_now_ms() + 5000
+        return await hosts.order_host(
+            self.log, host, draining, 'eszter', deadline_ms
+        )
+
+    async def test_drain_and_undrain(self):
+        await self.publish(self.answers)
+        drained = await self.order('target-a1', True)
+        self.assertEqual((True, 1), (drained.changed, drained.revision))
+        again = await self.order('target-a1', True)
+        self.assertEqual((False, 1), (again.changed, again.revision))
+        await self.order('target-a1', False)
+        state = await configuration.read_state(self.log)
+        self.assertEqual({}, state.draining)
+
+    async def test_an_unknown_host_is_refused(self):
+        await self.publish(self.answers)
+        with self.assertRaises(exit_codes.BadInputError):
+            await self.order('target-x', True)
+
+
+class ReadTrailTest(LogTest):
+    """Who changed what, and whether it is in force."""
+
+    async def test_trail_tells_effects_and_changes(self):
+        await self.publish(self.answers)
+        await asyncio.gather(
+            self.publish(change_share(self.answers, 2), 'eszter', 0),
+            self.publish(change_share(self.answers, 5), 'bence', 0),
+            return_exceptions=True,
+        )
+        deadline_ms = clock.time_now_ms() + 5000
+        await hosts.order_host(self.log, 'entry-b', True, 'bence', deadline_ms)
+        trail = await configuration.read_trail(self.log)
+        self.assertEqual(
+            [
+                ('publish', 'superseded'),
+                ('publish', 'in force'),
+                ('publish', 'conflict'),
+                ('drain', 'effective'),
+            ],
+            [(change.act, change.effect) for change in trail],
+        )
+        self.assertEqual(1, len(trail[1].changes))
+        self.assertEqual('entry-b', trail[3].summary)
+
+    async def test_trail_after_truncation_keeps_what_is_in_force(self):
+        for share in (1, 2, 3):
+            await self.publish(change_share(self.answers, share))
+        state = await configuration.read_state(self.log)
+        record = configuration_fold.build_checkpoint(state, 1, 1)
+        raw = msgspec.Raw(msgspec.json.encode(record))
+        new = log_service.NewRecord('checkpoint', raw)
+        await self.log.append(configuration.STREAM, [new])
+        await self.publish(change_share(self.answers, 4))
+        self.log.truncate(configuration.STREAM, 2)
+        trail = await configuration.read_trail(self.log)
+        self.assertEqual(
+            [(2, 'expired'), (4, 'in force')],
+            [(change.revision, change.effect) for change in trail],
+        )
+
+
+class SplitBehindTest(unittest.TestCase):
+    """Which daemons don't have a revision yet."""
+
+    def test_behind_and_silent_are_told_apart(self):
+        place = daemons.Place('127.0.0.1:1', 'h')
+        replies = [
+            daemons.Reply(place, 200, b'{"revision": 7}'),
+            daemons.Reply(place, 200, b'{"revision": 6, "new": 1}'),
+            daemons.Reply(place, error='refused'),
+            daemons.Reply(place, 200, b'{"revision": "six"}'),
+        ]
+        behind, silent = publishing.split_behind(replies, 7)
+        self.assertEqual(['h (127.0.0.1:1) at 6'], behind)
+        self.assertEqual(2, len(silent))
--- /dev/null
+++ b/packages/client/auburnroad_client/configuration.py
@@ -0,0 +1,299 @@
+"""The configuration stream as the operators' client uses it.
+
+What is in force is decided by the fold that every daemon runs, never by the
+answer of an append: a change counts once it was read back as effective.
+"""
+
+import typing
+import uuid
+
+import msgspec
+
+from auburnroad_client import exit_codes
+from auburnroad_client.questionnaire import answers as answer_types
+from auburnroad_client.questionnaire import compare
+from auburnroad_core.log import appender
+from auburnroad_core.log import configuration_fold
+from auburnroad_core.log import records
+from auburnroad_core.log import replay
+from auburnroad_core.log import tail
+from auburnroad_core.log import verdict
+from auburnroad_core.platform import log_service
+
+STREAM = records.CONFIGURATION_STREAM
+State = configuration_fold.State
+
+_DECODER = msgspec.json.Decoder(records.ConfigurationRecord)
+
+
+class Change(msgspec.Struct):
+    """One record of the audit trail.
+
+    Attributes:
+      revision: Offset of the record.
+      at_ms: Unix milliseconds by the operator's clock.
+      author: Operator's name.
+      act: 'publish', 'drain', 'undrain' or 'unreadable'.
+      effect: 'in force', 'superseded', or the verdict of the fold; 'expired'
+        when the records that it stands on are gone.
+      base_revision: Revision that a publication was made from, -1 for none.
+      summary: What its author says was changed, or the host.
+      changes: What it changed against the configuration before it.
+    """
+
+    revision: int
+    at_ms: int
+    author: str
+    act: str
+    effect: str
+    base_revision: int = -1
+    summary: str = ''
+    changes: list[str] = []
+
+
+class Accepted(msgspec.Struct):
+    """A record that was read back as effective.
+
+    Attributes:
+      revision: Its offset.
+      record_id: Its identity.
+      state: State of the whole stream when it was read back.
+    """
+
+    revision: int
+    record_id: str
+    state: State
+
+
+async def read_state(service: log_service.LogService) -> State:
+    """Read what is in force.
+
+    Args:
+      service: The log service.
+
+    Returns:
+      The state after the newest record.
+
+    Raises:
+      LogUnavailableError: If the log service can't be read.
+      CommandError: If the state's records have expired.
+    """
+    return _require_state(await tail.read_stream(service, configuration_fold))
+
+
+def _require_state(result: replay.Replay) -> State:
+    if result.state is None:
+        raise exit_codes.CommandError(
+            'the records of the configuration have expired and no checkpoint'
+            ' stands for them',
+            'start an entry that still has the configuration, or publish on'
+            ' a new log',
+        )
+    return result.state
+
+
+def parse_answers(state: State) -> answer_types.Answers | None:
+    """Parse the answers that are in force.
+
+    Args:
+      state: State of the stream.
+
+    Returns:
+      The answers; None when nothing is in force, or when a client of another
+      version published answers that this one doesn't know.
+    """
+    if state.revision < 0:
+        return None
+    try:
+        return msgspec.json.decode(state.answers, type=answer_types.Answers)
+    except msgspec.DecodeError:
+        return None
+
+
+async def append(
+    service: log_service.LogService,
+    record: records.Publish | records.HostOrder,
+    deadline_ms: int,
+) -> Accepted:
+    """Append a record and read it back in force.
+
+    Args:
+      service: The log service.
+      record: The record.
+      deadline_ms: Unix milliseconds at which to give up.
+
+    Returns:
+      The record's place.
+
+    Raises:
+      LogUnavailableError: If nothing was appended.
+      OutcomeUnknownError: If it could not be found out.
+      ConflictError: If another operator's change was in force first.
+      CommandError: If the record is refused as invalid.
+    """
+    record_id = str(uuid.uuid4())
+    try:
+        offset = await appender.append_and_confirm(
+            service, STREAM, record, record_id, deadline_ms
+        )
+        result = await _read_through(service, offset)
+    except log_service.AppendLostError as error:
+        raise _build_unknown(record_id, str(error)) from error
+    found = result.find_verdict(offset)
+    if found is verdict.Verdict.EFFECTIVE:
+        return Accepted(offset, record_id, _require_state(result))
+    if found is verdict.Verdict.CONFLICT:
+        raise await build_conflict(service, record.base_revision)
+    if found is verdict.Verdict.INVALID:
+        raise exit_codes.CommandError(
+            f'the record at offset {offset} is refused as invalid',
+            'nothing was changed; is the client of another version than the'
+            ' daemons?',
+        )
+    raise _build_unknown(record_id, 'its verdict has expired')
+
+
+async def _read_through(service, offset: int) -> replay.Replay:
+    """Read the stream to its end, which is after the offset."""
+    try:
+        return await tail.read_stream(service, configuration_fold)
+    except log_service.LogUnavailableError as error:
+        raise log_service.AppendLostError(
+            f'appended at offset {offset}, but not read back: {error}'
+        ) from error
+
+
+def _build_unknown(record_id: str, reason: str):
+    return exit_codes.OutcomeUnknownError(
+        f'whether the change took effect is not known: {reason}',
+        'look at auburnroad audit before you try again',
+        [f'record id: {record_id}'],
+    )
+
+
+async def build_conflict(
+    service: log_service.LogService, base_revision: int
+) -> exit_codes.ConflictError:
+    """Build the error that shows what others changed.
+
+    Args:
+      service: The log service.
+      base_revision: Revision that this operator's change was made from.
+
+    Returns:
+      The error.
+
+    Raises:
+      LogUnavailableError: If the log service can't be read.
+    """
+    others = [
+        change
+        for change in await read_trail(service)
+        if change.act == 'publish'
+        and change.effect in ('in force', 'superseded')
+        and change.revision > base_revision
+    ]
+    details = []
+    for other in others:
+        details.append(f'revision {other.revision} by {other.author}:')
+        details += [f'  {line}' for line in other.changes]
+    return exit_codes.ConflictError(
+        f'revision {base_revision} is not in force any more; nothing was'
+        ' changed',
+        'take the changes below into your answers, and publish with the new'
+        ' base',
+        details,
+    )
+
+
+async def read_trail(service: log_service.LogService) -> list[Change]:
+    """Read the audit trail.
+
+    Args:
+      service: The log service.
+
+    Returns:
+      All changes that the log still keeps, oldest first.
+
+    Raises:
+      LogUnavailableError: If the log service can't be read.
+    """
+    trail = _Trail()
+    result = replay.Replay(configuration_fold)
+    offset = 0
+    while True:
+        batch = await service.read(STREAM, offset, 0.0)
+        entries = list(batch.records)
+        verdicts = {
+            step.entry.offset: step.verdict for step in result.take(batch)
+        }
+        for entry in entries:
+            trail.add(entry, verdicts.get(entry.offset))
+        if not entries or entries[-1].offset + 1 >= batch.next_offset:
+            return trail.finish(result)
+        offset = entries[-1].offset + 1
+
+
+class _Trail:
+    """Collects changes and compares each publication with the one before.
+
+    Documents are dropped once compared, since a day has thousands.
+    """
+
+    __slots__ = ('_changes', '_answers')
+
+    def __init__(self):
+        self._changes: dict[int, Change] = {}
+        self._answers: typing.Any = None
+
+    def add(self, entry: records.Entry, found: verdict.Verdict | None) -> None:
+        """Take in one record with its verdict."""
+        effect = 'expired' if found is None else found.value
+        try:
+            record = _DECODER.decode(entry.data)
+        except msgspec.DecodeError:
+            self._changes[entry.offset] = Change(
+                entry.offset, 0, '', 'unreadable', effect
+            )
+            return
+        if isinstance(record, records.Publish):
+            self._add_publish(entry, record, effect)
+        elif isinstance(record, records.HostOrder):
+            self._changes[entry.offset] = Change(
+                entry.offset,
+                record.at_ms,
+                record.author,
+                'drain' if record.draining else 'undrain',
+                effect,
+                summary=record.host,
+            )
+
+    def _add_publish(self, entry, record, effect) -> None:
+        answers = msgspec.json.decode(record.answers)
+        lines = [
+            str(change)
+            for change in compare.compare_values(self._answers or {}, answers)
+        ]
+        if effect in (verdict.Verdict.EFFECTIVE, 'expired'):
+            self._answers = answers
+        self._changes[entry.offset] = Change(
+            entry.offset,
+            record.at_ms,
+            record.author,
+            'publish',
+            effect,
+            record.base_revision,
+            record.summary,
+            lines,
+        )
+
+    def finish(self, result: replay.Replay) -> list[Change]:
+        """Mark what is in force and return all changes."""
+        revision = -1 if result.state is None else result.state.revision
+        for change in self._changes.values():
+            effective = change.effect == verdict.Verdict.EFFECTIVE
+            if change.revision == revision:
+                change.effect = 'in force'
+            elif change.act == 'publish' and effective:
+                change.effect = 'superseded'
+        return [self._changes[offset] for offset in sorted(self._changes)]
--- /dev/null
+++ b/packages/client/auburnroad_client/main.py
@@ -0,0 +1,311 @@
+"""The console script auburnroad.
+
+Fire finds the command and its flags; the command is run only after all of
+them were understood. Errors are shown without a traceback and end with the
+exit codes of exit_codes.py.
+"""
+
+import asyncio
+import contextlib
+import getpass
+import os
+import sys
+import typing
+
+import fire
+
+from auburnroad_client.commands import answering
+from auburnroad_client.commands import hosts
+from auburnroad_client.commands import looking
+from auburnroad_client.commands import publishing
+from auburnroad_client import exit_codes
+from auburnroad_client import options as client_options
+from auburnroad_client import output
+from auburnroad_client import plan
+from auburnroad_core import errors
+
+NAME = 'auburnroad'
+BOOLEAN_FLAGS = ('--json', '--skip_silent')
+HELP_FLAGS = ('--help', '-h')
+INTERRUPTED = 130
+ORDER_SECONDS = 30.0
+WAIT_SECONDS = 60.0
+
+
+class Commands:
+    """Operate a deployment of auburnroad.
+
+    A deployment is created by answering a questionnaire, and changed by
+    answering it again. In order: create, check, diff, publish, wait.
+
+    Flags of every command:
+      --json                 print one JSON document for programs
+      --answers FILE         answers file that addresses are taken from;
+                             ./answers.jsonc if it is there
+      --log_service IP:PORT  address of the log service
+      --entry IP:PORT,...    HTTP addresses of entries to ask
+
+    Exit codes: 0 done, 1 failed, 2 bad usage or answers, 3 conflict with
+    another operator, 4 platform or daemons unavailable and nothing changed,
+    5 timed out waiting, 6 outcome unknown, 7 not found.
+    """
+
+    __slots__ = ('_options',)
+
+    def __init__(
+        self,
+        json: str = '',
+        log_service: str = '',
+        entry: str = '',
+        answers: str = '',
+    ):
+        self._options = client_options.build_options(
+            json == 'True', log_service, entry, answers
+        )
+
+    def create(self, out: str, again: str = ''):
+        """Create a deployment's files by a questionnaire.
+
+        Asks at the terminal, or takes --answers FILE as it is. Writes
+        answers.jsonc, deployment.json and settings/HOST.jsonc for each host.
+
+        Args:
+          out: Directory for the files.
+          again: Answers file whose answers become the defaults.
+        """
+        return plan.Plan(answering.create, self._options, out, again)
+
+    def check(self, file: str):
+        """Check an answers file and show every mistake at once.
+
+        Args:
+          file: Path of the answers file.
+        """
+        return plan.Plan(answering.check, self._options, file)
+
+    def diff(self, file: str):
+        """Show what an answers file would change.
+
+        Compares with what is in force and changes nothing.
+
+        Args:
+          file: Path of the answers file.
+        """
+        return plan.Plan(answering.diff, self._options, file)
+
+    def answers(self, out: str = ''):
+        """Show the answers that are in force, to change and publish them.
+
+        Args:
+          out: Path of the file to write; printed when it is left out.
+        """
+        return plan.Plan(answering.fetch_answers, self._options, out)
+
+    def publish(
+        self,
+        file: str,
+        author: str = '',
+        base: str = '',
+        timeout_seconds: str = str(ORDER_SECONDS),
+    ):
+        """Publish the configuration that an answers file generates.
+
+        Says accepted only after the record was read back in force.
+
+        Args:
+          file: Path of the answers file.
+          author: Your name for the audit trail; the login name if left out.
+          base: Revision that your answers were made from, as diff shows it;
+            the one in force if left out.
+          timeout_seconds: How long to try.
+        """
+        return plan.Plan(
+            publishing.publish,
+            self._options,
+            file,
+            author or getpass.getuser(),
+            _parse_number('base', base, int) if base else None,
+            _parse_number('timeout_seconds', timeout_seconds, float),
+        )
+
+    def wait(
+        self,
+        revision: str,
+        timeout_seconds: str = str(WAIT_SECONDS),
+        skip_silent: str = '',
+    ):
+        """Wait until a revision is in force on all daemons.
+
+        Args:
+          revision: Number of the revision; a higher one counts too.
+          timeout_seconds: How long to wait.
+          skip_silent: Pass over daemons that don't answer.
+        """
+        return plan.Plan(
+            publishing.wait,
+            self._options,
+            _parse_number('revision', revision, int),
+            _parse_number('timeout_seconds', timeout_seconds, float),
+            skip_silent == 'True',
+        )
+
+    def status(self):
+        """Show daemons, hosts, replicas, trainers and versions."""
+        return plan.Plan(looking.status, self._options)
+
+    def audit(self, limit: str = '50'):
+        """Show who changed what and when, and what is in force.
+
+        Args:
+          limit: How many of the last changes to show, 0 for all.
+        """
+        return plan.Plan(
+            looking.audit, self._options, _parse_number('limit', limit, int)
+        )
+
+    def drain(
+        self,
+        host: str,
+        author: str = '',
+        timeout_seconds: str = str(ORDER_SECONDS),
+    ):
+        """Order that a host takes no new work and finishes what it has.
+
+        Args:
+          host: Host's name.
+          author: Your name for the audit trail; the login name if left out.
+          timeout_seconds: How long to try.
+        """
+        return self._order(host, True, author, timeout_seconds)
+
+    def undrain(
+        self,
+        host: str,
+        author: str = '',
+        timeout_seconds: str = str(ORDER_SECONDS),
+    ):
+        """Take a drained host back.
+
+        Args:
+          host: Host's name.
+          author: Your name for the audit trail; the login name if left out.
+          timeout_seconds: How long to try.
+        """
+        return self._order(host, False, author, timeout_seconds)
+
+    def explain(self, id: str):
+        """Show where one sample or request went.
+
+        Args:
+          id: Request id from the answer's auburnroad-request-id header, or
+            sample id such as drafter/12.0/g3/1.
+        """
+        return plan.Plan(looking.explain, self._options, id)
+
+    def _order(self, host, draining, author, timeout_seconds):
+        return plan.Plan(
+            hosts.order,
+            self._options,
+            host,
+            draining,
+            author or getpass.getuser(),
+            _parse_number('timeout_seconds', timeout_seconds, float),
+        )
+
+
+def _parse_number(
+    name: str, text: str, kind: typing.Callable[[str], typing.Any]
+) -> typing.Any:
+    try:
+        return kind(text)
+    except ValueError:
+        raise exit_codes.BadInputError(
+            f'{name}: {text!r} is no number'
+        ) from None
+
+
+def _normalize(arguments: list[str]) -> list[str]:
+    """Bring arguments into the form in which Fire takes them as they are.
+
+    A flag that stands alone gets a value, since Fire would read
+    '--json status' as the value 'status' of --json. What Fire would evaluate,
+    such as a host named 1e5, is quoted.
+    """
+    normal = []
+    for argument in arguments:
+        name, equals, value = argument.partition('=')
+        if argument in BOOLEAN_FLAGS:
+            normal.append(f'{argument}=True')
+        elif argument.startswith('--'):
+            normal.append(name + equals + _quote(value))
+        else:
+            normal.append(_quote(argument))
+    return normal
+
+
+def _quote(text: str) -> str:
+    return text if fire.parser.DefaultParseValue(text) == text else repr(text)
+
+
+def _find_command(arguments: list[str]) -> plan.Plan | None:
+    """Let Fire find the command, or show help."""
+    words = [word for word in arguments if word not in HELP_FLAGS]
+    if words == ['help']:
+        words = []
+    asks_help = len(words) < len(arguments)
+    if asks_help and words:
+        words += ['--', '--help']
+    target = sys.stdout if asks_help else sys.stderr
+    with contextlib.redirect_stderr(target):
+        found = fire.Fire(Commands, words, NAME, _hide_plan)
+    return found if isinstance(found, plan.Plan) else None
+
+
+def _hide_plan(result: typing.Any) -> typing.Any:
+    return None if isinstance(result, plan.Plan) else result
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command.
+
+    Args:
+      arguments: Words after the program's name.
+
+    Returns:
+      The exit code.
+    """
+    as_json = '--json' in arguments
+    try:
+        found = _find_command(_normalize(arguments))
+        if found is not None:
+            report = asyncio.run(plan.execute(found))
+            output.print_report(report, as_json)
+    except fire.core.FireExit as error:
+        return error.code
+    except (errors.AuburnroadError, errors.InvalidInputError) as error:
+        failure = output.build_failure(error)
+        output.print_failure(failure, as_json)
+        return failure.exit_code
+    return exit_codes.ExitCode.OK
+
+
+def main() -> int:
+    """Run the command of this process.
+
+    Returns:
+      The exit code.
+    """
+    # Help is written to the terminal as it is, never into a pager.
+    os.environ.setdefault('PAGER', 'cat')
+    try:
+        return run(sys.argv[1:])
+    except KeyboardInterrupt:
+        output.print_progress('interrupted; auburnroad audit shows changes')
+        return INTERRUPTED
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return exit_codes.ExitCode.FAILED
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/client/auburnroad_client/questionnaire/answers.py
+++ b/packages/client/auburnroad_client/questionnaire/answers.py
@@ -297,15 +297,15 @@
             ' weights?'
         ),
     ]
-    places: typing.Annotated[Places, _ask('Where the deployment runs.')]
-    platform: typing.Annotated[
-        Platform, _ask("Where the platform's services answer.")
-    ]
     services: typing.Annotated[
         list[Service],
         msgspec.Meta(min_length=1),
         _ask('Services that callers and trainers use.'),
     ]
+    places: typing.Annotated[Places, _ask('Where the deployment runs.')]
+    platform: typing.Annotated[
+        Platform, _ask("Where the platform's services answer.")
+    ]
     trainers: typing.Annotated[
         list[Trainer], _ask('Trainers that take samples.')
     ] = []
--- a/packages/client/auburnroad_client/questionnaire/compare.py
+++ b/packages/client/auburnroad_client/questionnaire/compare.py
@@ -46,9 +46,12 @@
     Returns:
       The changes in the order of the fields.
     """
-    return list(
-        _compare(msgspec.to_builtins(old), msgspec.to_builtins(new), '')
-    )
+    return list(_compare(_flatten(old), _flatten(new), ''))
+
+
+def _flatten(value: typing.Any) -> typing.Any:
+    """Bring a value into the form that it has after a journey as JSON."""
+    return msgspec.json.decode(msgspec.json.encode(value))
 
 
 def _compare(old, new, path):
--- a/packages/client/auburnroad_client/questionnaire/compare_test.py
+++ b/packages/client/auburnroad_client/questionnaire/compare_test.py
@@ -24,6 +24,11 @@
         value = {'a': [1, 2], 'b': {'c': [{'name': 'x'}]}}
         self.assertEqual([], compare.compare_values(value, dict(value)))
 
+    def test_a_tuple_equals_the_list_that_the_log_holds(self):
+        self.assertEqual(
+            [], compare.compare_values({'m': ['GET']}, {'m': ('GET',)})
+        )
+
     def test_a_change_reads_as_a_line(self):
         changes = compare.compare_values(
             {'t': {'share': 1}}, {'t': {'share': 2}, 'h': [{'name': 'q'}]}
--- a/packages/client/auburnroad_client/questionnaire/questions.py
+++ b/packages/client/auburnroad_client/questionnaire/questions.py
@@ -59,3 +59,47 @@
     return Question(
         field.name, kind, texts[-1] if texts else '', default, **extra
     )
+
+
+def strip_annotation(kind: typing.Any) -> typing.Any:
+    """Find the type below its annotations.
+
+    Args:
+      kind: A type, annotated or not.
+
+    Returns:
+      The type itself.
+    """
+    while typing.get_origin(kind) is typing.Annotated:
+        kind = kind.__origin__
+    return kind
+
+
+def find_member(shape: typing.Any) -> typing.Any:
+    """Find the type of a list's members.
+
+    Args:
+      shape: A type without annotations.
+
+    Returns:
+      The members' type without annotations, or None for no list.
+    """
+    if typing.get_origin(shape) in (list, tuple):
+        return strip_annotation(typing.get_args(shape)[0])
+    return None
+
+
+def list_choices(kind: typing.Any) -> list[str]:
+    """List the texts that an answer, or a member of it, is one of.
+
+    Args:
+      kind: Type of the answer.
+
+    Returns:
+      The texts, or an empty list when others are allowed.
+    """
+    shape = strip_annotation(kind)
+    shape = find_member(shape) or shape
+    if typing.get_origin(shape) is typing.Literal:
+        return list(typing.get_args(shape))
+    return []
