--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import typing
 
+from absl import logging
 import h11
 import msgspec
 
@@ -154,7 +155,7 @@
             )
             if not work.done():
                 raise ConnectionResetError('the caller went away')
-            return work.result()
+            return _take_result(work)
         finally:
             work.cancel()
             watch.cancel()
@@ -211,6 +212,19 @@
             self._writer.write(data)
 
 
+def _take_result(work: asyncio.Task) -> messages.Response:
+    """Take the handler's response; a fault of ours is answered as such."""
+    error = work.exception()
+    if error is None:
+        return work.result()
+    logging.error('a handler failed', exc_info=error)
+    return messages.json_response(
+        500,
+        {'error': {'code': 'internal_error', 'message': 'a fault of ours'}},
+        {'auburnroad-outcome': 'unknown'},
+    )
+
+
 def _build_request(head, body: bytes) -> messages.Request:
     headers: dict[str, str] = {}
     for raw_name, raw_value in head.headers:
--- a/packages/daemon/auburnroad_daemon/process/entry_metrics.py
+++ b/packages/daemon/auburnroad_daemon/process/entry_metrics.py
@@ -5,6 +5,10 @@
 
 import prometheus_client
 
+from auburnroad_core.http import client
+from auburnroad_core.log import counters
+from auburnroad_core.wire import stream
+
 REGISTRY = prometheus_client.CollectorRegistry()
 
 CALLS = prometheus_client.Counter(
@@ -28,6 +32,12 @@
     ['code'],
     registry=REGISTRY,
 )
+INTENTS = prometheus_client.Counter(
+    'auburnroad_intents',
+    'Non-idempotent requests that asked for their key, by the answer.',
+    ['admission'],
+    registry=REGISTRY,
+)
 CLAIMS = prometheus_client.Counter(
     'auburnroad_claims',
     'Claims on trainers, by verdict.',
@@ -51,9 +61,7 @@
     'Ledger changes that only one daemon holds, for want of another.',
     registry=REGISTRY,
 )
-CONTROL_BYTES = prometheus_client.Counter(
-    'auburnroad_stream_bytes',
-    'Bytes on streams between daemons.',
-    ['direction'],
-    registry=REGISTRY,
-)
+REGISTRY.register(stream.BYTES)
+REGISTRY.register(client.BYTES)
+for _collector in counters.COLLECTORS:
+    REGISTRY.register(_collector)
--- a/packages/daemon/auburnroad_daemon/process/side_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_test.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core.http import messages as http_messages
+from auburnroad_core.http import server
 from auburnroad_core import refusals
 from auburnroad_core.settings import daemon
 from auburnroad_core.settings import deployment
@@ -14,6 +17,7 @@
 from auburnroad_core.wire import stream as stream_module
 from auburnroad_daemon.connection import fake_engine_test
 from auburnroad_daemon.process import side as side_module
+from auburnroad_daemon.request import run
 
 WAIT_SECONDS = 10.0
 FAR_MS = 60_000
@@ -119,6 +123,8 @@
         self.plain = fake_engine_test.FakeEngine()
         address = await self.engine.start()
         plain_address = await self.plain.start()
+        self.store = server.HttpServer(self.read_weights)
+        store_address = await self.store.start('127.0.0.1', 0)
         self.side = side_module.Side(
             daemon.Daemon(
                 'side-1',
@@ -129,7 +135,7 @@
                 '127.0.0.1:0',
                 '127.0.0.1:1',
                 '127.0.0.1:1',
-                '127.0.0.1:1',
+                f'{store_address[0]}:{store_address[1]}',
                 replicas=[
                     daemon.Replica('llm-1', 'llm', address),
                     daemon.Replica('api-1', 'api', plain_address),
@@ -149,6 +155,10 @@
         await self.entry.close()
         await self.engine.stop()
         await self.plain.stop()
+        await self.store.close()
+
+    async def read_weights(self, request):
+        return http_messages.Response(200, {}, b'weights')
 
     async def until(self, condition):
         """Wait until a condition holds."""
@@ -235,6 +245,21 @@
         self.entry.submit('r3')
         await self.entry.wait_for(messages.Done, 'r3')
 
+    async def test_an_answer_that_the_engine_cancelled_is_not_whole(self):
+        self.engine.reason = 'cancelled'
+        self.entry.submit('r1')
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.UNKNOWN, done.outcome)
+        self.assertTrue(self.side.replicas[0].health.up)
+
+    async def test_a_silent_engine_is_given_up(self):
+        self.engine.gate.clear()
+        with mock.patch.object(run, 'ENGINE_SILENCE_SECONDS', 0.05):
+            self.entry.submit('r1')
+            done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.UNKNOWN, done.outcome)
+        self.assertEqual('x', done.text)
+
     async def test_a_dead_engine_was_not_given_the_request(self):
         await self.engine.stop()
         self.entry.submit('r1')
@@ -272,3 +297,78 @@
         self.call('r1')
         refused = await self.entry.wait_for(messages.Refused)
         self.assertEqual(refusals.NO_REPLICA, refused.code)
+
+
+class VersionTest(SideCase):
+    """What is announced is served in the end, and samples say what was."""
+
+    async def test_a_swap_in_the_middle_shows_in_the_spans(self):
+        self.engine.gate.clear()
+        self.entry.submit('r1')
+        await self.until(lambda: self.engine.runs)
+        self.entry.versions = {'m': 2}
+        await self.until(lambda: self.engine.versions['m'] == 2)
+        self.engine.gate.set()
+        done = await self.entry.wait_for(messages.Done)
+        spans = [types.VersionSpan(1, 0, 1), types.VersionSpan(2, 1, 4)]
+        self.assertEqual(spans, done.spans)
+        order = self.engine.orders[0]
+        self.assertEqual((2, 2), (order.version, order.fence))
+
+    async def test_a_failed_swap_is_tried_again(self):
+        self.engine.order_statuses = [500, 500]
+        self.entry.versions = {'m': 2}
+        await self.until(lambda: self.engine.versions['m'] == 2)
+        await self.entry.wait_for(messages.Heartbeat, versions={'m': 2})
+        self.assertEqual(3, len(self.engine.orders))
+
+    async def test_a_model_that_is_missing_is_loaded(self):
+        self.engine.versions.clear()
+        self.side.replicas[0].forget_version('m')
+        self.entry.versions = {'m': 2}
+        await self.until(lambda: self.engine.orders)
+        self.assertEqual('load_adapter', self.engine.orders[0].order)
+
+    async def test_what_an_old_order_took_back_is_swapped_again(self):
+        self.entry.versions = {'m': 3}
+        await self.until(lambda: self.engine.versions['m'] == 3)
+        self.engine.versions['m'] = 2
+        await self.until(lambda: self.engine.versions['m'] == 3)
+
+    async def test_a_request_waits_for_its_minimum_version(self):
+        self.entry.submit('r1', minimum_version=4)
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual([types.VersionSpan(4, 0, 4)], done.spans)
+
+    async def test_a_version_that_does_not_come_is_refused(self):
+        self.engine.order_statuses = [500] * 100
+        self.entry.submit('r1', minimum_version=4)
+        refused = await self.entry.wait_for(messages.Refused)
+        self.assertEqual(refusals.VERSION_BEHIND, refused.code)
+        self.assertEqual([], self.engine.runs)
+
+
+class ConfigurationTest(SideCase):
+    """Revisions only go up, and peers that are behind are told."""
+
+    async def test_a_lower_revision_changes_nothing(self):
+        lower = messages.Configuration(6, build_deployment(drain_ms=1))
+        self.entry.stream.send(lower)
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        self.assertEqual(7, self.side.revision)
+
+    async def test_a_peer_that_is_behind_is_told(self):
+        other = FakeEntry('entry-2')
+        other.revision = 3
+        await other.connect(self.side.stream_address)
+        told = await other.wait_for(messages.Configuration)
+        self.assertEqual(7, told.revision)
+        self.assertEqual(build_deployment(), told.document)
+        await other.close()
+
+    async def test_a_broken_document_changes_nothing(self):
+        self.entry.stream.send(messages.Configuration(9, b'{"name": 1}'))
+        self.entry.submit('r1')
+        await self.entry.wait_for(messages.Done)
+        self.assertEqual(7, self.side.revision)
--- a/packages/standins/auburnroad_standins/trainer.py
+++ b/packages/standins/auburnroad_standins/trainer.py
@@ -61,17 +61,11 @@
 
     async def run(self) -> None:
         """Take steps until there are enough of them."""
-        past = record_file.read_records(self.options.books_file)
-        taken = [r['step'] for r in past if r['event'] == 'taken']
-        self.version = max(
-            (r['version'] for r in past if r['event'] == 'version'),
-            default=0,
-        )
-        self._remember(past)
-        first = max(taken, default=0) + 1
-        await self._publish(max(1, self.version))
-        await self._take_steps(first)
-        self.books.write('finished', trainer=self.options.name)
+        watch = asyncio.create_task(self._entries.run())
+        try:
+            await self._run()
+        finally:
+            watch.cancel()
 
     def generation(self, step: int) -> int:
         """Tell under which generation a step stands."""
@@ -101,7 +95,8 @@
             'generation': generation,
             'groups': groups,
         }
-        await self._ask('PUT', f'steps/{step}/groups', body)
+        response = await self._ask('PUT', f'steps/{step}/groups', body)
+        _check_taken_in(response)
 
     async def give_up(self, step: int) -> None:
         """Void a sealed step that was not taken, and submit it anew.
@@ -125,6 +120,19 @@
         )
         await self.submit(step)
 
+    async def _run(self) -> None:
+        past = record_file.read_records(self.options.books_file)
+        taken = [r['step'] for r in past if r['event'] == 'taken']
+        self.version = max(
+            (r['version'] for r in past if r['event'] == 'version'),
+            default=0,
+        )
+        self._remember(past)
+        first = max(taken, default=0) + 1
+        await self._publish(max(1, self.version))
+        await self._take_steps(first)
+        self.books.write('finished', trainer=self.options.name)
+
     def _remember(self, past: list[dict]) -> None:
         """Take over what the books say, after a restart."""
         for record in past:
@@ -182,7 +190,7 @@
             generation=contents['generation'],
             version=self.version,
             asked_ms=asked_ms,
-            digest=contents['digest'],
+            digest=compute_digest(response.body),
             entry=self._entries.current,
             samples=samples,
         )
@@ -209,7 +217,7 @@
             'attempt': sample['attempt'],
             'replica': sample['replica'],
             'request_id': sample['request_id'],
-            'text_digest': xxhash.xxh3_128_hexdigest(sample['text']),
+            'text_digest': xxhash.xxh3_128_hexdigest(sample['text'].encode()),
             'text_right': sample['text'] == expected,
         }
 
@@ -222,7 +230,8 @@
             await asyncio.sleep(PAUSE_SECONDS)
         self.version = version
         self.books.write('version', version=version)
-        await self._ask('PUT', 'version', {'version': version})
+        response = await self._ask('PUT', 'version', {'version': version})
+        _check_taken_in(response)
 
     async def _store(self, request) -> bool:
         address = self.options.weight_store
@@ -243,6 +252,29 @@
         return await self._entries.ask(request)
 
 
+def compute_digest(body: bytes) -> str:
+    """Compute the digest of a step's contents from the bytes that came.
+
+    Args:
+      body: The step as JSON, whose last member is the digest that is claimed.
+
+    Returns:
+      Hexadecimal xxh3_128 of the body without that member.
+    """
+    contents, _, _ = body.rpartition(b',"digest":"')
+    return xxhash.xxh3_128_hexdigest(contents + b'}')
+
+
+def _check_taken_in(response: messages.Response) -> None:
+    """Raise on a conflict that a trainer that keeps to the rules can't meet.
+
+    Raises:
+      UnknownAnswerError: If there is one.
+    """
+    if response.status >= 300:
+        raise entry_pool.UnknownAnswerError(repr(response.body))
+
+
 @REFUSALS.register('unknown_step')
 async def submit_again(trainer: Trainer, step: int, response) -> None:
     """Submit a step that no entry holds any more."""
