Guard scenarios against passing with nothing asked

Cause: key-repeated and target-dies passed while every call was refused. Change: claims count right answers by kind and what was told; a caller's own impatience is told from a broken connection, and a request whose last try was given up counts as unanswered; questions of trainers count at planned stops.

--- a/packages/e2e/auburnroad_e2e/books.py
+++ b/packages/e2e/auburnroad_e2e/books.py
@@ -46,7 +46,9 @@
     figures.samples_misattributed = len(
         find_misattributed(books.trainers, books.engine_runs)
     )
-    figures.answers_cut_off = len(caller_books.find_cut_off(books.callers))
+    figures.answers_cut_off = len(
+        caller_books.find_cut_off(books.callers)
+    ) + len(caller_books.find_unanswered(books.callers))
     figures.trainer_idle_ratio = round(compute_idle_ratio(books.trainers), 4)
     if staleness:
         mean = sum(staleness) / len(staleness)
@@ -75,6 +77,7 @@
         'not the same bytes': _find_different_bytes(books.trainers),
         'not sealed': find_unsealed(books),
         'cut off': caller_books.find_cut_off(books.callers, excused),
+        'no answer': caller_books.find_unanswered(books.callers),
         'wrong answer': caller_books.find_wrong(books.callers),
         'run twice': caller_books.find_keys_run_twice(books.plain_runs),
         'refused but run': caller_books.find_refused_but_run(books),
@@ -144,6 +147,26 @@
     ]
 
 
+def find_cut_questions(
+    trainers: list[book_types.TrainerBooks], excused: frozenset[str]
+) -> list[str]:
+    """Find questions of trainers whose connection broke.
+
+    Args:
+      trainers: Books of the trainers.
+      excused: Addresses of entries that were killed on purpose.
+
+    Returns:
+      A text for each.
+    """
+    return [
+        f'{trainer.name} at {event["entry"]}: {event["target"]}'
+        for trainer in trainers
+        for event in trainer.select('failed')
+        if event['kind'] == 'BrokenError' and event['entry'] not in excused
+    ]
+
+
 def _find_different_bytes(trainers) -> list[str]:
     return [
         event['target']
--- a/packages/e2e/auburnroad_e2e/books_test.py
+++ b/packages/e2e/auburnroad_e2e/books_test.py
@@ -118,15 +118,26 @@
 class CallersTest(unittest.TestCase):
     """Requests of callers against the targets' books."""
 
-    def test_a_part_of_an_answer_and_no_answer_are_cut_off(self):
+    def test_a_part_of_an_answer_and_a_broken_connection_are_cut_off(self):
         callers = [
-            {'event': 'asked', 'id': 'x'},
             build_call([{'began': True, 'whole': False}]),
             build_call([{'outcome': 'broken', 'entry': 'killed'}]),
         ]
-        self.assertEqual(3, len(caller_books.find_cut_off(callers)))
+        self.assertEqual(2, len(caller_books.find_cut_off(callers)))
         excused = frozenset(['killed'])
-        self.assertEqual(2, len(caller_books.find_cut_off(callers, excused)))
+        self.assertEqual(1, len(caller_books.find_cut_off(callers, excused)))
+
+    def test_a_request_without_an_answer_is_found(self):
+        waits = {'event': 'asked', 'id': 'x'}
+        asked = {'event': 'asked', 'id': 'c'}
+        gave_up = build_call([{'outcome': 'run'}, {'outcome': 'given-up'}])
+        had_one = build_call([{'outcome': 'given-up'}, {'outcome': 'run'}])
+        for events, found in (
+            ([waits], 1),
+            ([asked, gave_up], 1),
+            ([asked, had_one], 0),
+        ):
+            self.assertEqual(found, len(caller_books.find_unanswered(events)))
 
     def test_a_refused_request_that_was_run_is_found(self):
         refused = [{'outcome': 'not-run'}]
--- a/packages/e2e/auburnroad_e2e/caller_books.py
+++ b/packages/e2e/auburnroad_e2e/caller_books.py
@@ -27,7 +27,7 @@
 def find_cut_off(
     callers: list[book_types.Event], excused: frozenset[str] = frozenset()
 ) -> list[str]:
-    """Find requests whose answer came in part, or not at all.
+    """Find requests whose answer came in part, or whose connection broke.
 
     Args:
       callers: Events of the callers' books.
@@ -36,21 +36,38 @@
     Returns:
       A text for each such request.
     """
-    answered = {e['id'] for e in callers if e['event'] == 'answered'}
-    found = [
-        f'{event["id"]}: no answer'
-        for event in callers
-        if event['event'] == 'asked' and event['id'] not in answered
-    ]
+    found = []
     for event, one in list_tries(callers):
-        broken = one['outcome'] == 'broken' or (
-            one['began'] and not one['whole']
-        )
+        partly = one['began'] and not one['whole']
+        broken = one['outcome'] == 'broken' or partly
         if broken and one['entry'] not in excused:
             found.append(f'{event["id"]} at {one["entry"]}: {one["code"]}')
     return found
 
 
+def find_unanswered(callers: list[book_types.Event]) -> list[str]:
+    """Find requests that were never answered.
+
+    Args:
+      callers: Events of the callers' books.
+
+    Returns:
+      A text for each request whose caller still waits, or gave up at the
+      last entry that it tried.
+    """
+    last = {
+        event['id']: event['tries'][-1]['outcome']
+        for event in callers
+        if event['event'] == 'answered'
+    }
+    return [
+        f'{event["id"]}: {last.get(event["id"], "waits")}'
+        for event in callers
+        if event['event'] == 'asked'
+        and last.get(event['id'], 'given-up') == 'given-up'
+    ]
+
+
 def find_wrong(callers: list[book_types.Event]) -> list[str]:
     """Find whole answers that belong to another request.
 
--- a/packages/e2e/auburnroad_e2e/scenario/claims.py
+++ b/packages/e2e/auburnroad_e2e/scenario/claims.py
@@ -1,7 +1,9 @@
 """Claims that a scenario checks, against the books of users and targets."""
 
 from auburnroad_e2e import book_files
+from auburnroad_e2e import book_types
 from auburnroad_e2e import books
+from auburnroad_e2e import caller_books
 from auburnroad_e2e.scenario import conditions
 from auburnroad_e2e.scenario import script
 from auburnroad_e2e.scenario import world as worlds
@@ -72,17 +74,36 @@
     _claim(not late, f'{name} got {len(late)} requests: {late[:SHOWN]}')
 
 
-@worlds.CLAIMS.register('refused_kind')
-async def check_refused_kind(world: World, kind: str) -> None:
-    """Check that requests of a kind were refused as not run."""
-    refused = [
+@worlds.CLAIMS.register('told')
+async def check_told(world: World, kind: str, outcome: str) -> None:
+    """Check that requests of a kind were told an outcome."""
+    tries = _list_tries(world, kind)
+    told = [one for one in tries if one['outcome'] == outcome]
+    _claim(bool(told), f'no {kind} was told {outcome}')
+
+
+@worlds.CLAIMS.register('right_answers')
+async def check_right_answers(world: World, count: int, kind: str) -> None:
+    """Check that enough requests of a kind were answered rightly."""
+    right = sum(one['right'] for one in _list_tries(world, kind))
+    _claim(right >= count, f'{kind} had {right} right answers')
+
+
+def _list_tries(world: World, kind: str) -> list[book_types.Event]:
+    events = book_files.read_books(world.cluster).callers
+    return [
         one
-        for event in book_files.read_books(world.cluster).callers
-        if event['event'] == 'answered' and event['kind'] == kind
-        for one in event['tries']
-        if one['outcome'] == 'not-run'
+        for event, one in caller_books.list_tries(events)
+        if event['kind'] == kind
     ]
-    _claim(bool(refused), f'no {kind} was refused as not run')
+
+
+@worlds.CLAIMS.register('no_cut_question')
+async def check_no_cut_question(world: World) -> None:
+    """Check that no connection broke on which a trainer waited."""
+    trainers = book_files.read_books(world.cluster).trainers
+    found = books.find_cut_questions(trainers, frozenset())
+    _claim(not found, f'{len(found)} cut off: {found[:SHOWN]}')
 
 
 @worlds.CLAIMS.register('still_in_force')
--- a/packages/standins/auburnroad_standins/caller.py
+++ b/packages/standins/auburnroad_standins/caller.py
@@ -84,7 +84,8 @@
       entry: Entry that was asked.
       status: HTTP status, zero when there was none.
       outcome: What the entry claimed; 'unsent' when nothing left the caller,
-        'broken' when the answer did not come whole.
+        'broken' when the connection broke before the answer's end, 'given-up'
+        when the caller waited no longer.
       code: Code of a refusal, or the error.
       request_id: The entry's id of the request.
       began: Whether the head of an answer came.
@@ -192,9 +193,11 @@
         except client.ConnectError as error:
             done.outcome = 'unsent'
             done.code = str(error)
-        except (client.BrokenError, TimeoutError) as error:
+        except client.BrokenError as error:
             done.outcome = 'broken'
-            done.code = str(error) or 'timed out'
+            done.code = str(error)
+        except TimeoutError:
+            done.outcome = 'given-up'
         return done
 
     async def _exchange(self, kind, call, done: Try) -> None:
@@ -222,7 +225,7 @@
 
 def _is_final(done: Try) -> bool:
     """Tell whether a caller would not try again."""
-    if done.outcome in ('unsent', 'broken'):
+    if done.outcome in ('unsent', 'broken', 'given-up'):
         return done.began
     return done.status < 300 or done.status in FINAL_STATUSES
 
