Publish with the operators' client in demo and scenarios

Cause: the client is there; answers are checked by it, which found that the small shape's drain time was below its longest answer.

--- a/packages/e2e/auburnroad_e2e/cluster.py
+++ b/packages/e2e/auburnroad_e2e/cluster.py
@@ -9,18 +9,14 @@
 import asyncio
 import pathlib
 import time
-import uuid
 
 import msgspec
 
 from auburnroad_client.questionnaire import answers as answer_types
 from auburnroad_client.questionnaire import generate
-from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
-from auburnroad_core.log import records
 from auburnroad_core.platform import host_list
-from auburnroad_core.platform import log_service
 from auburnroad_core.settings import daemon
 from auburnroad_e2e.launch import commands
 from auburnroad_e2e.launch import loopback
@@ -75,6 +71,11 @@
         """HTTP addresses of the entries."""
         return [d.http_address for d in self.daemons if d.role == 'entry']
 
+    @property
+    def answers_path(self) -> pathlib.Path:
+        """Where the answers stand that were published first."""
+        return self.directory / 'answers.json'
+
     def address(self, name: str) -> str:
         """Tell where a stand-in or daemon speaks HTTP.
 
@@ -100,20 +101,10 @@
         )
 
     async def publish(self) -> None:
-        """Publish the configuration, as the operators' client does."""
-        publish = records.Publish(
-            -1,
-            'e2e',
-            clock.time_now_ms(),
-            'first configuration',
-            _encode(generate.build_deployment(self.answers)),
-            _encode(self.answers),
-        )
-        log = log_service.HttpLogService(
-            self.answers.platform.log_service, self.http
-        )
-        record = log_service.NewRecord(uuid.uuid4().hex, _encode(publish))
-        await log.append(records.CONFIGURATION_STREAM, [record])
+        """Publish the configuration with the operators' client."""
+        path = self.answers_path
+        path.write_bytes(msgspec.json.encode(self.answers))
+        await self.run_client('publish', f'--file={path}', '--author=e2e')
 
     async def run_client(self, *arguments: str) -> str:
         """Run the operators' client to its end.
@@ -132,8 +123,7 @@
         status = await run.wait(START_SECONDS)
         if status != 0:
             raise process.ProcessError(
-                f'auburnroad {arguments} ended with {status}:\n'
-                f'{run.read_log()}'
+                f'{" ".join(arguments)} ended with {status}:\n{run.read_log()}'
             )
         return run.read_log()
 
@@ -332,10 +322,6 @@
             )
 
 
-def _encode(value: object) -> msgspec.Raw:
-    return msgspec.Raw(msgspec.json.encode(value))
-
-
 def _relay_log(settings: daemon.Daemon) -> daemon.Daemon:
     """Let a daemon reach the log service and its peers through relays."""
     host = settings.stream_address.rpartition(':')[0]
--- a/packages/e2e/auburnroad_e2e/launch/shape.py
+++ b/packages/e2e/auburnroad_e2e/launch/shape.py
@@ -13,6 +13,7 @@
 
 SMALL_GROUPS = 4
 SMALL_SAMPLES = 2
+SMALL_ANSWER_SECONDS = 20
 SMALL_SAMPLE_SECONDS = 20
 SMALL_DRAIN_SECONDS = 25
 
@@ -64,8 +65,16 @@
         )
         for trainer in answers.trainers
     ]
+    services = [
+        msgspec.structs.replace(
+            service,
+            answer_seconds=min(service.answer_seconds, SMALL_ANSWER_SECONDS),
+        )
+        for service in answers.services
+    ]
     return msgspec.structs.replace(
         answers,
+        services=services,
         places=msgspec.structs.replace(answers.places, target_hosts=hosts),
         trainers=trainers,
         tolerances=msgspec.structs.replace(
--- a/packages/e2e/auburnroad_e2e/scenario/fault_steps.py
+++ b/packages/e2e/auburnroad_e2e/scenario/fault_steps.py
@@ -99,5 +99,7 @@
 async def drain(world: World, phrase) -> None:
     """Drain a host with the operators' client."""
     name = await world.find(phrase)
-    await world.cluster.run_client('drain', f'--host={name}')
+    await world.cluster.run_client(
+        'drain', f'--host={name}', f'--answers={world.cluster.answers_path}'
+    )
     world.left_at_ms[name] = clock.time_now_ms()
