Let stand-ins lose answers again

Cause: since a handler's failure is answered with 500, a stand-in that is to lose an answer after its action answered 500 instead; target-dies failed ('no post was told unknown') and seal-answer-lost checked nothing.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -215,7 +215,8 @@
 def _take_result(work: asyncio.Task) -> messages.Response:
     """Take the handler's response; a fault of ours is answered as such."""
     error = work.exception()
-    if error is None:
+    if error is None or isinstance(error, OSError):
+        # A handler that can't answer says so by a failed connection.
         return work.result()
     logging.error('a handler failed', exc_info=error)
     return messages.json_response(
