--- a/packages/e2e/auburnroad_e2e/cluster.py
+++ b/packages/e2e/auburnroad_e2e/cluster.py
@@ -71,6 +71,11 @@
         """HTTP addresses of the entries."""
         return [d.http_address for d in self.daemons if d.role == 'entry']
 
+    @property
+    def answers_path(self) -> pathlib.Path:
+        """Where the answers stand that were published first."""
+        return self.directory / 'answers.json'
+
     def address(self, name: str) -> str:
         """Tell where a stand-in or daemon speaks HTTP.
 
@@ -97,7 +102,7 @@
 
     async def publish(self) -> None:
         """Publish the configuration with the operators' client."""
-        path = self.directory / 'answers.json'
+        path = self.answers_path
         path.write_bytes(msgspec.json.encode(self.answers))
         await self.run_client('publish', f'--file={path}', '--author=e2e')
 
@@ -118,8 +123,7 @@
         status = await run.wait(START_SECONDS)
         if status != 0:
             raise process.ProcessError(
-                f'auburnroad {arguments} ended with {status}:\n'
-                f'{run.read_log()}'
+                f'{" ".join(arguments)} ended with {status}:\n{run.read_log()}'
             )
         return run.read_log()
 
