Read engines' streams with less work for each token

Cause: a profile of a side under 16 streams showed the renewal of the silence limit (1.1 of 7.4 s of the reading) and one turn of the loop for each token beside h11's own work. Ruled out: dropping h11, which the house style asks for. Change: the silence limit keeps one timer; tokens that came together are handed on together; a fast stream is read with short pauses, but for its first and last tokens; chunks leave at most every 20 ms without a second delay; timers of an idle side fire less often. A pause of the process itself is no silence of the engine any more.

--- a/packages/daemon/auburnroad_daemon/connection/engine.py
+++ b/packages/daemon/auburnroad_daemon/connection/engine.py
@@ -122,8 +122,8 @@
 
     def complete(
         self, completion: Completion
-    ) -> typing.AsyncGenerator[Tokens, None]:
-        """Yield tokens until the engine says why it stopped.
+    ) -> typing.AsyncGenerator[list[Tokens], None]:
+        """Yield lists of tokens until the engine says why it stopped.
 
         Raises:
           EngineUnreachableError: If nothing was sent.
--- a/packages/daemon/auburnroad_daemon/connection/fake_engine_test.py
+++ b/packages/daemon/auburnroad_daemon/connection/fake_engine_test.py
@@ -117,7 +117,11 @@
 
     async def complete(self):
         completion = engine.Completion('r1', 'm', 'p', 3)
-        return [event async for event in self.engine.complete(completion)]
+        return [
+            event
+            async for events in self.engine.complete(completion)
+            for event in events
+        ]
 
     async def test_yields_tokens_with_versions_until_the_reason(self):
         events = await self.complete()
--- a/packages/daemon/auburnroad_daemon/connection/http_engine.py
+++ b/packages/daemon/auburnroad_daemon/connection/http_engine.py
@@ -11,6 +11,7 @@
 LOAD_TIMEOUT_SECONDS = 1.0
 CANCEL_TIMEOUT_SECONDS = 2.0
 ORDER_TIMEOUT_SECONDS = 20.0
+DATA_PREFIX = b'data:'
 END_OF_STREAM = b'[DONE]'
 
 _TOKENS = msgspec.json.Decoder(engine.Tokens)
@@ -31,14 +32,14 @@
 
     async def complete(
         self, completion: engine.Completion
-    ) -> typing.AsyncGenerator[engine.Tokens, None]:
-        """Yield tokens until the engine says why it stopped.
+    ) -> typing.AsyncGenerator[list[engine.Tokens], None]:
+        """Yield lists of tokens until the engine says why it stopped.
 
         Args:
           completion: The request.
 
         Yields:
-          Tokens as they come.
+          Tokens that came together, at least one.
 
         Raises:
           EngineUnreachableError: If nothing was sent.
@@ -52,8 +53,12 @@
             if reply.status != 200:
                 message = (await reply.read()).decode('utf-8', 'replace')
                 raise engine.EngineRejectedError(reply.status, message)
-            async for event in _iterate_events(reply):
-                yield event
+            rest = b''
+            async for part in reply.iterate():
+                *lines, rest = (rest + part).split(b'\n')
+                events = _parse_events(lines)
+                if events:
+                    yield events
         except client.ConnectError as error:
             raise engine.EngineUnreachableError(str(error)) from error
         except (client.HttpError, msgspec.DecodeError) as error:
@@ -132,14 +137,11 @@
         raise engine.EngineBrokenError(str(error)) from error
 
 
-async def _iterate_events(reply: client.Reply):
-    """Yield the events of a stream; one without its end is broken."""
-    rest = b''
-    async for part in reply.iterate():
-        *lines, rest = (rest + part).split(b'\n')
-        for line in lines:
-            if not line.startswith(b'data:'):
-                continue
-            data = line[5:].strip()
-            if data != END_OF_STREAM:
-                yield _TOKENS.decode(data)
+def _parse_events(lines: list[bytes]) -> list[engine.Tokens]:
+    """Parse the whole lines of a stream of server-sent events."""
+    return [
+        _TOKENS.decode(line[len(DATA_PREFIX) :])
+        for line in lines
+        if line.startswith(DATA_PREFIX)
+        and line[len(DATA_PREFIX) :].strip() != END_OF_STREAM
+    ]
--- a/packages/daemon/auburnroad_daemon/connection/probes.py
+++ b/packages/daemon/auburnroad_daemon/connection/probes.py
@@ -6,15 +6,16 @@
 from auburnroad_core import clock
 from auburnroad_daemon.connection import engine
 from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.connection import waiting
 from auburnroad_daemon.version import side_configuration
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.25
 
 
 class Probes:
     """Probes each replica when its time has come."""
 
-    __slots__ = ('_replicas', '_configuration', '_changed', '_tasks')
+    __slots__ = ('_replicas', '_configuration', '_changed', '_tasks', '_wake')
 
     def __init__(
         self,
@@ -26,13 +27,18 @@
         self._configuration = configuration
         self._changed = changed
         self._tasks: dict[str, asyncio.Task] = {}
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Look for due probes now."""
+        self._wake.set()
 
     async def run(self) -> None:
         """Probe until the task is cancelled."""
         try:
             while True:
                 self._start_due()
-                await asyncio.sleep(TICK_SECONDS)
+                await waiting.wait_briefly(self._wake, TICK_SECONDS)
         finally:
             for task in self._tasks.values():
                 task.cancel()
--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -261,6 +261,7 @@
 
     def _handle_configuration(self, peer: stream.Stream, message) -> None:
         if self._configuration.apply(message):
+            self._probes.wake()
             self._requests.dispatch()
 
     async def _drain(self) -> None:
--- a/packages/daemon/auburnroad_daemon/request/run.py
+++ b/packages/daemon/auburnroad_daemon/request/run.py
@@ -12,7 +12,9 @@
 from auburnroad_core.wire import messages
 from auburnroad_daemon.connection import engine
 from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.connection import silence
 from auburnroad_daemon.request import attempt as attempt_module
+from auburnroad_daemon.request import pace
 from auburnroad_daemon.request import token_writer
 
 ENGINE_SILENCE_SECONDS = 5.0
@@ -93,14 +95,22 @@
     """Read the engine's stream to its end; return why it stopped."""
     loop = asyncio.get_running_loop()
     model = attempt.submit.model
+    reading = pace.Pace(
+        completion.max_tokens - completion.resume_at, attempt.submit.streamed
+    )
     reason = None
     try:
-        async with asyncio.timeout(ENGINE_SILENCE_SECONDS) as limit:
-            async for event in replica.engine.complete(completion):
-                limit.reschedule(loop.time() + ENGINE_SILENCE_SECONDS)
-                writer.add(event)
-                replica.note_version(model, event.version, clock.time_now_ms())
-                reason = event.finish_reason or reason
+        async with silence.SilenceLimit(ENGINE_SILENCE_SECONDS) as limit:
+            async for events in replica.engine.complete(completion):
+                limit.renew()
+                for event in events:
+                    writer.add(event)
+                    reason = event.finish_reason or reason
+                now_ms = clock.time_now_ms()
+                replica.note_version(model, events[-1].version, now_ms)
+                pause = reading.compute_pause(writer.tokens, loop.time())
+                if pause:
+                    await asyncio.sleep(pause)
     except TimeoutError as error:
         raise engine.EngineBrokenError('the engine fell silent') from error
     except engine.EngineBrokenError:
--- a/packages/daemon/auburnroad_daemon/request/side_queue.py
+++ b/packages/daemon/auburnroad_daemon/request/side_queue.py
@@ -210,11 +210,7 @@
     def _choose(self, free, settings) -> ordering.Waiting | None:
         ready = [r for r in self._replicas if r.health.up]
         configured = self._configuration.deployment
-        waiting = [
-            self._waiting[attempt.request_id]
-            for attempt in self._attempts.values()
-            if any(placement.is_fresh(r, attempt.submit) for r in free)
-        ]
+        waiting = self._find_servable(free)
         slots = [r.count_slots(settings.slots_per_replica) for r in ready]
         share = configured.limits.interactive_share
         view = ordering.View(
@@ -227,6 +223,19 @@
         )
         return ordering.ORDERINGS.get(configured.policies.ordering)(view)
 
+    def _find_servable(self, free) -> list[ordering.Waiting]:
+        """Find what waits and has a free replica with weights new enough."""
+        newest: dict[str, int] = {}
+        servable = []
+        for attempt in self._attempts.values():
+            submit = attempt.submit
+            if submit.model not in newest:
+                versions = [r.get_version(submit.model) for r in free]
+                newest[submit.model] = max(versions)
+            if newest[submit.model] >= submit.minimum_version:
+                servable.append(self._waiting[attempt.request_id])
+        return servable
+
     def _begin(self, attempt, replica) -> None:
         submit = attempt.submit
         replica.running.add(attempt.request_id)
--- a/packages/daemon/auburnroad_daemon/request/side_requests.py
+++ b/packages/daemon/auburnroad_daemon/request/side_requests.py
@@ -19,7 +19,7 @@
 from auburnroad_daemon.request import side_queue
 from auburnroad_daemon.version import side_configuration
 
-SWEEP_SECONDS = 0.05
+SWEEP_SECONDS = 0.1
 # A call that may not be repeated goes on for this long behind its deadline,
 # since only its end can say whether it was run.
 LATE_RUN_MS = 30_000
--- a/packages/daemon/auburnroad_daemon/request/token_writer.py
+++ b/packages/daemon/auburnroad_daemon/request/token_writer.py
@@ -22,6 +22,7 @@
         '_text',
         '_pending_spans',
         '_timer',
+        '_flush_at',
         '_size',
         'spans',
     )
@@ -31,6 +32,7 @@
         self._text: list[str] = []
         self._pending_spans: list[types.VersionSpan] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._flush_at = 0.0
         self._size = 0
         self.spans: list[types.VersionSpan] = []
 
@@ -53,11 +55,12 @@
         self._size += len(event.text)
         if not self._attempt.submit.streamed:
             return
-        if start == 0 or self._size >= FLUSH_CHARACTERS:
+        if self._size >= FLUSH_CHARACTERS:
             self.flush()
         elif self._timer is None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(FLUSH_SECONDS, self.flush)
+            # In the past for a first token or after a pause.
+            self._timer = loop.call_at(self._flush_at, self.flush)
 
     def flush(self) -> None:
         """Send what has been collected, if the answer is streamed."""
@@ -68,6 +71,8 @@
             return
         text = ''.join(self._text)
         if text or self._pending_spans:
+            loop = asyncio.get_running_loop()
+            self._flush_at = loop.time() + FLUSH_SECONDS
             self._attempt.send_chunk(text, self._pending_spans)
         self._text = []
         self._size = 0
--- a/packages/daemon/auburnroad_daemon/version/swapper.py
+++ b/packages/daemon/auburnroad_daemon/version/swapper.py
@@ -14,12 +14,13 @@
 from auburnroad_core.platform import weight_store
 from auburnroad_daemon.connection import engine
 from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.connection import waiting
 from auburnroad_daemon.process import metrics as metrics_module
 from auburnroad_daemon.version import relay as relay_module
 from auburnroad_daemon.version import side_configuration
 from auburnroad_daemon.version import swaps
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.25
 
 
 class Swapper:
@@ -78,12 +79,7 @@
         try:
             while True:
                 self._give_orders()
-                self._wake.clear()
-                try:
-                    async with asyncio.timeout(TICK_SECONDS):
-                        await self._wake.wait()
-                except TimeoutError:
-                    continue
+                await waiting.wait_briefly(self._wake, TICK_SECONDS)
         finally:
             for task in self._tasks:
                 task.cancel()
