Measure what idle daemons use, against their number

Cause: docs/CAPACITY.md needs slopes of control for entry and side.

Process has its id as a property, for psutil.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := core daemon client standins e2e
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint unit scenarios golden demo bench test clean
+.PHONY: setup format lint unit scenarios golden demo bench capacity test clean
 
 setup: $(STAMP)
 
@@ -39,6 +39,9 @@
 bench: setup
 	$(BIN)/python -m auburnroad_e2e.bench
 
+capacity: setup
+	$(BIN)/python -m auburnroad_e2e.capacity
+
 test: lint unit
 
 clean:
--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the slopes from which docs/CAPACITY.md works the size out."""
--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/capacity/registry.py
@@ -0,0 +1,25 @@
+"""The measurements by name, and the letter's size that all of them use."""
+
+import asyncio
+import time
+import typing
+
+from auburnroad_core import registry
+
+ENTRIES = 10
+SIDES = 360
+REPLICAS = 3500
+REPLICAS_PER_SIDE = REPLICAS / SIDES
+
+Measurement = typing.Callable[[], typing.Awaitable[dict[str, object]]]
+MEASUREMENTS: registry.Registry[Measurement] = registry.Registry('measurement')
+
+
+def say(text: str) -> None:
+    """Print a line of progress."""
+    print(f'{time.strftime("%H:%M:%S")} {text}', flush=True)
+
+
+async def settle(seconds: float) -> None:
+    """Let what a start has stirred up come to rest."""
+    await asyncio.sleep(seconds)
--- a/packages/e2e/auburnroad_e2e/launch/process.py
+++ b/packages/e2e/auburnroad_e2e/launch/process.py
@@ -43,6 +43,17 @@
         """Whether the process runs and isn't paused."""
         return self.running and not self._frozen
 
+    @property
+    def pid(self) -> int:
+        """Id of the process.
+
+        Raises:
+          ProcessError: If it was never started.
+        """
+        if self._popen is None:
+            raise ProcessError(f'{self.name} was never started')
+        return self._popen.pid
+
     @property
     def status(self) -> int | None:
         """Exit status, negative for a signal; None while it runs."""
