Show where a unit test hangs

Cause: one run of the unit tests stood still after 148 of 264 tests until its time limit of 200 s; its dots did not say where. Change: names instead of dots, and the stacks of a run that takes 300 s. Conclusion: the cause is not found yet; the next hang will name its test.

--- a/packages/e2e/auburnroad_e2e/unit.py
+++ b/packages/e2e/auburnroad_e2e/unit.py
@@ -4,6 +4,7 @@
 counts what passed and what failed.
 """
 
+import faulthandler
 import random
 import sys
 import unittest
@@ -11,6 +12,8 @@
 from auburnroad_e2e import known_red
 
 SEED = 20261203
+# A test that hangs ends the run with the stacks of all threads.
+HANG_SECONDS = 300
 
 
 def iterate_tests(suite):
@@ -56,11 +59,12 @@
       Zero when nothing failed.
     """
     random.seed(SEED)
+    faulthandler.dump_traceback_later(HANG_SECONDS, exit=True)
     pattern = sys.argv[1] if len(sys.argv) > 1 else ''
     entries = known_red.read_entries()
     red = {entry.test for entry in entries}
     cases = [case for case in load_tests(pattern) if case.id() not in red]
-    runner = unittest.TextTestRunner(buffer=True)
+    runner = unittest.TextTestRunner(buffer=True, verbosity=2)
     result = runner.run(unittest.TestSuite(cases))
     known_red.print_entries(entries)
     failed = len(result.failures) + len(result.errors)
