--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 capacity: setup
 	$(BIN)/python -m auburnroad_e2e.capacity
 
-test: lint unit
+test: lint unit scenarios
 
 clean:
 	rm -rf $(VENV) packages/*/*.egg-info
