Split ownership and owner by their jobs

Change: way.py chooses what is done with a request, trainer_calls.py performs and answers it, sealer.py seals, owner_refusals.py holds the typed errors and copies.py gathers copies; no behaviour changes.

--- a/packages/daemon/auburnroad_daemon/process/entry.py
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -43,6 +43,7 @@
 from auburnroad_daemon.version import configuration
 from auburnroad_daemon.version import ownership
 from auburnroad_daemon.version import trainer_api
+from auburnroad_daemon.version import trainer_calls
 from auburnroad_daemon.version import trainer_log
 
 PLATFORM_POLL_SECONDS = 1.0
@@ -274,7 +275,7 @@
     async def _answer(self, request, handle) -> http_messages.Response:
         """Run a caller's handler, if there is a configuration."""
         if self._deployment is None:
-            return ownership.refuse_later(
+            return trainer_calls.refuse_later(
                 'no_configuration', 'not configured yet'
             )
         try:
--- a/packages/daemon/auburnroad_daemon/version/copies.py
+++ b/packages/daemon/auburnroad_daemon/version/copies.py
@@ -12,10 +12,12 @@
 import msgspec
 
 from auburnroad_core.wire import messages
+from auburnroad_daemon.connection import peer_link
 from auburnroad_daemon.process import entry_metrics as metrics
 from auburnroad_daemon.version import ledger as ledgers
 
 ACKNOWLEDGE_TIMEOUT_SECONDS = 1.0
+GATHER_TIMEOUT_SECONDS = 1.0
 
 _CHANGE_DECODER = msgspec.msgpack.Decoder(ledgers.Change)
 
@@ -238,3 +240,35 @@
         return None
     newest = max(held, key=lambda a: (a.claim, a.sequence))
     return msgspec.msgpack.decode(newest.ledger, type=ledgers.Ledger)
+
+
+async def gather_ledger(
+    trainer: str,
+    own: messages.CopyAnswer,
+    links: list[peer_link.PeerLink],
+) -> ledgers.Ledger:
+    """Ask every peer for its copy of a ledger and take the newest.
+
+    Args:
+      trainer: Trainer's name.
+      own: What this daemon holds itself.
+      links: Links to the other entries.
+
+    Returns:
+      The newest ledger; an empty one when nobody holds any.
+    """
+    asked = [
+        asyncio.ensure_future(
+            link.ask(lambda id_: messages.CopyRequest(id_, trainer))
+        )
+        for link in links
+        if link.connected
+    ]
+    if asked:
+        await asyncio.wait(asked, timeout=GATHER_TIMEOUT_SECONDS)
+    found = [own]
+    for task in asked:
+        if task.done() and task.exception() is None:
+            found.append(task.result())
+        task.cancel()
+    return choose_newest(found) or ledgers.Ledger(trainer)
--- a/packages/daemon/auburnroad_daemon/version/owner.py
+++ b/packages/daemon/auburnroad_daemon/version/owner.py
@@ -6,12 +6,10 @@
 """
 
 import asyncio
-import enum
 import typing
 
 from auburnroad_core.log import records
 from auburnroad_core.log import trainer_fold
-from auburnroad_core.platform import log_service
 from auburnroad_core.settings import deployment
 from auburnroad_core import types
 from auburnroad_daemon.process import entry_metrics as metrics
@@ -19,46 +17,9 @@
 from auburnroad_daemon.version import copies
 from auburnroad_daemon.version import generator
 from auburnroad_daemon.version import ledger as ledgers
+from auburnroad_daemon.version import owner_refusals
 from auburnroad_daemon.version import samples
-
-SEAL_TIMEOUT_SECONDS = 5.0
-
-
-class Refusal(enum.StrEnum):
-    """Why a trainer's request can't be met now."""
-
-    UNKNOWN_STEP = 'unknown_step'
-    NOT_READY = 'step_not_ready'
-    CONTENTS_LOST = 'sealed_contents_lost'
-    STALE = 'sealed_step_stale'
-    GENERATION = 'wrong_generation'
-    GROUP_DIFFERS = 'group_differs'
-    VERSION_BACK = 'version_went_back'
-    LOG_UNAVAILABLE = 'log_unavailable'
-    NOT_OWNER = 'not_owner'
-    ALREADY_TAKEN = 'step_already_taken'
-
-
-class RefusedError(Exception):
-    """A trainer's request that is refused, for a reason it can act on."""
-
-    def __init__(self, refusal: Refusal, message: str):
-        super().__init__(message)
-        self.refusal = refusal
-
-
-class Log(typing.Protocol):
-    """What an owner needs of the trainers' stream and its fold."""
-
-    @property
-    def up(self) -> bool:
-        """Whether the log service answers."""
-
-    def find(self, trainer: str) -> trainer_fold.TrainerState:
-        """Find the folded state of a trainer."""
-
-    async def append(self, record: records.Record) -> int:
-        """Append a record and return its offset once it is folded."""
+from auburnroad_daemon.version import sealer
 
 
 class Owner:
@@ -68,6 +29,7 @@
         '_log',
         '_ledger',
         '_copier',
+        '_sealer',
         '_generator',
         '_trainer',
         '_claim',
@@ -80,7 +42,7 @@
 
     def __init__(
         self,
-        log: Log,
+        log: sealer.Log,
         ledger: ledgers.Ledger,
         claim: int,
         current: deployment.Deployment,
@@ -94,6 +56,7 @@
         self._claim = claim
         self._trainer = current.find_trainer(ledger.trainer)
         self._copier = copies.Copier(ledger, claim, choose_holder)
+        self._sealer = sealer.Sealer(log, ledger, self._copier, claim)
         self._generator = generator.Generator(
             dispatcher, count_slots, self._accept, ledger, self._trainer, claim
         )
@@ -153,8 +116,8 @@
           RefusedError: If the version went back.
         """
         if strict and version < self._ledger.version:
-            raise RefusedError(
-                Refusal.VERSION_BACK,
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.VERSION_BACK,
                 f'version {self._ledger.version} is known already; a run '
                 'that starts over goes on above it',
             )
@@ -177,13 +140,13 @@
           RefusedError: If a group differs, or the step is sealed.
         """
         self._check_generation(change.step, change.generation)
-        if self._is_sealed(change.step, change.generation):
+        if self._sealer.is_sealed(change.step, change.generation):
             return len(change.prompts)
         try:
             new = ledgers.find_new_prompts(self._ledger, change)
         except ledgers.GroupDiffersError as error:
-            raise RefusedError(
-                Refusal.GROUP_DIFFERS,
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.GROUP_DIFFERS,
                 f'group {error} was submitted with another prompt',
             ) from error
         if new:
@@ -217,7 +180,7 @@
         self._finish_before(step)
         self._asked_step = max(self._asked_step, step)
         self._plan()
-        if not self._is_sealed(step, generation):
+        if not self._sealer.is_sealed(step, generation):
             await self._wait_ready(step, generation, wait_seconds)
             async with self._sealing:
                 await self._seal(step, generation)
@@ -237,14 +200,15 @@
           RefusedError: If the log service can't take the record.
         """
         current = self._state.find_generation(step)
-        if generation == current and self._is_sealed(step, generation):
-            await self._append(
+        if generation == current and self._sealer.is_sealed(step, generation):
+            await self._sealer.append(
                 records.Void(self._trainer.name, step, generation, self._claim)
             )
             current = self._state.find_generation(step)
         if current != generation + 1:
-            raise RefusedError(
-                Refusal.GENERATION, f'generation {current} is the newest'
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.GENERATION,
+                f'generation {current} is the newest',
             )
         own = [
             identity
@@ -300,20 +264,16 @@
                 self._copier.apply(ledgers.DropSamples(identity, indices))
         self._generator.wake()
 
-    def _is_sealed(self, step: int, generation: int) -> bool:
-        sealed = self._state.sealed.get(step)
-        return sealed is not None and sealed.generation == generation
-
     def _check_generation(self, step: int, generation: int) -> None:
         current = self._state.find_generation(step)
         if generation != current:
-            raise RefusedError(
-                Refusal.GENERATION,
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.GENERATION,
                 f'step {step} is at generation {current}',
             )
         if step < self._state.newest_step:
-            raise RefusedError(
-                Refusal.ALREADY_TAKEN,
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.ALREADY_TAKEN,
                 f'step {self._state.newest_step} was sealed later',
             )
 
@@ -357,8 +317,9 @@
             for g in self._ledger.groups.values()
         )
         if not known:
-            raise RefusedError(
-                Refusal.UNKNOWN_STEP, f'submit the groups of step {step}'
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.UNKNOWN_STEP,
+                f'submit the groups of step {step}',
             )
         try:
             async with asyncio.timeout(wait_seconds):
@@ -366,87 +327,32 @@
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
-            raise RefusedError(
-                Refusal.NOT_READY, f'step {step} is not whole yet'
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.NOT_READY,
+                f'step {step} is not whole yet',
             ) from None
         self._check_open()
 
-    def _check_open(self) -> None:
-        if self.closed or self._state.claim != self._claim:
-            raise RefusedError(
-                Refusal.NOT_OWNER, 'another entry owns the trainer now'
-            )
-
     async def _seal(self, step: int, generation: int) -> None:
-        """Fix the contents and have the seal read back as effective."""
-        if self._is_sealed(step, generation):
+        """Seal a step, unless a question before has done it."""
+        if self._sealer.is_sealed(step, generation):
             return
-        sealed = self._prepare(step, generation)
-        await self._copier.wait_copied()
-        await self._append(
-            records.Seal(
-                self._trainer.name,
-                step,
-                generation,
-                self._claim,
-                self._ledger.version,
-                sealed.groups,
-                sealed.digest,
-                sealed.carried,
-            )
+        await self._sealer.seal(
+            step, generation, lambda: self._choose(step, generation)
         )
-        self._check_open()
-        effective = self._state.sealed.get(step)
-        won = effective is not None and effective.digest == sealed.digest
-        metrics.SEALS.labels('effective' if won else 'no effect').inc()
-
-    def _prepare(self, step: int, generation: int) -> ledgers.Sealed:
-        """Fix the contents, anew only if no earlier seal can be pending."""
-        pending = self._ledger.sealed.get(step)
-        if pending is not None and pending.generation == generation:
-            return pending
-        groups = self._choose(step, generation)
-        if groups is None:
-            raise RefusedError(
-                Refusal.NOT_READY, f'step {step} is not whole any more'
-            )
-        sealed = ledgers.build_sealed(
-            self._ledger, step, generation, self._ledger.version, groups
-        )
-        self._copier.apply(ledgers.Prepare(sealed))
-        return sealed
-
-    async def _append(self, record: records.Record) -> None:
-        try:
-            async with asyncio.timeout(SEAL_TIMEOUT_SECONDS):
-                await self._log.append(record)
-        except (log_service.LogError, TimeoutError) as error:
-            raise RefusedError(
-                Refusal.LOG_UNAVAILABLE, 'the log service is unavailable'
-            ) from error
 
     def _hand_over(self, step: int, generation: int) -> bytes:
         """Return the sealed contents, if they are held and still fresh."""
         self._check_open()
-        sealed = self._state.sealed.get(step)
-        contents = self._ledger.sealed.get(step)
-        if sealed is None or sealed.generation != generation:
-            raise RefusedError(
-                Refusal.NOT_READY, f'step {step} was not sealed'
-            )
-        if contents is None or contents.digest != sealed.digest:
-            raise RefusedError(
-                Refusal.CONTENTS_LOST,
-                'no daemon holds the contents any more; go on with the next '
-                'step if this one was taken, else void it',
-            )
-        bound = self._trainer.staleness_bound
-        if contents.oldest_version < self._ledger.version - bound:
-            raise RefusedError(
-                Refusal.STALE,
-                'the step is too stale for the version that the trainer is '
-                'at; go on with the next step, or void it',
-            )
+        oldest = self._ledger.version - self._trainer.staleness_bound
+        contents = self._sealer.find_contents(step, generation, oldest)
         metrics.SAMPLES.labels('handed over').inc()
         self._plan()
         return contents.body
+
+    def _check_open(self) -> None:
+        if self.closed or self._state.claim != self._claim:
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.NOT_OWNER,
+                'another entry owns the trainer now',
+            )
--- a/packages/daemon/auburnroad_daemon/version/ownership.py
+++ b/packages/daemon/auburnroad_daemon/version/ownership.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import enum
 import typing
 
 from absl import logging
@@ -15,44 +14,26 @@
 from auburnroad_core import clock
 from auburnroad_core.http import messages
 from auburnroad_core.log import records
-from auburnroad_core.log import trainer_fold
 from auburnroad_core.platform import log_service
 from auburnroad_core.settings import deployment
-from auburnroad_core import types
 from auburnroad_core.wire import messages as wire
 from auburnroad_daemon.connection import peer_link
 from auburnroad_daemon.process import entry_metrics as metrics
 from auburnroad_daemon.request import answers
 from auburnroad_daemon.request import dispatch
 from auburnroad_daemon.version import copies
-from auburnroad_daemon.version import ledger as ledgers
 from auburnroad_daemon.version import owner as owners
+from auburnroad_daemon.version import owner_refusals
+from auburnroad_daemon.version import sealer
 from auburnroad_daemon.version import trainer_api
+from auburnroad_daemon.version import trainer_calls
+from auburnroad_daemon.version import way as ways
 
-COPY_TIMEOUT_SECONDS = 1.0
 CLAIM_TIMEOUT_SECONDS = 3.0
 RETRY_SECONDS = 0.1
 SERVE_SECONDS = 40.0
-COME_BACK_MS = 500
 SETTLE_MS = 2000
 
-_STATUSES = {
-    owners.Refusal.UNKNOWN_STEP: 404,
-    owners.Refusal.NOT_READY: 503,
-    owners.Refusal.LOG_UNAVAILABLE: 503,
-    owners.Refusal.NOT_OWNER: 503,
-}
-CONFLICT_STATUS = 409
-
-
-class Way(enum.Enum):
-    """What an entry does with a trainer's request."""
-
-    SERVE = 'serve'
-    FORWARD = 'forward'
-    CLAIM = 'claim'
-    WAIT = 'wait'
-
 
 class Peers(typing.Protocol):
     """The other entries; see connection/peers.py."""
@@ -68,39 +49,6 @@
         """Choose the entry that holds copies for this one."""
 
 
-def choose_way(
-    state: trainer_fold.TrainerState,
-    name: str,
-    incarnation: str,
-    peer: peer_link.PeerLink | None,
-    settled: bool,
-) -> Way:
-    """Choose what to do with a trainer's request.
-
-    Args:
-      state: What the log says of the trainer.
-      name: This daemon's name.
-      incarnation: This daemon's incarnation.
-      peer: Link to the owner that the log names, if one is known.
-      settled: Whether this daemon has run for long enough to have met every
-        entry that is alive.
-
-    Returns:
-      The way.
-    """
-    if state.claim < 0:
-        return Way.CLAIM
-    if state.owner == name:
-        mine = state.incarnation == incarnation
-        return Way.SERVE if mine else Way.CLAIM
-    if peer is None:
-        return Way.CLAIM if settled else Way.WAIT
-    if peer.connected:
-        same = peer.incarnation == state.incarnation
-        return Way.FORWARD if same else Way.CLAIM
-    return Way.CLAIM if peer.lost else Way.WAIT
-
-
 class Ownership:
     """The trainers that this entry owns, and the way to all others."""
 
@@ -124,7 +72,7 @@
         self,
         name: str,
         incarnation: str,
-        log: owners.Log,
+        log: sealer.Log,
         peers: Peers,
         dispatcher: dispatch.Dispatcher,
         count_slots: typing.Callable[[str], int],
@@ -195,7 +143,9 @@
         except answers.BadRequestError as error:
             return answers.refuse_bad_request(error)
         if self._deployment is None:
-            return refuse_later('no_configuration', 'not configured yet')
+            return trainer_calls.refuse_later(
+                'no_configuration', 'not configured yet'
+            )
         if self._deployment.find_trainer(name) is None:
             return answers.build_refusal(
                 404, 'unknown_trainer', f'no trainer {name!r} is configured'
@@ -217,7 +167,7 @@
         name = trainer_api.parse_trainer(request.path)
         response = await self._serve(name, request)
         if response is None:
-            response = refuse_later('not_owner', 'not the owner')
+            response = trainer_calls.refuse_later('not_owner', 'not the owner')
         return wire.Forwarded(
             message.request_id,
             response.status,
@@ -251,24 +201,26 @@
             if response is not None:
                 return response
             await asyncio.sleep(RETRY_SECONDS)
-        return refuse_later('no_owner', 'no entry could take the trainer')
+        return trainer_calls.refuse_later(
+            'no_owner', 'no entry could take the trainer'
+        )
 
     async def _try_once(self, name, request) -> messages.Response | None:
         state = self._log.find(name)
         peer = self._peers.find(state.owner)
-        way = choose_way(
+        way = ways.choose_way(
             state,
             self._name,
             self._incarnation,
             peer,
             clock.time_now_ms() >= self._settled_at_ms,
         )
-        if way is Way.SERVE:
+        if way is ways.Way.SERVE:
             response = await self._serve(name, request)
             return response or await self._rebuild(name, state.claim)
-        if way is Way.FORWARD:
+        if way is ways.Way.FORWARD:
             return await self._forward(name, peer, request)
-        if way is Way.WAIT:
+        if way is ways.Way.WAIT:
             return None
         return await self._claim(name, state.claim)
 
@@ -279,11 +231,11 @@
             return None
         action = trainer_api.parse_action(request)
         try:
-            return await _perform(owner, action)
-        except owners.RefusedError as error:
-            if error.refusal is owners.Refusal.NOT_OWNER:
+            return await trainer_calls.perform(owner, action)
+        except owner_refusals.RefusedError as error:
+            if error.refusal is owner_refusals.Refusal.NOT_OWNER:
                 return None
-            return _refuse(error)
+            return trainer_calls.refuse(error)
 
     async def _rebuild(
         self, name: str, claim: int
@@ -321,7 +273,9 @@
     ) -> messages.Response | None:
         """Claim a trainer; the caller looks again afterwards."""
         if self._leaving:
-            return refuse_later('leaving', 'this entry is leaving')
+            return trainer_calls.refuse_later(
+                'leaving', 'this entry is leaving'
+            )
         lock = self._claiming.setdefault(name, asyncio.Lock())
         async with lock:
             if self._log.find(name).claim != current:
@@ -333,7 +287,7 @@
                 async with asyncio.timeout(CLAIM_TIMEOUT_SECONDS):
                     offset = await self._log.append(record)
             except (log_service.LogError, TimeoutError):
-                return refuse_later(
+                return trainer_calls.refuse_later(
                     'log_unavailable', 'the trainer has no owner now'
                 )
             await self._begin(name, offset)
@@ -345,7 +299,8 @@
         metrics.CLAIMS.labels('effective' if won else 'no effect').inc()
         if not won or self._deployment.find_trainer(name) is None:
             return
-        ledger = await self._find_ledger(name)
+        own = self.answer_copy(wire.CopyRequest('', name))
+        ledger = await copies.gather_ledger(name, own, self._peers.links)
         former = self._owners.pop(name, None)
         if former is not None:
             await former.close()
@@ -361,82 +316,3 @@
             self._on_version,
         )
         logging.info('owner of trainer %s under claim %d', name, offset)
-
-    async def _find_ledger(self, name: str) -> ledgers.Ledger:
-        """Ask every peer for its copy and take the newest."""
-        own = self.answer_copy(wire.CopyRequest('', name))
-        asked = [
-            asyncio.ensure_future(
-                peer.ask(lambda request_id: wire.CopyRequest(request_id, name))
-            )
-            for peer in self._peers.links
-            if peer.connected
-        ]
-        if asked:
-            await asyncio.wait(asked, timeout=COPY_TIMEOUT_SECONDS)
-        found = [own]
-        for task in asked:
-            if task.done() and task.exception() is None:
-                found.append(task.result())
-            task.cancel()
-        ledger = copies.choose_newest(found)
-        return ledger or ledgers.Ledger(name)
-
-
-async def _perform(
-    owner: owners.Owner, action: trainer_api.Action
-) -> messages.Response:
-    """Perform a trainer's call on its owner."""
-    match action:
-        case trainer_api.Show():
-            return _answer(owner.describe())
-        case trainer_api.SetVersion(version=version):
-            await owner.set_version(version, strict=True)
-            return _answer({'version': version})
-        case trainer_api.Submit(version=version, change=change):
-            await owner.set_version(version)
-            return _answer({'accepted': await owner.submit(change)})
-        case trainer_api.Void(step=step, generation=generation):
-            return _answer({'generation': await owner.void(step, generation)})
-    body = await owner.take(
-        action.step, action.generation, action.version, action.wait_seconds
-    )
-    headers = {
-        'content-type': messages.JSON_TYPE,
-        answers.OUTCOME_HEADER: str(types.Outcome.RUN),
-    }
-    return messages.Response(200, headers, body)
-
-
-def _answer(value: object) -> messages.Response:
-    return messages.json_response(
-        200, value, {answers.OUTCOME_HEADER: str(types.Outcome.RUN)}
-    )
-
-
-def _refuse(error: owners.RefusedError) -> messages.Response:
-    status = _STATUSES.get(error.refusal, CONFLICT_STATUS)
-    retry_at_ms = 0
-    if error.refusal is owners.Refusal.NOT_READY:
-        # It has waited as long as it wanted; the next question may wait on.
-        retry_at_ms = clock.time_now_ms()
-    elif status == 503:
-        retry_at_ms = clock.time_now_ms() + COME_BACK_MS
-    return answers.build_refusal(
-        status, str(error.refusal), str(error), retry_at_ms=retry_at_ms
-    )
-
-
-def refuse_later(code: str, message: str) -> messages.Response:
-    """Refuse a request as not run, for a reason that will pass.
-
-    Args:
-      code: Reason as a name for programs.
-      message: Reason for people.
-
-    Returns:
-      The response, with the time to come back.
-    """
-    return answers.build_refusal(
-        503, code, message, retry_at_ms=clock.time_now_ms() + COME_BACK_MS
-    )
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/version/sealer.py
@@ -0,0 +1,161 @@
+"""Seals the steps of one trainer: what a step holds is fixed by the log.
+
+The contents are fixed and copied first, then the seal is appended and read
+back. Until its fate is known the same contents are sealed again and never
+others, since the first seal may still come into effect.
+"""
+
+import asyncio
+import typing
+
+from auburnroad_core.log import records
+from auburnroad_core.log import trainer_fold
+from auburnroad_core.platform import log_service
+from auburnroad_daemon.process import entry_metrics as metrics
+from auburnroad_daemon.version import copies
+from auburnroad_daemon.version import ledger as ledgers
+from auburnroad_daemon.version import owner_refusals
+
+APPEND_TIMEOUT_SECONDS = 5.0
+
+Choose = typing.Callable[[], list[ledgers.Group] | None]
+
+
+class Log(typing.Protocol):
+    """What an owner needs of the trainers' stream and its fold."""
+
+    def find(self, trainer: str) -> trainer_fold.TrainerState:
+        """Find the folded state of a trainer."""
+
+    async def append(self, record: records.Record) -> int:
+        """Append a record and return its offset once it is folded."""
+
+
+class Sealer:
+    """Seals under one claim."""
+
+    __slots__ = ('_log', '_ledger', '_copier', '_claim')
+
+    def __init__(
+        self,
+        log: Log,
+        ledger: ledgers.Ledger,
+        copier: copies.Copier,
+        claim: int,
+    ):
+        self._log = log
+        self._ledger = ledger
+        self._copier = copier
+        self._claim = claim
+
+    @property
+    def _state(self) -> trainer_fold.TrainerState:
+        return self._log.find(self._ledger.trainer)
+
+    def is_sealed(self, step: int, generation: int) -> bool:
+        """Tell whether a seal of a step is in effect."""
+        sealed = self._state.sealed.get(step)
+        return sealed is not None and sealed.generation == generation
+
+    async def seal(self, step: int, generation: int, choose: Choose) -> None:
+        """Fix the contents of a step and have its seal read back.
+
+        Args:
+          step: Number of the step.
+          generation: Generation of the step.
+          choose: Chooses the groups, None when there are too few.
+
+        Raises:
+          RefusedError: If the step isn't whole or the log is unavailable.
+        """
+        sealed = self._prepare(step, generation, choose)
+        await self._copier.wait_copied()
+        await self.append(
+            records.Seal(
+                self._ledger.trainer,
+                step,
+                generation,
+                self._claim,
+                self._ledger.version,
+                sealed.groups,
+                sealed.digest,
+                sealed.carried,
+            )
+        )
+        effective = self._state.sealed.get(step)
+        won = effective is not None and effective.digest == sealed.digest
+        metrics.SEALS.labels('effective' if won else 'no effect').inc()
+
+    async def append(self, record: records.Record) -> None:
+        """Append a record and wait until it is folded in.
+
+        Args:
+          record: The record; its effect shows in the folded state.
+
+        Raises:
+          RefusedError: If it was not read back in time.
+        """
+        try:
+            async with asyncio.timeout(APPEND_TIMEOUT_SECONDS):
+                await self._log.append(record)
+        except (log_service.LogError, TimeoutError) as error:
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.LOG_UNAVAILABLE,
+                'the log service is unavailable',
+            ) from error
+
+    def find_contents(
+        self, step: int, generation: int, oldest_allowed: int
+    ) -> ledgers.Sealed:
+        """Find the contents of a sealed step.
+
+        Args:
+          step: Number of the step.
+          generation: Generation of the step.
+          oldest_allowed: Lowest weight version that a token may come from.
+
+        Returns:
+          The contents, which the effective seal names by their digest.
+
+        Raises:
+          RefusedError: If the step isn't sealed, its contents are lost, or
+            they are too stale.
+        """
+        if not self.is_sealed(step, generation):
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.NOT_READY, f'step {step} was not sealed'
+            )
+        contents = self._ledger.sealed.get(step)
+        digest = self._state.sealed[step].digest
+        if contents is None or contents.digest != digest:
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.CONTENTS_LOST,
+                'no daemon holds the contents any more; go on with the next '
+                'step if this one was taken, else void it',
+            )
+        if contents.oldest_version < oldest_allowed:
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.STALE,
+                'the step is too stale for the version that the trainer is '
+                'at; go on with the next step, or void it',
+            )
+        return contents
+
+    def _prepare(
+        self, step: int, generation: int, choose: Choose
+    ) -> ledgers.Sealed:
+        """Fix the contents, unless an earlier seal of them is pending."""
+        pending = self._ledger.sealed.get(step)
+        if pending is not None and pending.generation == generation:
+            return pending
+        groups = choose()
+        if groups is None:
+            raise owner_refusals.RefusedError(
+                owner_refusals.Refusal.NOT_READY,
+                f'step {step} is not whole any more',
+            )
+        sealed = ledgers.build_sealed(
+            self._ledger, step, generation, self._ledger.version, groups
+        )
+        self._copier.apply(ledgers.Prepare(sealed))
+        return sealed
