Compare whole sessions with golden files

Ruled out: recording on the wire; a session says what matters of a stream, since its parts may be cut anywhere. Change: three sessions on one deployment, normalised for times, ids, addresses and replicas; make test runs scenarios and golden files, too.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 bench: setup
 	$(BIN)/python -m auburnroad_e2e.bench
 
-test: lint unit
+test: lint unit scenarios golden
 
 clean:
 	rm -rf $(VENV) packages/*/*.egg-info
--- a/packages/e2e/auburnroad_e2e/cluster.py
+++ b/packages/e2e/auburnroad_e2e/cluster.py
@@ -118,14 +118,26 @@
         Raises:
           ProcessError: If it failed.
         """
-        name = f'client-{len(self.processes)}'
-        run = self.spawn(name, commands.build_client(arguments))
-        status = await run.wait(START_SECONDS)
+        status, printed = await self.try_client(*arguments)
         if status != 0:
             raise process.ProcessError(
-                f'{" ".join(arguments)} ended with {status}:\n{run.read_log()}'
+                f'{" ".join(arguments)} ended with {status}:\n{printed}'
             )
-        return run.read_log()
+        return printed
+
+    async def try_client(self, *arguments: str) -> tuple[int | None, str]:
+        """Run the operators' client and see how it ends.
+
+        Args:
+          arguments: Its command line.
+
+        Returns:
+          Exit status, None when it didn't end in time, and what it printed.
+        """
+        name = f'client-{len(self.processes)}'
+        run = self.spawn(name, commands.build_client(arguments))
+        status = await run.wait(START_SECONDS)
+        return status, run.read_log()
 
     async def write_hosts(self, states: dict[str, str] | None = None) -> None:
         """Tell the host list stand-in the hosts.
--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Whole sessions of a caller, an operator and a trainer, as text."""
