--- a/packages/e2e/auburnroad_e2e/capacity/fleet.py
+++ b/packages/e2e/auburnroad_e2e/capacity/fleet.py
@@ -44,10 +44,10 @@
       entries: How many entries.
       sides: How many sides.
       replicas: Replicas behind each side.
-      engines: Stand-ins that answer for all replicas in turn.
+      engines: Stand-ins that answer for the sides' replicas in turn.
       engine: Options of each stand-in engine.
       slots: Requests that a side gives a replica at a time.
-      groups: Groups in a step of the trainer.
+      trainers: Groups in a step of each trainer, by its name.
       samples: Samples in a group.
       store_bytes_per_second: Rate of the weight store, 0 for no limit.
     """
@@ -58,7 +58,9 @@
     engines: int = 1
     engine: dict[str, object] = {}
     slots: int = 8
-    groups: int = 4
+    trainers: dict[str, int] = msgspec.field(
+        default_factory=lambda: {TRAINER: 4}
+    )
     samples: int = 2
     store_bytes_per_second: int = 0
 
@@ -130,7 +132,10 @@
             path = self._directory / f'{settings.name}.json'
             path.write_bytes(msgspec.json.encode(settings))
             self._spawn(settings.name, commands.build_daemon(path))
-        await asyncio.gather(*(self._wait_ready(d) for d in self.daemons))
+        for settings in self.daemons:
+            await self._wait(settings, '/health/ready', self._is_ready)
+        for settings in self.entries:
+            await self._wait(settings, '/status', self._sees_all)
 
     async def publish(self, summary: str = 'capacity') -> int:
         """Publish a configuration on top of the last one.
@@ -176,6 +181,30 @@
         response = await self.http.fetch(address, request, CALL_SECONDS)
         return msgspec.json.decode(response.body)
 
+    async def put_json(self, target: str, value: object) -> messages.Response:
+        """Put a value at the first entry.
+
+        Args:
+          target: Path.
+          value: What msgspec encodes.
+
+        Returns:
+          The response.
+        """
+        request = client.json_request('PUT', target, value)
+        return await self.http.fetch(
+            self.entries[0].http_address, request, CALL_SECONDS
+        )
+
+    async def read_books(self, port: int) -> dict[str, int]:
+        """Read the counts of a service of the platform by its port."""
+        return await self.get_json(self.platform(port), '/books')
+
+    def read_cpu(self, name: str) -> float:
+        """Read the processor time that a process has used, in seconds."""
+        times = self.find_process(name).cpu_times()
+        return times.user + times.system
+
     async def read_metrics(self, settings: daemon.Daemon) -> dict[str, float]:
         """Read a daemon's counters.
 
@@ -209,14 +238,10 @@
         return self._build_daemon('entry', number, ENTRY_HOST, peers, [])
 
     def _build_side(self, number: int) -> daemon.Daemon:
-        first = number * self.shape.replicas
+        address = self.engine_address(number % self.shape.engines)
         replicas = [
-            daemon.Replica(
-                f'replica-{index}',
-                MODEL,
-                self.engine_address(index % self.shape.engines),
-            )
-            for index in range(first, first + self.shape.replicas)
+            daemon.Replica(f'replica-{number}-{index}', MODEL, address)
+            for index in range(self.shape.replicas)
         ]
         return self._build_daemon('side', number, SIDE_HOST, [], replicas)
 
@@ -245,13 +270,9 @@
             [deployment.Service(MODEL, 'model', shape.slots, 1000)],
             [
                 deployment.Trainer(
-                    TRAINER,
-                    MODEL,
-                    MODEL,
-                    1000,
-                    shape.groups,
-                    shape.samples,
+                    name, MODEL, MODEL, 1000, groups, shape.samples
                 )
+                for name, groups in shape.trainers.items()
             ],
         )
 
@@ -307,19 +328,28 @@
             self.platform(loopback.HOST_LIST_PORT), request, CALL_SECONDS
         )
 
-    async def _wait_ready(self, settings: daemon.Daemon) -> None:
+    def _is_ready(self, answer: dict) -> bool:
+        return answer['ready']
+
+    def _sees_all(self, answer: dict) -> bool:
+        """Tell whether an entry knows all replicas to be ready."""
+        ready = sum(
+            load[-1] for host in answer['hosts'] for load in host['loads']
+        )
+        return ready == self.shape.sides * self.shape.replicas
+
+    async def _wait(self, settings, target, condition) -> None:
         end_ms = clock.time_now_ms() + int(START_SECONDS * 1000)
         while clock.time_now_ms() < end_ms:
             try:
-                answer = await self.get_json(
-                    settings.http_address, '/health/ready'
-                )
-                if answer['ready']:
+                if condition(
+                    await self.get_json(settings.http_address, target)
+                ):
                     return
             except client.HttpError:
                 pass
             await asyncio.sleep(POLL_SECONDS)
-        raise process.ProcessError(f'{settings.name} is not ready')
+        raise process.ProcessError(f'{settings.name}: {target} comes late')
 
 
 def parse_metrics(text: str) -> dict[str, float]:
--- a/packages/e2e/auburnroad_e2e/capacity/idle.py
+++ b/packages/e2e/auburnroad_e2e/capacity/idle.py
@@ -5,17 +5,22 @@
 of the first series also checks what the lines say of it.
 """
 
+import asyncio
 import pathlib
+import statistics
 import tempfile
+import time
 
 from auburnroad_e2e.capacity import fleet as fleets
 from auburnroad_e2e.capacity import lines
 from auburnroad_e2e.capacity import registry
 from auburnroad_e2e.capacity import usage
+from auburnroad_e2e.launch import loopback
 
 SETTLE_SECONDS = 4.0
 MEASURE_SECONDS = 10.0
 MEASURED_SIDES = 10
+PUBLICATIONS = 5
 FEW_ENTRIES = 4
 FEW_SIDES = 20
 SIDES = (6, 26, 86)
@@ -25,30 +30,69 @@
 TARGETS = {'cpu_percent': 1.4, 'rss_mb': 128.0, 'bytes': 3000.0}
 
 
-async def measure_idle(shape: fleets.Shape) -> dict[str, usage.Usage]:
-    """Measure an idle fleet.
+async def measure_idle(shape: fleets.Shape) -> dict[str, object]:
+    """Measure an idle fleet, then the way of a configuration through it.
 
     Args:
       shape: Its size.
 
     Returns:
-      Means of entries and of sides.
+      Means of entries and of sides, reads of the log service a second, and
+      seconds until a publication was in force everywhere.
     """
     with tempfile.TemporaryDirectory() as directory:
         fleet = fleets.Fleet(shape, pathlib.Path(directory))
         try:
             await fleet.start()
-            await registry.settle(SETTLE_SECONDS)
-            daemons = fleet.entries + fleet.sides[:MEASURED_SIDES]
-            found = await usage.measure(fleet, daemons, MEASURE_SECONDS)
+            await asyncio.sleep(SETTLE_SECONDS)
+            return await _measure_started(fleet)
         finally:
             await fleet.close()
+
+
+async def _measure_started(fleet) -> dict[str, object]:
+    entries = len(fleet.entries)
+    daemons = fleet.entries + fleet.sides[:MEASURED_SIDES]
+    before = await fleet.read_books(loopback.LOG_PORT)
+    began = time.monotonic()
+    found = await usage.measure(fleet, daemons, MEASURE_SECONDS)
+    after = await fleet.read_books(loopback.LOG_PORT)
+    seconds = time.monotonic() - began
     return {
-        'entry': usage.build_mean(found[: shape.entries]),
-        'side': usage.build_mean(found[shape.entries :]),
+        'entry': usage.build_mean(found[:entries]),
+        'side': usage.build_mean(found[entries:]),
+        'log_reads_per_second': (after['reads'] - before['reads']) / seconds,
+        'publish_seconds': [
+            await time_publication(fleet) for _ in range(PUBLICATIONS)
+        ],
     }
 
 
+async def time_publication(fleet: fleets.Fleet) -> float:
+    """Publish, and wait until all daemons have the revision in force.
+
+    Args:
+      fleet: The running deployment.
+
+    Returns:
+      Seconds from the log service's answer until the last daemon was seen to
+      have it; asking them takes its time as well.
+    """
+    revision = await fleet.publish()
+    began = time.monotonic()
+    left = fleet.daemons
+    while left:
+        answers = await asyncio.gather(
+            *(fleet.get_json(d.http_address, '/status') for d in left)
+        )
+        left = [
+            settings
+            for settings, answer in zip(left, answers)
+            if answer['revision'] < revision
+        ]
+    return time.monotonic() - began
+
+
 def build_lines(
     series: list[tuple[int, usage.Usage]],
 ) -> dict[str, lines.Line]:
@@ -84,7 +128,7 @@
         )
         points[entries, sides, replicas] = await measure_idle(shape)
         registry.say(
-            f'idle {entries}+{sides}x{replicas}: '
+            f'{entries} entries, {sides} sides of {replicas}: '
             f'{points[entries, sides, replicas]}'
         )
     return build_result(points)
@@ -115,16 +159,36 @@
             [(n, points[2, 10, n]['side']) for n in REPLICAS]
         ),
     }
+    reads = lines.fit_line(
+        [(n, point['log_reads_per_second']) for n, point in by_entries]
+    )
+    publication = lines.fit_line(
+        [
+            (
+                FEW_ENTRIES + sides,
+                statistics.median(
+                    points[FEW_ENTRIES, sides, 1]['publish_seconds']
+                ),
+            )
+            for sides in SIDES
+        ]
+    )
     return {
         'points': [
             {'entries': e, 'sides': s, 'replicas': r, **found_point}
             for (e, s, r), found_point in points.items()
         ],
         'lines': found,
+        'log_reads_per_second': reads,
+        'publish_seconds': publication,
         'targets': TARGETS,
         'at_size': {
             'entry': extrapolate_entry(found),
             'side': extrapolate_side(found),
+            'log_reads_per_second': reads.compute(registry.ENTRIES),
+            'publish_seconds': publication.compute(
+                registry.ENTRIES + registry.SIDES
+            ),
         },
     }
 
--- a/packages/e2e/auburnroad_e2e/capacity/registry.py
+++ b/packages/e2e/auburnroad_e2e/capacity/registry.py
@@ -1,6 +1,5 @@
 """The measurements by name, and the letter's size that all of them use."""
 
-import asyncio
 import time
 import typing
 
@@ -18,8 +17,3 @@
 def say(text: str) -> None:
     """Print a line of progress."""
     print(f'{time.strftime("%H:%M:%S")} {text}', flush=True)
-
-
-async def settle(seconds: float) -> None:
-    """Let what a start has stirred up come to rest."""
-    await asyncio.sleep(seconds)
--- a/packages/e2e/auburnroad_e2e/capacity/usage.py
+++ b/packages/e2e/auburnroad_e2e/capacity/usage.py
@@ -64,10 +64,9 @@
     # daemons takes a while itself.
     counters = await fleet.read_metrics(settings)
     process = fleet.find_process(settings.name)
-    times = process.cpu_times()
     return _Reading(
         time.monotonic(),
-        times.user + times.system,
+        fleet.read_cpu(settings.name),
         process.memory_info().rss / MEGABYTE,
         counters,
     )
