--- a/packages/core/auburnroad_core/settings/check_test.py
+++ b/packages/core/auburnroad_core/settings/check_test.py
@@ -68,6 +68,11 @@
         _, records = source.parse_text('{"a": 1,\n "b" 2}', 'f')
         self.assertEqual(2, records[0].source.line)
 
+    def test_a_text_that_ends_too_early_is_told_so(self):
+        for text in ('{"a": ', '{"a": 1', ''):
+            _, records = source.parse_text(text, 'f')
+            self.assertEqual('the text ends too early', records[0].remedy)
+
     def test_a_field_that_stands_twice_is_an_error(self):
         _, records = source.parse_text('{"a": 1, "a": 2}', 'f')
         self.assertEqual('a', records[0].field)
--- a/packages/core/auburnroad_core/settings/source.py
+++ b/packages/core/auburnroad_core/settings/source.py
@@ -169,6 +169,9 @@
 
 
 def _explain(error: lark.exceptions.UnexpectedInput, text: str) -> str:
+    token = getattr(error, 'token', None)
+    if token is not None and token.type == '$END':
+        return 'the text ends too early'
     position = error.pos_in_stream
     if position is None or position < 0 or position >= len(text):
         return 'the text ends too early'
