--- a/packages/e2e/auburnroad_e2e/scenario/claims.py
+++ b/packages/e2e/auburnroad_e2e/scenario/claims.py
@@ -31,7 +31,7 @@
 async def check_no_problem(world: World, excused) -> None:
     """Check all books, once the users have ended."""
     await world.end_users()
-    addresses = set()
+    addresses = set(world.excused)
     if excused is not None:
         addresses.add(world.cluster.address(await world.find(excused)))
     found = books.list_problems(
--- a/packages/e2e/auburnroad_e2e/scenario/run.py
+++ b/packages/e2e/auburnroad_e2e/scenario/run.py
@@ -13,12 +13,13 @@
 from auburnroad_e2e.scenario import operator_steps
 from auburnroad_e2e.scenario import script
 from auburnroad_e2e.scenario import steps
+from auburnroad_e2e.scenario import storm
 from auburnroad_e2e.scenario import world as worlds
 
 LIMIT_SECONDS = 150.0
 
 # Importing a module registers its sentences.
-MODULES = (claims, conditions, fault_steps, operator_steps, steps)
+MODULES = (claims, conditions, fault_steps, operator_steps, steps, storm)
 
 
 class Outcome(msgspec.Struct):
@@ -65,4 +66,6 @@
         reason = f'line {line}: {traceback.format_exc()}'
     finally:
         await world.close()
+    if reason and world.notes:
+        reason += f'; struck: {", ".join(world.notes)}'
     return Outcome(not reason, worlds.read_clock() - began, reason)
--- a/packages/e2e/auburnroad_e2e/scenario/world.py
+++ b/packages/e2e/auburnroad_e2e/scenario/world.py
@@ -48,6 +48,7 @@
       revision: Revision of the last accepted change.
       statuses: Exit statuses of operators that raced, by name.
       marks: Counts noted when a condition was first looked at.
+      notes: Faults that were chosen, in order.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         'revision',
         'statuses',
         'marks',
+        'notes',
     )
 
     def __init__(self, directory: pathlib.Path, seed: int):
@@ -74,6 +76,7 @@
         self.revision = 0
         self.statuses: dict[str, int] = {}
         self.marks: dict[object, int] = {}
+        self.notes: list[str] = []
 
     @property
     def cluster(self) -> clusters.Cluster:
@@ -118,6 +121,10 @@
             return {}
         return msgspec.json.decode(response.body)
 
+    def note(self, fault: str) -> None:
+        """Note a fault that was chosen, for the report of a failure."""
+        self.notes.append(fault)
+
     async def end_users(self) -> None:
         """Let the users end what they began, and wait for them.
 
