Share the side's queue by trainer, and never cut off a call that runs once

Cause, seen on reading: (1) admission counted everybody's waiting requests, so that one trainer's flood made the side refuse another's requests and callers' ones as overloaded or too near their deadline, though the order would have run them first; (2) a cancel cut off a running call that may not be repeated, whose end alone can say what became of it; (3) refusals by a target made the usual time of a run look short; (4) answers of lost entries were kept until their deadline. Ruled out for (1): a larger queue, which only moves the limit.

--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -10,12 +10,10 @@
 
 from absl import logging
 
-from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import server
 from auburnroad_core.platform import host_list
 from auburnroad_core.platform import log_service
-from auburnroad_core import refusals
 from auburnroad_core.settings import daemon
 from auburnroad_core.wire import messages
 from auburnroad_core.wire import stream
@@ -26,6 +24,7 @@
 from auburnroad_daemon.process import history
 from auburnroad_daemon.process import metrics as metrics_module
 from auburnroad_daemon.process import roles
+from auburnroad_daemon.process import side_drain
 from auburnroad_daemon.process import side_status
 from auburnroad_daemon.request import side_requests
 from auburnroad_daemon.version import configuration_fallback
@@ -35,11 +34,6 @@
 from auburnroad_daemon.version import swapper
 
 DEFAULT_DRAIN_MS = 30_000
-# What waits is refused by then, so that what runs has time to end.
-WAITING_SHARE_OF_DRAIN = 0.5
-IDLE_POLL_SECONDS = 0.02
-# An entry may have sent a request just before it heard that we leave.
-LINGER_SECONDS = 0.5
 HTTP_DRAIN_SECONDS = 5.0
 
 
@@ -286,23 +280,7 @@
         drain_ms = DEFAULT_DRAIN_MS
         if deployed is not None:
             drain_ms = deployed.limits.drain_ms
-        now_ms = clock.time_now_ms()
-        waiting_deadline_ms = now_ms + int(drain_ms * WAITING_SHARE_OF_DRAIN)
-        deadline_ms = now_ms + drain_ms
-        while (
-            not self._requests.is_idle() and clock.time_now_ms() < deadline_ms
-        ):
-            if clock.time_now_ms() >= waiting_deadline_ms:
-                self._requests.refuse_waiting(refusals.LEAVING)
-            await asyncio.sleep(IDLE_POLL_SECONDS)
-        if self._requests.running:
-            logging.warning(
-                '%s: %d requests outlast the planned stop',
-                self._settings.name,
-                self._requests.running,
-            )
-            await self._requests.close()
-        await asyncio.sleep(LINGER_SECONDS)
+        await side_drain.finish_work(self._requests, drain_ms)
         await self._http.drain(HTTP_DRAIN_SECONDS)
         await self.close()
 
--- a/packages/daemon/auburnroad_daemon/request/admission.py
+++ b/packages/daemon/auburnroad_daemon/request/admission.py
@@ -32,7 +32,9 @@
       slots: Slots of the ready replicas.
       running: Requests that run on them.
       waiting: Requests that wait.
-      queue_limit: Requests that may wait.
+      own_slots: Slots that the request's trainer, or its caller, can count on.
+      own_waiting: Requests of the same trainer, or of callers, that wait.
+      queue_limit: How many of those may wait.
       run_ms: Usual time of one run in milliseconds; zero when unknown.
       replica_back_ms: Unix milliseconds at which a replica may be back.
     """
@@ -40,6 +42,8 @@
     slots: int
     running: int
     waiting: int
+    own_slots: float
+    own_waiting: int
     queue_limit: int
     run_ms: float
     replica_back_ms: int
@@ -64,7 +68,7 @@
         retry_at_ms = clamp_retry(view.replica_back_ms, now_ms)
         return Refusal(refusals.NO_REPLICA, retry_at_ms)
     wait_ms = predict_wait_ms(view)
-    if view.waiting >= view.queue_limit and view.running >= view.slots:
+    if wait_ms > 0 and view.own_waiting >= view.queue_limit:
         retry_at_ms = clamp_retry(now_ms + int(wait_ms), now_ms)
         return Refusal(refusals.OVERLOADED, retry_at_ms)
     if now_ms + wait_ms >= submit.deadline_ms:
@@ -84,7 +88,9 @@
     """
     if view.running + view.waiting < view.slots:
         return 0.0
-    return (view.waiting + 1) * view.run_ms / view.slots
+    # Unknown times count as short, so that the first requests get through.
+    run_ms = max(view.run_ms, 1.0)
+    return (view.own_waiting + 1) * run_ms / view.own_slots
 
 
 def clamp_retry(retry_at_ms: int, now_ms: int) -> int:
--- a/packages/daemon/auburnroad_daemon/request/admission_test.py
+++ b/packages/daemon/auburnroad_daemon/request/admission_test.py
@@ -8,6 +8,8 @@
 from auburnroad_core import types
 from auburnroad_core.wire import messages
 from auburnroad_daemon.request import admission
+from auburnroad_daemon.request import ordering
+from auburnroad_daemon.request import shares
 
 NOW_MS = 1_000_000
 
@@ -20,6 +22,8 @@
             slots=2,
             running=2,
             waiting=0,
+            own_slots=2.0,
+            own_waiting=0,
             queue_limit=2,
             run_ms=1000.0,
             replica_back_ms=NOW_MS + 700,
@@ -47,7 +51,7 @@
         cases = [
             (refusals.DEADLINE_PASSED, 0, {'deadline_ms': NOW_MS}),
             (refusals.NO_REPLICA, 700, {'slots': 0}),
-            (refusals.OVERLOADED, 1500, {'waiting': 2}),
+            (refusals.OVERLOADED, 1500, {'own_waiting': 2}),
             (refusals.DEADLINE_TOO_NEAR, 500, {'deadline_ms': NOW_MS + 500}),
         ]
         for code, retry_ms, changes in cases:
@@ -55,3 +59,32 @@
                 refusal = self.check(**changes)
                 self.assertEqual(code, refusal.code)
                 self.assertEqual(NOW_MS + retry_ms, refusal.retry_at_ms)
+
+    def test_others_in_the_queue_do_not_count(self):
+        self.assertIsNone(self.check(waiting=100))
+        half = self.check(waiting=100, own_slots=1.0, own_waiting=2)
+        self.assertEqual(NOW_MS + 3000, half.retry_at_ms)
+
+
+class SharesTest(unittest.TestCase):
+    """One trainer's flood leaves the others their part."""
+
+    SHARES = {ordering.CALLERS: 1, 'a': 1, 'b': 3}
+
+    def test_slots_are_split_among_the_active(self):
+        def compute(owner, *active):
+            return shares.compute_slots(owner, set(active), self.SHARES, 8, 2)
+
+        self.assertEqual(8.0, compute('a'))
+        self.assertEqual(2.0, compute('a', 'a', 'b'))
+        self.assertEqual(6.0, compute('b', 'a'))
+        self.assertEqual(2.0, compute(ordering.CALLERS, 'a', 'b'))
+
+    def test_the_queue_is_split_among_trainers(self):
+        limits = {
+            owner: shares.compute_queue_limit(owner, self.SHARES, 10)
+            for owner in self.SHARES
+        }
+        self.assertEqual({ordering.CALLERS: 10, 'a': 3, 'b': 8}, limits)
+        alone = shares.compute_queue_limit('a', {'a': 2}, 10)
+        self.assertEqual(10, alone)
--- a/packages/daemon/auburnroad_daemon/request/attempts.py
+++ b/packages/daemon/auburnroad_daemon/request/attempts.py
@@ -157,5 +157,5 @@
         return now_ms >= attempt.finished_ms + ORPHAN_MS
     if attempt.submit.idempotent:
         deadline_ms = attempt.submit.deadline_ms
-        return now_ms >= max(deadline_ms, attempt.finished_ms + ORPHAN_MS)
+        return is_orphan(attempt, now_ms) or now_ms >= deadline_ms
     return now_ms >= attempt.finished_ms + UNACKNOWLEDGED_KEEP_MS
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/request/runner.py
@@ -0,0 +1,128 @@
+"""Starts runs on replicas and tells how each of them ended."""
+
+import asyncio
+import typing
+
+from absl import logging
+
+from auburnroad_core import clock
+from auburnroad_core import refusals
+from auburnroad_core import types
+from auburnroad_core.wire import messages
+from auburnroad_daemon.connection import replica as replica_module
+from auburnroad_daemon.process import metrics as metrics_module
+from auburnroad_daemon.request import attempt as attempt_module
+from auburnroad_daemon.request import run
+
+# Attempt, replica, answer, and how long a whole answer took, else None.
+Ended = typing.Callable[
+    [
+        attempt_module.Attempt,
+        replica_module.Replica,
+        attempt_module.Answer,
+        int | None,
+    ],
+    None,
+]
+
+
+class Runner:
+    """The runs in flight."""
+
+    __slots__ = ('_metrics', '_ended', '_runs', '_cancels')
+
+    def __init__(self, metrics: metrics_module.SideMetrics, ended: Ended):
+        self._metrics = metrics
+        self._ended = ended
+        self._runs: set[asyncio.Task] = set()
+        self._cancels: set[asyncio.Task] = set()
+
+    @property
+    def count(self) -> int:
+        """How many runs are in flight."""
+        return len(self._runs)
+
+    def start(
+        self,
+        attempt: attempt_module.Attempt,
+        replica: replica_module.Replica,
+        kind: str,
+    ) -> None:
+        """Start the one run of a request.
+
+        Args:
+          attempt: The request.
+          replica: Replica that runs it.
+          kind: Kind of its service.
+        """
+        run_one = run.run_call if kind == 'plain' else run.run_completion
+        attempt.task = asyncio.ensure_future(run_one(attempt, replica))
+        self._runs.add(attempt.task)
+        started_ms = clock.time_now_ms()
+        # A task that is cancelled before its first step runs no code of its
+        # own, so that what must follow stands in the callback.
+        attempt.task.add_done_callback(
+            lambda task: self._end(attempt, replica, task, started_ms)
+        )
+
+    async def close(self) -> None:
+        """Cut off what still runs and wait for its end."""
+        for task in self._runs:
+            task.cancel()
+        if self._runs:
+            await asyncio.wait(self._runs)
+        if self._cancels:
+            await asyncio.wait(self._cancels)
+
+    def _end(self, attempt, replica, task, started_ms) -> None:
+        self._runs.discard(task)
+        now_ms = clock.time_now_ms()
+        if task.cancelled():
+            answer = self._end_cancelled(attempt, replica, now_ms)
+        elif task.exception() is not None:
+            logging.error('run failed', exc_info=task.exception())
+            answer = run.build_unknown(attempt, repr(task.exception()))
+        else:
+            answer = task.result().answer
+            self._record_health(replica, task.result(), now_ms)
+        run_ms = now_ms - started_ms if _is_whole(answer) else None
+        if run_ms is not None:
+            seconds = run_ms / clock.MS_PER_SECOND
+            service = attempt.submit.service
+            self._metrics.run_seconds.labels(service).observe(seconds)
+        self._ended(attempt, replica, answer, run_ms)
+
+    def _end_cancelled(self, attempt, replica, now_ms) -> messages.Done:
+        code = attempt.cancel_code or refusals.CANCELLED
+        if code == refusals.DEADLINE_PASSED:
+            replica.health.record_missed_deadline(now_ms)
+        if attempt.submit.model:
+            stop = replica.engine.cancel(attempt.request_id)
+            task = asyncio.ensure_future(stop)
+            self._cancels.add(task)
+            task.add_done_callback(self._cancels.discard)
+        return run.build_unknown(attempt, code)
+
+    def _record_health(self, replica, result, now_ms) -> None:
+        if not result.target_failed:
+            replica.health.record_success()
+            return
+        if replica.health.up:
+            self._metrics.ejections.labels(replica.name).inc()
+            logging.info(
+                'replica %s is ejected: %s', replica.name, _explain(result)
+            )
+        replica.health.record_failure(now_ms)
+
+
+def _is_whole(answer: attempt_module.Answer) -> bool:
+    if isinstance(answer, messages.Refused):
+        return False
+    return answer.outcome is types.Outcome.RUN
+
+
+def _explain(result: run.Result) -> str:
+    answer = result.answer
+    if isinstance(answer, messages.Refused):
+        return answer.code
+    return answer.error
--- a/packages/daemon/auburnroad_daemon/request/side_queue.py
+++ b/packages/daemon/auburnroad_daemon/request/side_queue.py
@@ -15,6 +15,7 @@
 from auburnroad_daemon.request import attempt as attempt_module
 from auburnroad_daemon.request import ordering
 from auburnroad_daemon.request import placement
+from auburnroad_daemon.request import shares
 from auburnroad_daemon.version import side_configuration
 
 VERSION_WAIT_MS = 3_000
@@ -110,7 +111,7 @@
         settings = self.settings
         if settings is None:
             return admission.Refusal(refusals.UNKNOWN_SERVICE, now_ms)
-        view = self._build_view(settings)
+        view = self._build_view(settings, _get_trainer(attempt))
         refusal = admission.check_admission(view, attempt.submit, now_ms)
         if refusal is None:
             self._attempts[attempt.request_id] = attempt
@@ -189,6 +190,8 @@
 
     def _check_waiting(self, attempt, now_ms) -> admission.Refusal | None:
         submit = attempt.submit
+        if self.settings is None:
+            return admission.Refusal(refusals.UNKNOWN_SERVICE, now_ms)
         if submit.deadline_ms <= now_ms:
             return admission.Refusal(refusals.DEADLINE_PASSED, now_ms)
         ready = [r for r in self._replicas if r.health.up]
@@ -208,18 +211,14 @@
         return None
 
     def _choose(self, free, settings) -> ordering.Waiting | None:
-        ready = [r for r in self._replicas if r.health.up]
         configured = self._configuration.deployment
-        waiting = self._find_servable(free)
-        slots = [r.count_slots(settings.slots_per_replica) for r in ready]
-        share = configured.limits.interactive_share
         view = ordering.View(
-            waiting,
+            self._find_servable(free),
             self._running,
-            {t.name: t.share for t in configured.trainers},
+            shares.find_shares(configured, self._service),
             self._progress,
-            sum(slots),
-            sum(ordering.count_reserved(s, share) for s in slots),
+            self.build_load().slots,
+            self._count_reserved(settings),
         )
         return ordering.ORDERINGS.get(configured.policies.ordering)(view)
 
@@ -249,17 +248,43 @@
         attempt.replica = replica.name
         self._start(attempt, replica)
 
-    def _build_view(self, settings) -> admission.ServiceView:
+    def _build_view(self, settings, owner) -> admission.ServiceView:
         load = self.build_load()
+        configured = self._configuration.deployment
+        weights = shares.find_shares(configured, self._service)
+        waiting = collections.Counter(
+            waiting.trainer for waiting in self._waiting.values()
+        )
+        active = {name for name in self._running if self._running[name]}
+        own_slots = shares.compute_slots(
+            owner,
+            active | set(waiting),
+            weights,
+            load.slots,
+            self._count_reserved(settings),
+        )
+        queue_limit = settings.queue_per_replica * load.ready_replicas
         return admission.ServiceView(
             load.slots,
             load.running,
             load.waiting,
-            settings.queue_per_replica * load.ready_replicas,
+            own_slots,
+            waiting[owner],
+            shares.compute_queue_limit(owner, weights, queue_limit),
             self._run_ms,
             self._predict_replica_ms(),
         )
 
+    def _count_reserved(self, settings) -> int:
+        share = self._configuration.deployment.limits.interactive_share
+        return sum(
+            ordering.count_reserved(
+                r.count_slots(settings.slots_per_replica), share
+            )
+            for r in self._replicas
+            if r.health.up
+        )
+
     def _predict_replica_ms(self) -> int:
         return min(r.health.probe_ms for r in self._replicas)
 
--- a/packages/daemon/auburnroad_daemon/request/side_requests.py
+++ b/packages/daemon/auburnroad_daemon/request/side_requests.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-from absl import logging
-
 from auburnroad_core import clock
 from auburnroad_core import refusals
 from auburnroad_core import types
@@ -15,7 +13,7 @@
 from auburnroad_daemon.request import admission
 from auburnroad_daemon.request import attempt as attempt_module
 from auburnroad_daemon.request import attempts as attempts_module
-from auburnroad_daemon.request import run
+from auburnroad_daemon.request import runner
 from auburnroad_daemon.request import side_queue
 from auburnroad_daemon.version import side_configuration
 
@@ -35,8 +33,7 @@
         '_configuration',
         '_metrics',
         '_history',
-        '_tasks',
-        '_cancels',
+        '_runner',
         'leaving',
     )
 
@@ -52,8 +49,7 @@
         self._metrics = metrics
         self._history = history
         self._attempts = attempts_module.Attempts()
-        self._tasks: set[asyncio.Task] = set()
-        self._cancels: set[asyncio.Task] = set()
+        self._runner = runner.Runner(metrics, self._end)
         self.leaving = False
         self._queues = {
             service: side_queue.SideQueue(
@@ -68,7 +64,7 @@
     @property
     def running(self) -> int:
         """How many requests run."""
-        return len(self._tasks)
+        return self._runner.count
 
     def is_idle(self) -> bool:
         """Tell whether nothing waits, runs or lacks its acknowledgement.
@@ -79,7 +75,7 @@
         waiting = any(queue.waiting for queue in self._queues.values())
         now_ms = clock.time_now_ms()
         unacknowledged = self._attempts.count_unacknowledged(now_ms)
-        return not (waiting or self._tasks or unacknowledged)
+        return not (waiting or self.running or unacknowledged)
 
     def build_loads(self) -> list[types.HostLoad]:
         """Build the load of each service on this host.
@@ -121,7 +117,7 @@
         """
         attempt = self._attempts.find(message.request_id)
         if attempt is not None:
-            self._cancel(attempt, refusals.CANCELLED)
+            self._cancel_unwanted(attempt)
 
     def handle_resume(
         self, peer: stream.Stream, message: messages.Resume
@@ -194,13 +190,7 @@
 
     async def close(self) -> None:
         """Cut off what still runs and wait for its end."""
-        for attempt in self._attempts:
-            if attempt.task is not None:
-                attempt.task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
-        if self._cancels:
-            await asyncio.wait(self._cancels)
+        await self._runner.close()
 
     def _admit(self, attempt, now_ms) -> admission.Refusal | None:
         submit = attempt.submit
@@ -241,12 +231,16 @@
     def _end_overdue(self, attempt, now_ms) -> None:
         submit = attempt.submit
         if attempts_module.is_orphan(attempt, now_ms):
-            if submit.idempotent or attempt.task is None:
-                self._cancel(attempt, refusals.CANCELLED)
+            self._cancel_unwanted(attempt)
         grace_ms = 0 if submit.idempotent else LATE_RUN_MS
         if now_ms >= submit.deadline_ms + grace_ms:
             self._cancel(attempt, refusals.DEADLINE_PASSED)
 
+    def _cancel_unwanted(self, attempt) -> None:
+        """Cancel what nobody waits for, unless it may not be cut off."""
+        if attempt.submit.idempotent or attempt.task is None:
+            self._cancel(attempt, refusals.CANCELLED)
+
     def _cancel(self, attempt, code) -> None:
         if attempt.answer is not None:
             return
@@ -261,58 +255,15 @@
     def _start(self, attempt, replica) -> None:
         self._note(attempt, 'started', replica.name)
         kind = self._queues[attempt.submit.service].settings.kind
-        run_one = run.run_call if kind == 'plain' else run.run_completion
-        attempt.task = asyncio.ensure_future(run_one(attempt, replica))
-        self._tasks.add(attempt.task)
-        started_ms = clock.time_now_ms()
-        # A task that is cancelled before its first step runs no code of its
-        # own, so that what must follow stands in the callback.
-        attempt.task.add_done_callback(
-            lambda task: self._end_run(attempt, replica, task, started_ms)
-        )
+        self._runner.start(attempt, replica, kind)
 
-    def _end_run(self, attempt, replica, task, started_ms) -> None:
-        self._tasks.discard(task)
+    def _end(self, attempt, replica, answer, run_ms) -> None:
         now_ms = clock.time_now_ms()
-        run_ms = None
-        if task.cancelled():
-            code = attempt.cancel_code or refusals.CANCELLED
-            answer = run.build_unknown(attempt, code)
-            self._stop_engine(attempt, replica)
-            if code == refusals.DEADLINE_PASSED:
-                replica.health.record_missed_deadline(now_ms)
-        elif task.exception() is not None:
-            logging.error('run failed', exc_info=task.exception())
-            answer = run.build_unknown(attempt, repr(task.exception()))
-        else:
-            answer = task.result().answer
-            self._record_health(replica, task.result(), now_ms)
-            if not task.result().target_failed:
-                run_ms = now_ms - started_ms
         queue = self._queues[attempt.submit.service]
         queue.release(attempt, replica, run_ms)
         self._finish(attempt, answer, now_ms)
         queue.dispatch(now_ms)
 
-    def _stop_engine(self, attempt, replica) -> None:
-        if not attempt.submit.model:
-            return
-        stop = replica.engine.cancel(attempt.request_id)
-        task = asyncio.ensure_future(stop)
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
-
-    def _record_health(self, replica, result, now_ms) -> None:
-        if not result.target_failed:
-            replica.health.record_success()
-            return
-        if replica.health.up:
-            self._metrics.ejections.labels(replica.name).inc()
-            logging.info(
-                'replica %s is ejected: %s', replica.name, _explain(result)
-            )
-        replica.health.record_failure(now_ms)
-
     def _finish(self, attempt, answer, now_ms) -> None:
         service = attempt.submit.service
         if isinstance(answer, messages.Refused):
@@ -327,10 +278,3 @@
     def _note(self, attempt, event, detail='') -> None:
         now_ms = clock.time_now_ms()
         self._history.add(attempt.request_id, now_ms, event, detail)
-
-
-def _explain(result: run.Result) -> str:
-    answer = result.answer
-    if isinstance(answer, messages.Refused):
-        return answer.code
-    return answer.error
