Convert a message to the one type that its tag names

Cause: idle daemons and streamed tokens cost several times their targets, and msgspec.convert stood first in the profiles of both roles: it prepares the union of all messages anew at each call.

Change: the tag is looked up in a table made once and the value converted to that class; messages are encoded by msgspec's msgpack encoder at once, byte for byte the same.

--- a/packages/core/auburnroad_core/wire/codec.py
+++ b/packages/core/auburnroad_core/wire/codec.py
@@ -5,6 +5,8 @@
 unexpected type.
 """
 
+import typing
+
 import msgpack
 import msgspec
 
@@ -13,6 +15,13 @@
 
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
+_ENCODER = msgspec.msgpack.Encoder()
+# By tag, since msgspec prepares a union anew at each conversion to it.
+_SHAPES = {
+    shape.__struct_config__.tag: shape
+    for shape in typing.get_args(messages.AnyMessage)
+}
+
 
 class WireError(errors.AuburnroadError):
     """Bytes on a stream that are no message of ours."""
@@ -27,10 +36,7 @@
     Returns:
       Its msgpack form in bytes.
     """
-    return msgpack.packb(
-        msgspec.to_builtins(message, builtin_types=(bytes,)),
-        use_bin_type=True,
-    )
+    return _ENCODER.encode(message)
 
 
 class Decoder:
@@ -57,10 +63,7 @@
         """
         try:
             self._unpacker.feed(data)
-            return [
-                msgspec.convert(value, messages.AnyMessage)
-                for value in self._unpacker
-            ]
+            return [_convert(value) for value in self._unpacker]
         except (
             msgpack.UnpackException,
             msgspec.ValidationError,
@@ -68,3 +71,12 @@
             RecursionError,
         ) as error:
             raise WireError(f'hostile or truncated frame: {error}') from error
+
+
+def _convert(value: object) -> messages.Message:
+    """Check an unpacked value against the type that its tag names."""
+    tag = value[0] if isinstance(value, list) and value else None
+    shape = _SHAPES.get(tag) if type(tag) is int else None
+    if shape is None:
+        raise msgspec.ValidationError('unknown kind of message')
+    return msgspec.convert(value, shape)
