--- a/packages/core/auburnroad_core/wire/codec_test.py
+++ b/packages/core/auburnroad_core/wire/codec_test.py
@@ -48,6 +48,14 @@
             [2, 'x', False],
             {'tag': 2},
             7,
+            [],
+            None,
+            [True, 'r', 0, '', []],
+            [[5], 'r', 0, '', []],
+            ['5', 'r', 0, '', []],
+            [5, 'r', 'zero', '', []],
+            [5, 'r'],
+            [2, 1, False, [['s', 8, 'many', 0, 1]]],
             [4, 'id'],
         ):
             with self.subTest(value=value):
