Refuse at once what needs a log that is known to be down

The entry that was asked found the owner gone, appended a claim into the outage, and held the question for the 3 s of its time limit on top of the 1 s in which it gave the owner up; the trainer's own limit ended first. Ruled out: the drain of the owner, which had stopped 2 s before. Change: an append is refused at once while the stream's tail is not up.

--- a/packages/daemon/auburnroad_daemon/version/trainer_log.py
+++ b/packages/daemon/auburnroad_daemon/version/trainer_log.py
@@ -19,11 +19,6 @@
         self._tail = tail
         self._appender = appender
 
-    @property
-    def known(self) -> bool:
-        """Whether the stream was read to its end at least once."""
-        return self._tail.state is not None
-
     def find(self, trainer: str) -> trainer_fold.TrainerState:
         """Find the folded state of a trainer.
 
@@ -50,6 +45,9 @@
           LogUnavailableError: If it could not be read back in time; it may
             still appear, and what depends on it must allow for that.
         """
+        if not self._tail.up:
+            # Known to be down: whoever waits is told at once.
+            raise log_service.LogUnavailableError('the stream is not read')
         deadline_ms = clock.time_now_ms() + APPEND_TIMEOUT_MS
         fate = await self._appender.append(record, deadline_ms)
         if isinstance(fate, appenders.NotAppended):
