Measure recoveries, move trainers on, and check planned stops of sides

Change: plain calls take time there and no caller may be told 'unknown'; a trainer may move on several versions a step; a scenario prints the time from a daemon's kill to the trainers' next step.

--- a/packages/e2e/auburnroad_e2e/scenario/claims.py
+++ b/packages/e2e/auburnroad_e2e/scenario/claims.py
@@ -82,6 +82,18 @@
     _claim(bool(told), f'no {kind} was told {outcome}')
 
 
+@worlds.CLAIMS.register('not_told')
+async def check_not_told(world: World, outcome: str) -> None:
+    """Check that no request of any kind was told an outcome."""
+    events = book_files.read_books(world.cluster).callers
+    told = [
+        event['id']
+        for event, one in caller_books.list_tries(events)
+        if one['outcome'] == outcome
+    ]
+    _claim(not told, f'{len(told)} were told {outcome}: {told[:SHOWN]}')
+
+
 @worlds.CLAIMS.register('right_answers')
 async def check_right_answers(world: World, count: int, kind: str) -> None:
     """Check that enough requests of a kind were answered rightly."""
--- a/packages/e2e/auburnroad_e2e/scenario/run.py
+++ b/packages/e2e/auburnroad_e2e/scenario/run.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from auburnroad_core import errors
+from auburnroad_e2e import book_files
 from auburnroad_e2e.scenario import claims
 from auburnroad_e2e.scenario import conditions
 from auburnroad_e2e.scenario import fault_steps
@@ -29,11 +30,14 @@
       passed: Whether all its claims held.
       seconds: How long it took.
       reason: What went wrong, and in which line.
+      recovery_ms: For each daemon that was killed, milliseconds until a
+        trainer took its next step.
     """
 
     passed: bool
     seconds: float
     reason: str = ''
+    recovery_ms: list[int] = []
 
 
 async def run_script(
@@ -68,4 +72,29 @@
         await world.close()
     if reason and world.notes:
         reason += f'; struck: {", ".join(world.notes)}'
-    return Outcome(not reason, worlds.read_clock() - began, reason)
+    seconds = worlds.read_clock() - began
+    return Outcome(not reason, seconds, reason, measure_recovery(world))
+
+
+def measure_recovery(world: worlds.World) -> list[int]:
+    """Measure how long trainers waited after each kill of a daemon.
+
+    Args:
+      world: A scenario that has ended.
+
+    Returns:
+      Milliseconds from each kill to the next step that a trainer took,
+      training included.
+    """
+    if not world.killed_at_ms:
+        return []
+    taken = [
+        event['at_ms']
+        for trainer in book_files.read_books(world.cluster).trainers
+        for event in trainer.select('taken')
+    ]
+    return [
+        min(at_ms for at_ms in taken if at_ms > killed_ms) - killed_ms
+        for killed_ms in world.killed_at_ms
+        if any(at_ms > killed_ms for at_ms in taken)
+    ]
--- a/packages/e2e/auburnroad_e2e/scenario/script_test.py
+++ b/packages/e2e/auburnroad_e2e/scenario/script_test.py
@@ -20,7 +20,7 @@
         self.assertEqual(
             [
                 script.Phrase(
-                    'start_trainer', ('t', 8, 'asking twice', None), 2
+                    'start_trainer', ('t', 8, 'asking twice', None, None), 2
                 )
             ],
             parsed.steps,
--- a/packages/e2e/auburnroad_e2e/scenario/steps.py
+++ b/packages/e2e/auburnroad_e2e/scenario/steps.py
@@ -50,7 +50,7 @@
 
 @worlds.STEPS.register('start_trainer')
 async def start_trainer(
-    world: World, name: str, steps: int, asking, train_ms
+    world: World, name: str, steps: int, asking, train_ms, stride
 ) -> None:
     """Start a trainer that takes a number of steps."""
     flags = {'steps': steps, 'seed': world.seed}
@@ -58,14 +58,18 @@
         flags['ask_twice'] = True
     if train_ms is not None:
         flags['train_ms'] = train_ms
+    if stride is not None:
+        flags['versions_per_step'] = stride
     world.cluster.start_trainer(name, **flags)
     world.users.append(name)
 
 
 @worlds.STEPS.register('run_trainer')
-async def run_trainer(world: World, name: str, asking, train_ms) -> None:
+async def run_trainer(
+    world: World, name: str, asking, train_ms, stride
+) -> None:
     """Start a trainer that takes steps until its end."""
-    await start_trainer(world, name, 0, asking, train_ms)
+    await start_trainer(world, name, 0, asking, train_ms, stride)
 
 
 @worlds.STEPS.register('start_callers')
@@ -91,6 +95,7 @@
     """End a process at once."""
     name = await world.find(phrase)
     world.cluster.processes[name].kill()
+    world.note_kill(name)
     await world.cluster.processes[name].wait(worlds.STOP_SECONDS)
 
 
--- a/packages/e2e/auburnroad_e2e/scenario/storm.py
+++ b/packages/e2e/auburnroad_e2e/scenario/storm.py
@@ -61,6 +61,7 @@
     name = _choose(world, role)
     child = world.cluster.processes[name]
     child.kill()
+    world.note_kill(name)
     await child.wait(worlds.STOP_SECONDS)
     await _pass_time(world)
     child.start()
--- a/packages/e2e/auburnroad_e2e/scenario/world.py
+++ b/packages/e2e/auburnroad_e2e/scenario/world.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from auburnroad_core import clock
 from auburnroad_core import errors
 from auburnroad_core.http import client
 from auburnroad_core import registry
@@ -49,6 +50,7 @@
       statuses: Exit statuses of operators that raced, by name.
       marks: Counts noted when a condition was first looked at.
       notes: Faults that were chosen, in order.
+      killed_at_ms: Unix milliseconds at which daemons were killed.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         'statuses',
         'marks',
         'notes',
+        'killed_at_ms',
     )
 
     def __init__(self, directory: pathlib.Path, seed: int):
@@ -77,6 +80,7 @@
         self.statuses: dict[str, int] = {}
         self.marks: dict[object, int] = {}
         self.notes: list[str] = []
+        self.killed_at_ms: list[int] = []
 
     @property
     def cluster(self) -> clusters.Cluster:
@@ -125,6 +129,11 @@
         """Note a fault that was chosen, for the report of a failure."""
         self.notes.append(fault)
 
+    def note_kill(self, name: str) -> None:
+        """Note when a daemon was killed, to measure the recovery."""
+        if name in [settings.name for settings in self.cluster.daemons]:
+            self.killed_at_ms.append(clock.time_now_ms())
+
     async def end_users(self) -> None:
         """Let the users end what they began, and wait for them.
 
--- a/packages/e2e/auburnroad_e2e/scenarios.py
+++ b/packages/e2e/auburnroad_e2e/scenarios.py
@@ -63,6 +63,9 @@
         )
         outcome = await run.run_script(scenario, directory, seed)
     name = f'{scenario.name} ({outcome.seconds:.1f} s)'
+    if outcome.recovery_ms:
+        times = ', '.join(f'{ms / 1000:.1f}' for ms in outcome.recovery_ms)
+        name += f' (next step after a kill: {times} s)'
     if outcome.passed:
         print(f'pass {name}: {scenario.title}', flush=True)
     else:
--- a/packages/standins/auburnroad_standins/trainer.py
+++ b/packages/standins/auburnroad_standins/trainer.py
@@ -149,7 +149,8 @@
             await self._take(step)
             await asyncio.sleep(self.options.train_ms / clock.MS_PER_SECOND)
             self.books.write('trained', step=step, version=self.version)
-            await self._publish(self.version + 1)
+            for _ in range(self.options.versions_per_step):
+                await self._publish(self.version + 1)
             step += 1
 
     async def _take(self, step: int) -> None:
--- a/packages/standins/auburnroad_standins/trainer_options.py
+++ b/packages/standins/auburnroad_standins/trainer_options.py
@@ -25,6 +25,7 @@
       samples: Samples in a group.
       max_tokens: Tokens of a sample.
       train_ms: Milliseconds that training on a step takes.
+      versions_per_step: Versions that it publishes after each step.
       wait_seconds: How long an entry may hold the question for a step.
       ask_twice: Whether each step that came is asked for again at another
         entry, to compare the bytes.
@@ -41,6 +42,7 @@
     samples: int = 2
     max_tokens: int = 24
     train_ms: int = 300
+    versions_per_step: int = 1
     wait_seconds: float = 2.0
     ask_twice: bool = False
     seed: int = 1
