--- a/packages/core/auburnroad_core/log/appender.py
+++ b/packages/core/auburnroad_core/log/appender.py
@@ -145,9 +145,8 @@
         record_id = record_id or str(uuid.uuid4())
         pending = self._enqueue(record, deadline_ms, record_id)
         try:
-            return await asyncio.wait_for(
-                pending.future, clock.seconds_until(deadline_ms)
-            )
+            async with asyncio.timeout(clock.seconds_until(deadline_ms)):
+                return await pending.future
         except TimeoutError:
             return NotAppended(may_appear=pending.sent)
         finally:
--- a/packages/core/auburnroad_core/log/tail.py
+++ b/packages/core/auburnroad_core/log/tail.py
@@ -172,7 +172,9 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.add(waiter)
         try:
-            await asyncio.wait_for(waiter, seconds)
+            # Not wait_for, which can swallow a cancellation in 3.11.
+            async with asyncio.timeout(seconds):
+                await waiter
         except TimeoutError:
             return False
         finally:
--- a/packages/e2e/auburnroad_e2e/memory_log.py
+++ b/packages/e2e/auburnroad_e2e/memory_log.py
@@ -96,7 +96,8 @@
         await asyncio.sleep(0)
         if not self.down and from_offset >= len(self._streams[stream]):
             try:
-                await asyncio.wait_for(self._news.wait(), wait_seconds)
+                async with asyncio.timeout(wait_seconds):
+                    await self._news.wait()
             except TimeoutError:
                 pass
         if self.down:
