Pass header bytes beyond ASCII

Cause: headers are decoded as latin-1 on arrival and were encoded as ASCII on the way out, so a caller's header with an accent failed the call, with its outcome unknown though it was not run (seen: UnicodeEncodeError in h11). Ruled out: refusing such headers, which HTTP allows. Change: client and server encode as they decode. Conclusion: the new tests failed before and pass.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -226,7 +226,7 @@
             h11.Request(
                 method=request.method,
                 target=request.target,
-                headers=list(headers.items()),
+                headers=messages.encode_headers(headers),
             )
         )
         if request.body:
--- a/packages/core/auburnroad_core/http/messages.py
+++ b/packages/core/auburnroad_core/http/messages.py
@@ -53,6 +53,21 @@
     chunks: typing.AsyncIterator[bytes] | None = None
 
 
+def encode_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    """Encode headers the way that they are decoded on arrival.
+
+    Args:
+      headers: Header values by name.
+
+    Returns:
+      Names and values in bytes.
+    """
+    return [
+        (name.encode('ascii'), value.encode('latin-1'))
+        for name, value in headers.items()
+    ]
+
+
 def json_response(
     status: int, value: object, headers: dict[str, str] | None = None
 ) -> Response:
--- /dev/null
+++ b/packages/core/auburnroad_core/http/messages_test.py
@@ -0,0 +1,26 @@
+"""Tests of headers on their way through."""
+
+import unittest
+
+from auburnroad_core.http import client
+from auburnroad_core.http import messages
+from auburnroad_core.http import server
+
+
+class HeadersTest(unittest.IsolatedAsyncioTestCase):
+    """What a caller writes in a header arrives byte for byte."""
+
+    async def test_bytes_beyond_ascii_pass_both_ways(self):
+        async def repeat(request):
+            headers = {'x-name': request.headers['x-name']}
+            return messages.Response(200, headers)
+
+        http = server.HttpServer(repeat)
+        host, port = await http.start('127.0.0.1', 0)
+        self.addAsyncCleanup(http.close)
+        http_client = client.HttpClient()
+        self.addCleanup(http_client.close)
+        value = 'Szövetkezet'.encode().decode('latin-1')
+        request = messages.Request('GET', '/', {'x-name': value})
+        response = await http_client.fetch(f'{host}:{port}', request, 5.0)
+        self.assertEqual(value, response.headers['x-name'])
--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -194,7 +194,8 @@
             headers['connection'] = 'close'
         self._write(
             h11.Response(
-                status_code=response.status, headers=list(headers.items())
+                status_code=response.status,
+                headers=messages.encode_headers(headers),
             )
         )
         if response.chunks is None:
