Bound the answer of a plain service

Cause: an answer beyond the write buffer of a stream closes the stream, and again after each resume. Ruled out: splitting answers into messages, which entry and side would have to join within the same memory. Change: over 16 MB the call is answered as run, with 502 answer_too_large. Conclusion: its test failed before and passes.

--- a/packages/daemon/auburnroad_daemon/connection/plain.py
+++ b/packages/daemon/auburnroad_daemon/connection/plain.py
@@ -22,6 +22,7 @@
     )
 )
 CONNECT_PROBE_SECONDS = 1.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 def remove_hop_headers(headers: dict[str, str]) -> dict[str, str]:
@@ -74,9 +75,11 @@
         )
         reply = await self._client.open(self._address, passed)
         try:
-            body = await reply.read()
+            body = await _read_limited(reply)
         finally:
             reply.close()
+        if body is None:
+            return _refuse_answer()
         return messages.Response(
             reply.status, remove_hop_headers(reply.headers), body
         )
@@ -97,3 +100,24 @@
             return False
         writer.close()
         return True
+
+
+async def _read_limited(reply: client.Reply) -> bytes | None:
+    """Read a body, or return None when it exceeds the limit."""
+    parts = []
+    size = 0
+    async for part in reply.iterate():
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            return None
+        parts.append(part)
+    return b''.join(parts)
+
+
+def _refuse_answer() -> messages.Response:
+    """Build what stands for an answer that no stream would carry."""
+    error = {
+        'code': 'answer_too_large',
+        'message': f'the answer is over {MAX_ANSWER_BYTES} bytes',
+    }
+    return messages.json_response(502, {'error': error})
--- a/packages/daemon/auburnroad_daemon/process/side_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_test.py
@@ -16,6 +16,7 @@
 from auburnroad_core.wire import messages
 from auburnroad_core.wire import stream as stream_module
 from auburnroad_daemon.connection import fake_engine_test
+from auburnroad_daemon.connection import plain
 from auburnroad_daemon.process import side as side_module
 from auburnroad_daemon.request import run
 
@@ -271,17 +272,16 @@
     """Calls of plain services pass once, without hop-by-hop headers."""
 
     def call(self, request_id, **changes):
-        self.entry.submit(
-            request_id,
-            service='api',
-            model='',
-            trainer='',
-            idempotent=False,
-            target='/lookup?id=1',
-            headers={'x-tenant': 'a', 'connection': 'close, x-hop'},
-            body=b'payload',
-            **changes,
-        )
+        call = {
+            'service': 'api',
+            'model': '',
+            'trainer': '',
+            'idempotent': False,
+            'target': '/lookup?id=1',
+            'headers': {'x-tenant': 'a', 'connection': 'close, x-hop'},
+            'body': b'payload',
+        }
+        self.entry.submit(request_id, **{**call, **changes})
 
     async def test_passes_body_and_headers(self):
         self.call('r1')
@@ -292,6 +292,21 @@
         self.assertEqual('r1', done.headers['auburnroad-request-id'])
         self.assertNotIn('connection', done.headers)
 
+    async def test_passes_headers_beyond_ascii(self):
+        self.call('r1', headers={'x-name': 'Szövetkezet'})
+        done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.RUN, done.outcome)
+        self.assertEqual('Szövetkezet', done.headers['x-name'])
+
+    async def test_an_answer_that_is_too_large_is_said_to_be_run(self):
+        with mock.patch.object(plain, 'MAX_ANSWER_BYTES', 3):
+            self.call('r1')
+            done = await self.entry.wait_for(messages.Done)
+        self.assertEqual(types.Outcome.RUN, done.outcome)
+        self.assertEqual(502, done.status)
+        self.assertIn(b'answer_too_large', done.body)
+        self.assertTrue(self.side.replicas[1].health.up)
+
     async def test_a_dead_service_was_not_given_the_call(self):
         await self.plain.stop()
         self.call('r1')
