Measure what a step costs, and how weights spread over hosts

Cause: docs/CAPACITY.md needs the cost of a sample in the trainer's path and the time of a version to all hosts from a rate-limited store.

Change: measurements 'steps' (128, 512, 2,048 samples a step; owner, holder of the copy, sides, log service) and 'weights' (6, 18, 54 hosts, an engine each, a store of 4 MB a second).

--- a/packages/e2e/auburnroad_e2e/capacity/__main__.py
+++ b/packages/e2e/auburnroad_e2e/capacity/__main__.py
@@ -18,13 +18,15 @@
 from auburnroad_e2e.capacity import idle
 from auburnroad_e2e.capacity import path
 from auburnroad_e2e.capacity import registry
+from auburnroad_e2e.capacity import steps
+from auburnroad_e2e.capacity import weights
 from auburnroad_e2e import known_red
 
 OUT = known_red.ROOT / 'docs' / 'measurements' / 'capacity.json'
 DEADLINE_SECONDS = 470.0
 
 # Importing a module registers its measurement.
-MODULES = (idle, path)
+MODULES = (idle, path, steps, weights)
 
 
 def describe_machine() -> dict[str, object]:
