--- a/packages/core/auburnroad_core/wire/messages.py
+++ b/packages/core/auburnroad_core/wire/messages.py
@@ -281,6 +281,10 @@
     ledger: bytes
 
 
+class Alive(Message, tag=18):
+    """All that the sender's last Heartbeat on this stream said still holds."""
+
+
 AnyMessage = typing.Union[
     Hello,
     Heartbeat,
@@ -299,4 +303,5 @@
     CopyAcknowledge,
     CopyRequest,
     CopyAnswer,
+    Alive,
 ]
