--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions under load and faults, beside simple baselines."""
