--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -10,11 +10,10 @@
 
 from absl import logging
 
-from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import server
 from auburnroad_core.platform import host_list
-from auburnroad_core import refusals
+from auburnroad_core.platform import log_service
 from auburnroad_core.settings import daemon
 from auburnroad_core.wire import messages
 from auburnroad_core.wire import stream
@@ -25,19 +24,16 @@
 from auburnroad_daemon.process import history
 from auburnroad_daemon.process import metrics as metrics_module
 from auburnroad_daemon.process import roles
+from auburnroad_daemon.process import side_drain
 from auburnroad_daemon.process import side_status
 from auburnroad_daemon.request import side_requests
+from auburnroad_daemon.version import configuration_fallback
 from auburnroad_daemon.version import relay
 from auburnroad_daemon.version import relay_peers
 from auburnroad_daemon.version import side_configuration
 from auburnroad_daemon.version import swapper
 
 DEFAULT_DRAIN_MS = 30_000
-# What waits is refused by then, so that what runs has time to end.
-WAITING_SHARE_OF_DRAIN = 0.5
-IDLE_POLL_SECONDS = 0.02
-# An entry may have sent a request just before it heard that we leave.
-LINGER_SECONDS = 0.5
 HTTP_DRAIN_SECONDS = 5.0
 
 
@@ -155,6 +151,7 @@
             asyncio.ensure_future(self._requests.sweep()),
             asyncio.ensure_future(self._probes.run()),
             asyncio.ensure_future(self._swapper.run()),
+            asyncio.ensure_future(self._follow_fallbacks()),
         ]
         self.stream_address = await self._streams.start(
             *_split_address(self._settings.stream_address)
@@ -260,7 +257,22 @@
         self._requests.handle_submit(peer, submit)
 
     def _handle_configuration(self, peer: stream.Stream, message) -> None:
+        self._apply(message)
+
+    async def _follow_fallbacks(self) -> None:
+        await configuration_fallback.follow_fallbacks(
+            self._configuration,
+            log_service.HttpLogService(
+                self._settings.log_service, self._client
+            ),
+            self._settings.peers,
+            self.build_hello,
+            self._apply,
+        )
+
+    def _apply(self, message: messages.Configuration) -> None:
         if self._configuration.apply(message):
+            self._probes.wake()
             self._requests.dispatch()
 
     async def _drain(self) -> None:
@@ -268,23 +280,7 @@
         drain_ms = DEFAULT_DRAIN_MS
         if deployed is not None:
             drain_ms = deployed.limits.drain_ms
-        now_ms = clock.time_now_ms()
-        waiting_deadline_ms = now_ms + int(drain_ms * WAITING_SHARE_OF_DRAIN)
-        deadline_ms = now_ms + drain_ms
-        while (
-            not self._requests.is_idle() and clock.time_now_ms() < deadline_ms
-        ):
-            if clock.time_now_ms() >= waiting_deadline_ms:
-                self._requests.refuse_waiting(refusals.LEAVING)
-            await asyncio.sleep(IDLE_POLL_SECONDS)
-        if self._requests.running:
-            logging.warning(
-                '%s: %d requests outlast the planned stop',
-                self._settings.name,
-                self._requests.running,
-            )
-            await self._requests.close()
-        await asyncio.sleep(LINGER_SECONDS)
+        await side_drain.finish_work(self._requests, drain_ms)
         await self._http.drain(HTTP_DRAIN_SECONDS)
         await self.close()
 
