Switch mechanisms off and see their checks fail

Cause: nothing showed that a check would notice if its mechanism were gone. Ruled out: edits in the tree itself, which could be committed by mistake; and counting any failure, since a busy machine fails scenarios too: each check names the text that its failure must hold. Not part of make test, as it takes minutes.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := core daemon client standins e2e
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint unit scenarios golden demo bench capacity test clean
+.PHONY: setup format lint unit scenarios mutations golden demo bench capacity test clean
 
 setup: $(STAMP)
 
@@ -30,6 +30,9 @@
 scenarios: setup
 	$(BIN)/python -m auburnroad_e2e.scenarios
 
+mutations: setup
+	$(BIN)/python -m auburnroad_e2e.mutations
+
 golden: setup
 	$(BIN)/python -m auburnroad_e2e.golden
 
