Test what switched-off mechanisms passed by

Cause: with the mechanism off no test failed for: spans of a stream that goes on, a lower announced version, a version below the ordered one, a side of another incarnation, a request that the side does not know, chunks that are sent again, and work that a leaving side cuts off. Change: unit tests for each; DrainTest also asserts that what ran was run.

--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/connection/side_link_test.py
@@ -0,0 +1,71 @@
+"""Tests of what becomes of attempts when a side's stream is renewed."""
+
+import unittest
+
+from auburnroad_core.platform import host_list
+from auburnroad_core import types
+from auburnroad_core.wire import messages
+from auburnroad_daemon.connection import side_link
+from auburnroad_daemon.request import remote_attempt
+
+
+class FakeOwner:
+    def handle_peer(self, stream, message):
+        pass
+
+
+class FakeStream:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def build_hello(incarnation):
+    return messages.Hello(
+        'side-1', incarnation, 'side', 'h1', 'a', 1, ['svc'], False
+    )
+
+
+class RenewedStreamTest(unittest.IsolatedAsyncioTestCase):
+    """Silence is resolved by asking, and never as 'not run'."""
+
+    async def asyncSetUp(self):
+        host = host_list.Host('h1', 'side', '127.0.0.1:1', 'a', 'live')
+        self.link = side_link.SideLink(host, FakeOwner())
+        self.link.handle_message(FakeStream(), build_hello('first'))
+        submit = messages.Submit(
+            'r1',
+            'svc',
+            types.RequestClass.INTERACTIVE,
+            0,
+            False,
+            False,
+            'POST',
+            '/',
+            {},
+            b'',
+        )
+        self.attempt = remote_attempt.Attempt(submit, 'h1')
+        self.link.submit(self.attempt)
+        self.stream = FakeStream()
+
+    async def test_the_same_side_is_asked_by_id(self):
+        self.link.handle_message(self.stream, build_hello('first'))
+        self.assertFalse(self.attempt.ended)
+        self.assertEqual([messages.Resume('r1', 0)], self.stream.sent)
+
+    async def test_a_side_that_restarted_has_lost_it(self):
+        self.link.handle_message(self.stream, build_hello('second'))
+        self.assertTrue(self.attempt.ended)
+        self.assertIsInstance(
+            await self.attempt.next_event(), remote_attempt.Lost
+        )
+
+    async def test_what_the_side_does_not_know_is_lost(self):
+        self.link.handle_message(self.stream, messages.NotHere('r1'))
+        self.assertTrue(self.attempt.ended)
+        self.assertIsInstance(
+            await self.attempt.next_event(), remote_attempt.Lost
+        )
--- a/packages/daemon/auburnroad_daemon/process/side_stop_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_stop_test.py
@@ -36,6 +36,14 @@
         self.assertEqual(done.chunks, 1 + len(chunks))
         self.assertEqual(['r1'], self.engine.runs)
 
+    async def test_a_new_stream_gets_chunks_again(self):
+        self.engine.gate.clear()
+        self.entry.submit('r1', streamed=True)
+        first = await self.entry.wait_for(messages.Chunk)
+        await self.reconnect()
+        self.entry.stream.send(messages.Resume('r1', 0))
+        self.assertEqual(first, await self.entry.wait_for(messages.Chunk))
+
     async def test_a_finished_answer_is_kept_until_acknowledged(self):
         self.entry.submit('r1')
         await self.entry.wait_for(messages.Done)
@@ -113,7 +121,8 @@
         self.assertEqual(refusals.LEAVING, refused.code)
         self.engine.gate.set()
         for number in range(3):
-            await self.entry.wait_for(messages.Done, f'r{number}')
+            done = await self.entry.wait_for(messages.Done, f'r{number}')
+            self.assertEqual(types.Outcome.RUN, done.outcome)
             self.assertFalse(self.entry.stream.closed)
             self.entry.stream.send(messages.Acknowledge(f'r{number}'))
         await self.side.wait_closed()
--- a/packages/daemon/auburnroad_daemon/request/dispatch_test.py
+++ b/packages/daemon/auburnroad_daemon/request/dispatch_test.py
@@ -143,12 +143,15 @@
 
         dispatcher, links = self.build(break_midway, finish)
         texts = []
+        delivered = []
 
         async def take(text, spans):
             texts.append(text)
+            delivered.extend(spans)
 
         result = await dispatcher.run(build_call(streamed=True), take)
         self.assertEqual(['ab', 'c'], texts)
+        self.assertEqual(result.spans, delivered)
         self.assertIn(b'"resume_at":2', links[1].submitted[0].body)
         self.assertEqual(
             [types.VersionSpan(3, 0, 2), types.VersionSpan(4, 2, 3)],
