--- a/packages/e2e/auburnroad_e2e/scenario/claims.py
+++ b/packages/e2e/auburnroad_e2e/scenario/claims.py
@@ -37,7 +37,9 @@
     found = books.list_problems(
         await book_files.read_all(world.cluster), frozenset(addresses)
     )
-    shown = '; '.join(found[:SHOWN])
+    # One of each promise, so that many of one don't hide another.
+    first = {text.partition(':')[0]: text for text in reversed(found)}
+    shown = '; '.join(reversed(first.values()))
     _claim(not found, f'{len(found)} broken promises: {shown}')
 
 
@@ -82,6 +84,17 @@
     _claim(bool(told), f'no {kind} was told {outcome}')
 
 
+@worlds.CLAIMS.register('not_told')
+async def check_not_told(world: World, kind: str, outcome: str) -> None:
+    """Check that no request of a kind was told an outcome."""
+    told = [
+        one['code']
+        for one in _list_tries(world, kind)
+        if one['outcome'] == outcome
+    ]
+    _claim(not told, f'{len(told)} {kind} were told {outcome}: {told[:SHOWN]}')
+
+
 @worlds.CLAIMS.register('right_answers')
 async def check_right_answers(world: World, count: int, kind: str) -> None:
     """Check that enough requests of a kind were answered rightly."""
