Keep the client's tables short, and show times in explain

Cause: a first publication printed whole documents, and the audit trail said each change twice (seen in a trial against the stand-ins on loopback).

--- a/packages/client/auburnroad_client/commands/looking.py
+++ b/packages/client/auburnroad_client/commands/looking.py
@@ -84,19 +84,25 @@
         return 'no change yet'
     lines = []
     for change in trail:
-        lines.append(
-            f'{change.revision:>6}  {format_time(change.at_ms)}'
-            f'  {change.act:<8} {change.effect:<11} {change.author}:'
-            f' {change.summary}'
-        )
-        if change.act == 'publish' and change.base_revision >= 0:
-            lines += [f'          {c}' for c in change.changes[:CHANGES_SHOWN]]
-            more = len(change.changes) - CHANGES_SHOWN
-            if more > 0:
-                lines.append(f'          and {more} more (--json has all)')
+        lines += _describe_change(change)
     return '\n'.join(lines)
 
 
+def _describe_change(change: configuration.Change) -> list[str]:
+    head = (
+        f'{change.revision:>6}  {format_time(change.at_ms)}'
+        f'  {change.act:<8} {change.effect:<11} {change.author}'
+    )
+    if change.base_revision < 0 or not change.changes:
+        return [f'{head}: {change.summary}']
+    lines = [f'{head}, from revision {change.base_revision}:']
+    lines += [f'          {c}' for c in change.changes[:CHANGES_SHOWN]]
+    more = len(change.changes) - CHANGES_SHOWN
+    if more > 0:
+        lines.append(f'          and {more} more (--json has all)')
+    return lines
+
+
 def format_time(at_ms: int) -> str:
     """Write a time for people.
 
@@ -144,7 +150,9 @@
         )
     for name in silent:
         output.print_progress(f'no answer from {name}')
-    shown = [{**row, 'at_ms': _show_time(row)} for row in events]
+    shown = [{'at': _show_time(row), **row} for row in events]
+    for row in shown:
+        row.pop('at_ms', None)
     return output.Report(events, output.build_table(shown))
 
 
--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -197,8 +197,8 @@
         """Show where one sample or request went.
 
         Args:
-          id: Request id from the answer's auburnroad-request-id header, or
-            sample id such as drafter/12.0/g3/1.
+          id: Request id: from the auburnroad-request-id header of an answer,
+            or the request_id of a sample that a trainer took.
         """
         return plan.Plan(looking.explain, self._options, id)
 
--- a/packages/client/auburnroad_client/questionnaire/compare.py
+++ b/packages/client/auburnroad_client/questionnaire/compare.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+SHOWN_CHARACTERS = 60
+
 
 class Change(msgspec.Struct, frozen=True):
     """One field that differs.
@@ -31,9 +33,16 @@
 
 
 def _shorten(value: typing.Any) -> str:
+    """Write a value in a few words; named members by their names."""
     if isinstance(value, dict) and 'name' in value:
         return str(value['name'])
-    return msgspec.json.encode(value).decode()
+    if value and _is_named(value):
+        text = ', '.join(member['name'] for member in value)
+    else:
+        text = msgspec.json.encode(value).decode()
+    if len(text) > SHOWN_CHARACTERS:
+        return text[:SHOWN_CHARACTERS] + '...'
+    return text
 
 
 def compare_values(old: typing.Any, new: typing.Any) -> list[Change]:
