--- a/packages/client/auburnroad_client/commands/hosts.py
+++ b/packages/client/auburnroad_client/commands/hosts.py
@@ -100,16 +100,22 @@
 
 
 def _check_host(state: configuration.State, host: str) -> None:
+    """Check that the host is one that entries can pass over."""
     answers = configuration.parse_answers(state)
     if answers is None or host in state.draining:
         return
-    places = answers.places
-    names = [h.name for h in [*places.entry_hosts, *places.target_hosts]]
-    if host not in names:
+    names = [h.name for h in answers.places.target_hosts]
+    if host in names:
+        return
+    if host in [h.name for h in answers.places.entry_hosts]:
         raise exit_codes.BadInputError(
-            f'{host!r} is no host of {answers.deployment}',
-            'one of: ' + ', '.join(names),
+            f'{host!r} is an entry host, which no order drains',
+            'take it out of the balancer and send its daemon SIGTERM',
         )
+    raise exit_codes.BadInputError(
+        f'{host!r} is no host of {answers.deployment}',
+        'one of: ' + ', '.join(names),
+    )
 
 
 def _describe(ordered: Ordered) -> str:
--- a/packages/client/auburnroad_client/commands/publishing_test.py
+++ b/packages/client/auburnroad_client/commands/publishing_test.py
@@ -132,10 +132,12 @@
         state = await configuration.read_state(self.log)
         self.assertEqual({}, state.draining)
 
-    async def test_an_unknown_host_is_refused(self):
+    async def test_hosts_that_no_order_can_drain_are_refused(self):
         await self.publish(self.answers)
-        with self.assertRaises(exit_codes.BadInputError):
-            await self.order('target-x', True)
+        for host in ('target-x', 'entry-a'):
+            with self.assertRaises(exit_codes.BadInputError):
+                await self.order(host, True)
+        self.assertEqual(1, len(self.list_records()))
 
 
 class ReadTrailTest(LogTest):
@@ -149,7 +151,9 @@
             return_exceptions=True,
         )
         deadline_ms = clock.time_now_ms() + 5000
-        await hosts.order_host(self.log, 'entry-b', True, 'bence', deadline_ms)
+        await hosts.order_host(
+            self.log, 'target-b1', True, 'bence', deadline_ms
+        )
         trail = await configuration.read_trail(self.log)
         self.assertEqual(
             [
@@ -161,7 +165,7 @@
             [(change.act, change.effect) for change in trail],
         )
         self.assertEqual(1, len(trail[1].changes))
-        self.assertEqual('entry-b', trail[3].summary)
+        self.assertEqual('target-b1', trail[3].summary)
 
     async def test_trail_after_truncation_keeps_what_is_in_force(self):
         for share in (1, 2, 3):
--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -169,10 +169,10 @@
         author: str = '',
         timeout_seconds: str = str(ORDER_SECONDS),
     ):
-        """Order that a host takes no new work and finishes what it has.
+        """Order that a target host gets no new work; it finishes what it has.
 
         Args:
-          host: Host's name.
+          host: Target host's name.
           author: Your name for the audit trail; the login name if left out.
           timeout_seconds: How long to try.
         """
--- a/packages/client/auburnroad_client/questionnaire/ask.py
+++ b/packages/client/auburnroad_client/questionnaire/ask.py
@@ -24,6 +24,13 @@
 YES = ('y', 'yes', 'true')
 NO = ('n', 'no', 'false')
 
+# What the patterns of answers.py ask for, by a part that only they have.
+SHAPES = {
+    '[a-z0-9-]': "a name of lower-case letters, digits and '-'",
+    ':[0-9]{1,5}': 'an address such as 127.0.0.1:7400',
+    '[0-9]{1,3}': 'an IP number such as 127.0.0.1',
+}
+
 
 class Terminal:
     """Reads answers from standard input and asks on standard error."""
@@ -74,7 +81,7 @@
         if not records:
             return answers
         for record in records:
-            terminal.say(f'  {record.field}: {record.message}')
+            terminal.say(f'  {record}')
         for path in _list_paths(records):
             interview.ask_again(plain, path)
 
@@ -153,7 +160,7 @@
         )
 
     def _ask_list(self, question, member, offered) -> list[Plain]:
-        title = member.__name__
+        title = re.sub('(?<!^)([A-Z])', r' \1', member.__name__).capitalize()
         count = self._ask_count(question, len(offered))
         items = []
         for index in range(count):
@@ -183,7 +190,7 @@
                 value = _parse(question, text)
                 self._check_known(question, value)
                 return value
-            except (msgspec.ValidationError, ValueError) as error:
+            except ValueError as error:
                 self._terminal.say(f'  {error}')
 
     def _build_prompt(self, question, offered) -> str:
@@ -194,7 +201,7 @@
             text += f' One of: {", ".join(choices)}.'
         if offered is not None:
             text += f' [{_show(offered)}]'
-        return f'{text}\n> '
+        return f'\n{text}\n> '
 
     def _check_known(self, question, value) -> None:
         known = self._known.get(question.refers_to)
@@ -232,10 +239,25 @@
     if shape is bool:
         if text.lower() not in YES + NO:
             raise ValueError('answer yes or no')
-        value = text.lower() in YES
+        return text.lower() in YES
     elif shape is int:
         value = int(text) if text.lstrip('-').isdigit() else text
     elif questions.find_member(shape) is not None:
         value = [part for part in re.split(r'[,\s]+', text) if part]
-    msgspec.convert(value, question.kind)
+    try:
+        msgspec.convert(value, question.kind)
+    except msgspec.ValidationError as error:
+        raise ValueError(_explain(question, text, str(error))) from None
     return value
+
+
+def _explain(question: questions.Question, text: str, reason: str) -> str:
+    """Say what a wrong answer should look like, without the type's words."""
+    if not text:
+        return 'an answer is needed'
+    if choices := questions.list_choices(question.kind):
+        return f'{text!r} is not one of ' + ', '.join(choices)
+    for pattern, words in SHAPES.items():
+        if pattern in reason:
+            return f'{text!r} is not {words}'
+    return reason
--- a/packages/client/auburnroad_client/questionnaire/ask_test.py
+++ b/packages/client/auburnroad_client/questionnaire/ask_test.py
@@ -66,7 +66,8 @@
         self.assertEqual(['a', 'b'], domains)
         self.assertEqual([], answers.trainers)
         said = '\n'.join(terminal.said)
-        self.assertIn("'c' is not one of a, b", said)
+        for wrong in ("'c' is not one of a, b", "'My Lab' is not a name"):
+            self.assertIn(wrong, said)
 
     def test_contradictions_are_asked_again_at_the_end(self):
         script = dict(FIRST_ANSWERS)
