Leave a young log without a checkpoint

Cause: the first checkpoint came up to a minute after the first record.

Change: the first one comes after 10 to 20 minutes, or an eighth to a quarter of the retention where that is shorter.

--- a/packages/daemon/auburnroad_daemon/version/checkpoints.py
+++ b/packages/daemon/auburnroad_daemon/version/checkpoints.py
@@ -20,8 +20,9 @@
 
 APPEND_LIMIT_MS = 10_000
 LOOK_SECONDS = 1.0
-# Delays in which entries that see the same need spread out.
-FIRST_SPREAD_MS = 60_000
+# Entries that see the same need spread out over such a time. The first
+# checkpoint may wait, as long as an entry runs for longer than that.
+FIRST_SPREAD_MS = 600_000
 MISSING_SPREAD_MS = 1_000
 
 
@@ -74,7 +75,7 @@
         due_ms = now_ms + int(spread * MISSING_SPREAD_MS)
     elif state.checkpoint < 0:
         spread_ms = min(FIRST_SPREAD_MS, retention_ms // 8)
-        due_ms = now_ms + int(spread * spread_ms)
+        due_ms = now_ms + int((1 + spread) * spread_ms)
     else:
         # The writer's clock may be ahead of ours.
         written_ms = min(state.checkpoint_ms, now_ms)
--- a/packages/daemon/auburnroad_daemon/version/checkpoints_test.py
+++ b/packages/daemon/auburnroad_daemon/version/checkpoints_test.py
@@ -35,6 +35,11 @@
         self.assertIsNone(update(None, None, 0))
         self.assertIsNone(update(None, trainer_fold.State(), 0))
 
+    def test_first_one_leaves_a_young_log_alone(self):
+        self.state.checkpoint = -1
+        plan = update(None, self.state, 100_000)
+        self.assertEqual(plan.due_ms, 100_000 + RETENTION_MS * 3 // 16)
+
     def test_next_one_is_due_long_before_the_last_expires(self):
         plan = update(None, self.state, 100_500)
         self.assertEqual(plan.due_ms, 100_000 + 20_000 + 5_000)
