Tell a daemon that starts in an outage which hosts drain

Cause: host orders came from the log alone, so an entry that started while the log service was down sent work to hosts that operators had ordered to drain; and a tail that read the log from its beginning put early orders in force for a moment.

Change: the configuration message carries the hosts to drain with the offset up to which that is known; the holder takes neither an earlier revision nor earlier orders. An entry tells another one when it introduces itself, since the revision says nothing of orders. Counters for configurations by origin, host orders and the revision.

Ruled out: orders in each heartbeat; entries follow the log themselves as soon as they can read it.

--- a/packages/core/auburnroad_core/wire/messages.py
+++ b/packages/core/auburnroad_core/wire/messages.py
@@ -65,10 +65,15 @@
     Attributes:
       revision: Offset of the record that published it.
       document: The deployment as JSON.
+      draining: Hosts that operators have ordered to drain.
+      orders_offset: Offset up to which the orders are known, -1 from a daemon
+        that doesn't follow them.
     """
 
     revision: int
     document: bytes
+    draining: list[str] = []
+    orders_offset: int = -1
 
 
 class Submit(Message, tag=4):
--- a/packages/daemon/auburnroad_daemon/process/entry.py
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -180,7 +180,7 @@
         """Handle what any daemon may send: configuration and copies."""
         match message:
             case messages.Hello() | messages.Heartbeat():
-                if message.revision < self._configuration.revision:
+                if self._configuration.is_news_to(message):
                     stream.send(self._configuration.build_message())
             case messages.Configuration():
                 self._configuration.apply(message)
@@ -222,6 +222,7 @@
         self._configuration_tail.on_change(self._handle_configuration_log)
         self._trainers_tail.on_change(self._handle_trainers_log)
         self._configuration.on_change(self._handle_configuration)
+        self._configuration.on_orders(self._handle_orders)
 
     def _build_path(self) -> None:
         """Build what carries requests and samples."""
@@ -293,14 +294,11 @@
                 link.send(self.build_heartbeat(link))
 
     def _handle_configuration_log(self, steps) -> None:
-        state = self._configuration_tail.state
-        if state is None:
-            return
-        self._membership.set_draining(set(state.draining))
-        if state.revision >= 0:
-            self._configuration.apply(
-                messages.Configuration(state.revision, bytes(state.deployment))
-            )
+        if self._configuration_tail.state is not None:
+            self._configuration.apply_log(self._configuration_tail.state)
+
+    def _handle_orders(self) -> None:
+        self._membership.set_draining(self._configuration.draining)
 
     def _handle_configuration(self) -> None:
         """Put a new configuration in force, here and at every peer."""
--- a/packages/daemon/auburnroad_daemon/process/entry_metrics.py
+++ b/packages/daemon/auburnroad_daemon/process/entry_metrics.py
@@ -32,6 +32,22 @@
     ['code'],
     registry=REGISTRY,
 )
+CONFIGURATIONS = prometheus_client.Counter(
+    'auburnroad_configurations',
+    'Configurations put in force, by where they came from.',
+    ['origin'],
+    registry=REGISTRY,
+)
+REVISION = prometheus_client.Gauge(
+    'auburnroad_configuration_revision',
+    'Revision of the configuration in force.',
+    registry=REGISTRY,
+)
+HOST_ORDERS = prometheus_client.Counter(
+    'auburnroad_host_orders',
+    'Hosts that came to drain, or were taken back, by an operator.',
+    registry=REGISTRY,
+)
 INTENTS = prometheus_client.Counter(
     'auburnroad_intents',
     'Non-idempotent requests that asked for their key, by the answer.',
--- a/packages/daemon/auburnroad_daemon/version/configuration.py
+++ b/packages/daemon/auburnroad_daemon/version/configuration.py
@@ -1,26 +1,117 @@
-"""The configuration in force; its revision only ever goes up."""
+"""The configuration in force at an entry, and the operators' orders for hosts.
+
+Both only ever go forward, whatever order they are heard in: from the log, or
+from a peer during an outage of the log. A daemon that was paused, or that
+starts while its peers know less, can't put an earlier state in force.
+"""
 
 import typing
 
+from auburnroad_core.log import configuration_fold
+from auburnroad_core.wire import messages
+from auburnroad_daemon.process import entry_metrics as metrics
 from auburnroad_daemon.version import side_configuration
 
+Listener = typing.Callable[[], None]
+
 
 class ConfigurationHolder(side_configuration.SideConfiguration):
-    """The highest revision seen, with listeners."""
+    """The highest revision and the newest orders seen, with listeners."""
 
-    __slots__ = ('_listeners',)
+    __slots__ = (
+        '_listeners',
+        '_order_listeners',
+        '_draining',
+        '_orders_offset',
+    )
 
     def __init__(self):
         super().__init__()
-        self._listeners = []
+        self._listeners: list[Listener] = []
+        self._order_listeners: list[Listener] = []
+        self._draining: frozenset[str] = frozenset()
+        self._orders_offset = -1
 
-    def on_change(self, listener: typing.Callable[[], None]) -> None:
+    @property
+    def draining(self) -> frozenset[str]:
+        """Hosts that operators have ordered to drain."""
+        return self._draining
+
+    def on_change(self, listener: Listener) -> None:
         """Call a function after a higher revision came into force."""
         self._listeners.append(listener)
 
-    def apply(self, message) -> bool:
-        """Put a configuration in force if its revision is higher."""
+    def on_orders(self, listener: Listener) -> None:
+        """Call a function after other hosts are to drain."""
+        self._order_listeners.append(listener)
+
+    def apply_log(self, state: configuration_fold.State) -> None:
+        """Put in force what the log says.
+
+        Args:
+          state: Folded state of the configuration stream, maybe an old one.
+        """
+        draining = sorted(state.draining)
+        message = messages.Configuration(
+            state.revision, bytes(state.deployment), draining, state.applied
+        )
+        self._apply(message, 'log')
+
+    def apply(self, message: messages.Configuration) -> bool:
+        """Put in force what a peer says, as far as it is news.
+
+        Args:
+          message: A peer's configuration.
+
+        Returns:
+          True when its revision is in force now and was not before.
+        """
+        return self._apply(message, 'peer')
+
+    def is_news_to(self, message: messages.Hello | messages.Heartbeat) -> bool:
+        """Decide whether a peer should be sent our configuration.
+
+        A peer's orders aren't known from its revision, so another entry is
+        told when it introduces itself.
+
+        Args:
+          message: What the peer told of itself.
+
+        Returns:
+          True when it may know less.
+        """
+        if message.revision < self.revision:
+            return True
+        is_entry = isinstance(message, messages.Hello) and (
+            message.role == 'entry'
+        )
+        return is_entry and self._orders_offset >= 0
+
+    def build_message(self) -> messages.Configuration:
+        """Build the message that hands all of it to a peer."""
+        message = super().build_message()
+        message.draining = sorted(self._draining)
+        message.orders_offset = self._orders_offset
+        return message
+
+    def _apply(self, message: messages.Configuration, origin: str) -> bool:
+        self._apply_orders(message)
         changed = super().apply(message)
+        if changed:
+            metrics.CONFIGURATIONS.labels(origin).inc()
+            metrics.REVISION.set(self.revision)
         for listener in self._listeners if changed else ():
             listener()
         return changed
+
+    def _apply_orders(self, message: messages.Configuration) -> None:
+        if message.orders_offset <= self._orders_offset:
+            return
+        self._orders_offset = message.orders_offset
+        draining = frozenset(message.draining)
+        if draining == self._draining:
+            return
+        metrics.HOST_ORDERS.inc(len(draining ^ self._draining))
+        self._draining = draining
+        for listener in self._order_listeners:
+            listener()
