Test that weights go from side to side

Cause: the relay was tested in parts only. Change: three sides, one store and one host list over loopback.

--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -115,6 +115,11 @@
         """The host's replicas."""
         return self._replicas
 
+    @property
+    def weights(self) -> relay.WeightRelay:
+        """The weights that this host holds or can fetch."""
+        return self._relay
+
     @property
     def ready(self) -> bool:
         """Whether new work is welcome."""
--- /dev/null
+++ b/packages/daemon/auburnroad_daemon/version/relay_sides_test.py
@@ -0,0 +1,80 @@
+"""Tests of weights that go from side to side."""
+
+import asyncio
+import unittest
+
+from auburnroad_core.http import messages as http_messages
+from auburnroad_core.http import server
+from auburnroad_core.platform import host_list
+from auburnroad_core.settings import daemon
+from auburnroad_daemon.process import side as side_module
+from auburnroad_daemon.version import relay_tree
+
+SIDES = ('a1', 'a2', 'b1')
+
+
+class RelaySidesTest(unittest.IsolatedAsyncioTestCase):
+    """One side asks the store; the others have it from that one."""
+
+    async def asyncSetUp(self):
+        self.reads = []
+        self.hosts = []
+        self.platform = server.HttpServer(self.handle)
+        host, port = await self.platform.start('127.0.0.1', 0)
+        self.sides = {
+            name: side_module.Side(
+                daemon.Daemon(
+                    name,
+                    'side',
+                    name,
+                    name[0],
+                    '127.0.0.1:0',
+                    '127.0.0.1:0',
+                    '127.0.0.1:1',
+                    f'{host}:{port}',
+                    f'{host}:{port}',
+                    replicas=[daemon.Replica('r', 's', '127.0.0.1:1')],
+                )
+            )
+            for name in SIDES
+        }
+        for name, side in self.sides.items():
+            await side.start()
+            address = '{}:{}'.format(*side.stream_address)
+            self.hosts.append(
+                host_list.Host(
+                    name, 'side', address, name[0], host_list.HostState.LIVE
+                )
+            )
+
+    async def asyncTearDown(self):
+        for side in self.sides.values():
+            await side.close()
+        await self.platform.close()
+
+    async def handle(self, request):
+        if request.path == '/hosts':
+            return http_messages.json_response(200, self.hosts)
+        self.reads.append(request.path)
+        return http_messages.Response(200, {}, b'weights')
+
+    async def fetch_everywhere(self, names):
+        return await asyncio.gather(
+            *(self.sides[name].weights.get('m', 3) for name in names)
+        )
+
+    async def test_the_store_is_read_once(self):
+        weights = await self.fetch_everywhere(SIDES)
+        self.assertEqual([b'weights'] * 3, weights)
+        self.assertEqual(['/weights/m/3'], self.reads)
+
+    async def test_a_dead_parent_is_passed_over(self):
+        root = next(
+            name
+            for name in SIDES
+            if not relay_tree.find_ancestors(self.hosts, name, 'm', 3)
+        )
+        await self.sides[root].close()
+        rest = [name for name in SIDES if name != root]
+        weights = await self.fetch_everywhere(rest)
+        self.assertEqual([b'weights'] * 2, weights)
