Keep sides that wait for weights away from the store

Cause, seen on reading: a side gave its parent 10 s and then asked the store itself, so that a store that needs longer would be read by every side at once, which makes it slower still. Ruled out: a longer limit, which would hold the children of a dead parent up. Change: a side that waits for weights answers 202 within 2 s, so that those behind it can tell waiting from dead; the refusal of a living side counts, and only after three of them the store is asked. Conclusion: with a slow store three sides read it once; with one that is down one read a try; tests over loopback.

--- a/packages/daemon/auburnroad_daemon/version/relay.py
+++ b/packages/daemon/auburnroad_daemon/version/relay.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import typing
 
 from absl import logging
@@ -19,6 +20,17 @@
 VERSIONS_KEPT = 2
 MAX_FETCHES = 8
 PATH_PREFIX = '/weights/'
+# A side that waits for the weights itself says so after this time, so that
+# those behind it can tell it from a dead one.
+PENDING_SECONDS = 2.0
+PENDING_STATUS = 202
+# After so many refusals by sides on the way up the store is asked at last:
+# the way to it may be cut off there and not here.
+REFUSALS_BEFORE_STORE = 3
+
+
+class PeerRefusedError(weight_store.WeightStoreError):
+    """Another side is there and can't get the weights now."""
 
 
 class WeightSource(typing.Protocol):
@@ -33,7 +45,7 @@
 class WeightRelay:
     """The newest versions of each model, in memory."""
 
-    __slots__ = ('_source', '_metrics', '_weights', '_fetches')
+    __slots__ = ('_source', '_metrics', '_weights', '_fetches', '_refusals')
 
     def __init__(
         self, source: WeightSource, metrics: metrics_module.SideMetrics
@@ -42,6 +54,7 @@
         self._metrics = metrics
         self._weights: dict[str, dict[int, bytes]] = {}
         self._fetches: dict[tuple[str, int], asyncio.Task] = {}
+        self._refusals: collections.Counter[str] = collections.Counter()
 
     async def get(self, model: str, version: int) -> bytes:
         """Get one version's weights, from memory if they are there.
@@ -79,13 +92,17 @@
           request: 'GET /weights/MODEL/VERSION'.
 
         Returns:
-          The weights, 404, or 503 when they can't be had now.
+          The weights, 404, 202 while they are on their way, or 503 when
+          they can't be had now.
         """
         model, _, number = request.path[len(PATH_PREFIX) :].rpartition('/')
         if request.method != 'GET' or not model or not number.isdecimal():
             return messages.json_response(404, {'error': 'unknown path'})
         try:
-            body = await self.get(model, int(number))
+            async with asyncio.timeout(PENDING_SECONDS):
+                body = await self.get(model, int(number))
+        except TimeoutError:
+            return messages.json_response(PENDING_STATUS, {'pending': True})
         except weight_store.WeightsMissingError as error:
             return messages.json_response(404, {'error': str(error)})
         except weight_store.WeightStoreError as error:
@@ -106,9 +123,18 @@
                 weights = await store.fetch(
                     model, version, FETCH_TIMEOUT_SECONDS
                 )
+            except PeerRefusedError as error:
+                # A living side tries on; all of us at the store would only
+                # slow it down.
+                self._refusals[model] += 1
+                if self._refusals[model] <= REFUSALS_BEFORE_STORE:
+                    raise
+                failure = error
+                continue
             except weight_store.WeightStoreError as error:
                 failure = error
                 continue
+            del self._refusals[model]
             self._metrics.weight_bytes.labels(kind).inc(len(weights))
             return weights
         raise failure
--- a/packages/daemon/auburnroad_daemon/version/relay_peers.py
+++ b/packages/daemon/auburnroad_daemon/version/relay_peers.py
@@ -4,18 +4,22 @@
 says itself, in the Hello that opens each stream.
 """
 
+import asyncio
+
 from auburnroad_core import clock
 from auburnroad_core.http import client
+from auburnroad_core.http import messages as http_messages
 from auburnroad_core.platform import host_list as host_list_module
 from auburnroad_core.platform import weight_store
 from auburnroad_core.settings import daemon
 from auburnroad_core.wire import codec
 from auburnroad_core.wire import messages
 from auburnroad_daemon.connection import brief_stream
+from auburnroad_daemon.version import relay
 from auburnroad_daemon.version import relay_tree
 
-# A parent that is itself without the weights must not hold its children up.
-PEER_TIMEOUT_SECONDS = 10.0
+# Longer than a parent takes to say that the weights are on their way.
+HEAD_TIMEOUT_SECONDS = 2 * relay.PENDING_SECONDS
 HOSTS_KEPT_MS = 10_000
 # Further ancestors are rarely worth their wait: the store comes next.
 MAX_ANCESTORS = 2
@@ -45,7 +49,8 @@
 
         Raises:
           WeightsMissingError: If the side can't find such a version.
-          WeightStoreError: If the side doesn't give them now.
+          PeerRefusedError: If the side is there and can't get them.
+          WeightStoreError: If the side can't be reached.
         """
         try:
             hello = await brief_stream.ask(
@@ -55,9 +60,26 @@
             raise weight_store.WeightStoreError(str(error)) from error
         if hello.leaving or not hello.http_address:
             raise weight_store.WeightStoreError('the side does not relay')
-        store = weight_store.HttpWeightStore(hello.http_address, self._client)
-        limit_seconds = min(timeout_seconds, PEER_TIMEOUT_SECONDS)
-        return await store.fetch(model, version, limit_seconds)
+        target = f'{relay.PATH_PREFIX}{model}/{version}'
+        request = http_messages.Request('GET', target, {})
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self._wait_for(hello.http_address, request)
+        except (client.HttpError, TimeoutError) as error:
+            raise weight_store.WeightStoreError(str(error)) from error
+
+    async def _wait_for(self, address, request) -> bytes:
+        """Ask until the side has the weights or says that it can't."""
+        while True:
+            async with asyncio.timeout(HEAD_TIMEOUT_SECONDS):
+                reply = await self._client.open(address, request)
+            body = await reply.read()
+            if reply.status == 200:
+                return body
+            if reply.status == 404:
+                raise weight_store.WeightsMissingError('missing upstream')
+            if reply.status != relay.PENDING_STATUS:
+                raise relay.PeerRefusedError(f'refused with {reply.status}')
 
 
 class RelayPeers:
--- a/packages/daemon/auburnroad_daemon/version/relay_sides_test.py
+++ b/packages/daemon/auburnroad_daemon/version/relay_sides_test.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from auburnroad_core.http import messages as http_messages
 from auburnroad_core.http import server
 from auburnroad_core.platform import host_list
+from auburnroad_core.platform import weight_store
 from auburnroad_core.settings import daemon
 from auburnroad_daemon.process import side as side_module
+from auburnroad_daemon.version import relay
 from auburnroad_daemon.version import relay_tree
 
 SIDES = ('a1', 'a2', 'b1')
@@ -19,6 +22,9 @@
     async def asyncSetUp(self):
         self.reads = []
         self.hosts = []
+        self.down = False
+        self.gate = asyncio.Event()
+        self.gate.set()
         self.platform = server.HttpServer(self.handle)
         host, port = await self.platform.start('127.0.0.1', 0)
         self.sides = {
@@ -56,6 +62,9 @@
         if request.path == '/hosts':
             return http_messages.json_response(200, self.hosts)
         self.reads.append(request.path)
+        await self.gate.wait()
+        if self.down:
+            return http_messages.Response(503)
         return http_messages.Response(200, {}, b'weights')
 
     async def fetch_everywhere(self, names):
@@ -68,12 +77,38 @@
         self.assertEqual([b'weights'] * 3, weights)
         self.assertEqual(['/weights/m/3'], self.reads)
 
-    async def test_a_dead_parent_is_passed_over(self):
-        root = next(
+    async def test_a_slow_store_is_not_read_by_those_who_wait(self):
+        self.gate.clear()
+        with mock.patch.object(relay, 'PENDING_SECONDS', 0.02):
+            fetches = asyncio.ensure_future(self.fetch_everywhere(SIDES))
+            await asyncio.sleep(0.2)
+            self.gate.set()
+            self.assertEqual([b'weights'] * 3, await fetches)
+        self.assertEqual(1, len(self.reads))
+
+    async def test_a_store_that_is_down_is_asked_by_one(self):
+        self.down = True
+        for name in SIDES:
+            with self.assertRaises(weight_store.WeightStoreError):
+                await self.sides[name].weights.get('m', 3)
+        root = self.find_root()
+        own = [name for name in SIDES if name != root]
+        reads = len(self.reads)
+        self.assertEqual(3, reads)
+        self.down = False
+        weights = await self.fetch_everywhere(own)
+        self.assertEqual([b'weights'] * 2, weights)
+        self.assertEqual(reads + 1, len(self.reads))
+
+    def find_root(self):
+        return next(
             name
             for name in SIDES
             if not relay_tree.find_ancestors(self.hosts, name, 'm', 3)
         )
+
+    async def test_a_dead_parent_is_passed_over(self):
+        root = self.find_root()
         await self.sides[root].close()
         rest = [name for name in SIDES if name != root]
         weights = await self.fetch_everywhere(rest)
