--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import typing
 
+from absl import logging
 import h11
 import msgspec
 
@@ -113,6 +114,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Request):
                 head = event
+                self._check_header_size(head)
                 self._check_declared_size(head)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
@@ -123,6 +125,17 @@
             else:
                 return None
 
+    def _check_header_size(self, head) -> None:
+        # h11 only limits headers that come in several reads.
+        size = len(head.target) + sum(
+            len(name) + len(value) for name, value in head.headers
+        )
+        limit = self._server.limits.header_bytes
+        if size > limit:
+            raise _RefusedError(
+                431, 'headers_too_large', f'the headers are over {limit} bytes'
+            )
+
     def _check_declared_size(self, head) -> None:
         for name, value in head.headers:
             if name == b'content-length':
@@ -154,7 +167,7 @@
             )
             if not work.done():
                 raise ConnectionResetError('the caller went away')
-            return work.result()
+            return _take_result(work)
         finally:
             work.cancel()
             watch.cancel()
@@ -211,6 +224,20 @@
             self._writer.write(data)
 
 
+def _take_result(work: asyncio.Task) -> messages.Response:
+    """Take the handler's response; a fault of ours is answered as such."""
+    error = work.exception()
+    if error is None or isinstance(error, OSError):
+        # A handler that can't answer says so by a failed connection.
+        return work.result()
+    logging.error('a handler failed', exc_info=error)
+    return messages.json_response(
+        500,
+        {'error': {'code': 'internal_error', 'message': 'a fault of ours'}},
+        {'auburnroad-outcome': 'unknown'},
+    )
+
+
 def _build_request(head, body: bytes) -> messages.Request:
     headers: dict[str, str] = {}
     for raw_name, raw_value in head.headers:
--- /dev/null
+++ b/packages/core/auburnroad_core/http/server_test.py
@@ -0,0 +1,88 @@
+"""Tests of the HTTP server with callers that misbehave."""
+
+import asyncio
+import unittest
+
+from auburnroad_core.http import client
+from auburnroad_core.http import messages
+from auburnroad_core.http import server
+
+TIMEOUT_SECONDS = 5.0
+
+
+class HttpServerTest(unittest.IsolatedAsyncioTestCase):
+    """Each bad request gets its own answer and disturbs no other."""
+
+    async def asyncSetUp(self):
+        self.started = asyncio.Event()
+        self.release = asyncio.Event()
+        self.cancelled = asyncio.Event()
+        limits = server.HttpLimits(header_bytes=2048, body_bytes=1000)
+        self.server = server.HttpServer(self.handle, limits)
+        self.host, self.port = await self.server.start('127.0.0.1', 0)
+        self.client = client.HttpClient()
+
+    async def asyncTearDown(self):
+        self.client.close()
+        await self.server.close()
+
+    async def handle(self, request):
+        if request.path == '/fault':
+            raise KeyError('no such thing')
+        if request.path == '/slow':
+            self.started.set()
+            try:
+                await self.release.wait()
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+        return messages.Response(200, {}, request.body)
+
+    async def fetch(self, target, body=b''):
+        request = messages.Request('POST', target, {}, body)
+        return await self.client.fetch(
+            f'{self.host}:{self.port}', request, TIMEOUT_SECONDS
+        )
+
+    async def send_raw(self, data):
+        reader, writer = await asyncio.open_connection(self.host, self.port)
+        writer.write(data)
+        answer = await asyncio.wait_for(reader.read(), TIMEOUT_SECONDS)
+        writer.close()
+        return answer
+
+    async def test_a_fault_of_a_handler_is_answered(self):
+        response = await self.fetch('/fault')
+        self.assertEqual(500, response.status)
+        self.assertEqual('unknown', response.headers['auburnroad-outcome'])
+
+    async def test_a_body_over_the_limit_is_refused_as_not_run(self):
+        response = await self.fetch('/', b'x' * 1001)
+        self.assertEqual(413, response.status)
+        self.assertEqual('not-run', response.headers['auburnroad-outcome'])
+
+    async def test_headers_over_the_limit_are_refused(self):
+        answer = await self.send_raw(
+            b'GET / HTTP/1.1\r\nhost: a\r\nx: ' + b'y' * 4000 + b'\r\n\r\n'
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 431'))
+
+    async def test_malformed_http_is_refused(self):
+        answer = await self.send_raw(b'nonsense\r\n\r\n')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 400'))
+
+    async def test_a_caller_that_goes_cancels_its_handler(self):
+        _, writer = await asyncio.open_connection(self.host, self.port)
+        writer.write(b'GET /slow HTTP/1.1\r\nhost: a\r\n\r\n')
+        await asyncio.wait_for(self.started.wait(), TIMEOUT_SECONDS)
+        writer.close()
+        await asyncio.wait_for(self.cancelled.wait(), TIMEOUT_SECONDS)
+
+    async def test_a_drain_answers_what_is_in_flight(self):
+        work = asyncio.create_task(self.fetch('/slow', b'whole'))
+        await asyncio.wait_for(self.started.wait(), TIMEOUT_SECONDS)
+        drain = asyncio.create_task(self.server.drain(TIMEOUT_SECONDS))
+        await asyncio.sleep(0)
+        self.release.set()
+        self.assertTrue(await drain)
+        self.assertEqual(b'whole', (await work).body)
--- a/packages/daemon/auburnroad_daemon/process/entry_metrics.py
+++ b/packages/daemon/auburnroad_daemon/process/entry_metrics.py
@@ -6,6 +6,7 @@
 import prometheus_client
 
 from auburnroad_core.http import client
+from auburnroad_core.log import counters
 from auburnroad_core.wire import stream
 
 REGISTRY = prometheus_client.CollectorRegistry()
@@ -31,6 +32,12 @@
     ['code'],
     registry=REGISTRY,
 )
+INTENTS = prometheus_client.Counter(
+    'auburnroad_intents',
+    'Non-idempotent requests that asked for their key, by the answer.',
+    ['admission'],
+    registry=REGISTRY,
+)
 CLAIMS = prometheus_client.Counter(
     'auburnroad_claims',
     'Claims on trainers, by verdict.',
@@ -56,3 +63,5 @@
 )
 REGISTRY.register(stream.BYTES)
 REGISTRY.register(client.BYTES)
+for _collector in counters.COLLECTORS:
+    REGISTRY.register(_collector)
--- a/packages/e2e/auburnroad_e2e/cluster.py
+++ b/packages/e2e/auburnroad_e2e/cluster.py
@@ -71,6 +71,11 @@
         """HTTP addresses of the entries."""
         return [d.http_address for d in self.daemons if d.role == 'entry']
 
+    @property
+    def answers_path(self) -> pathlib.Path:
+        """Where the answers stand that were published first."""
+        return self.directory / 'answers.json'
+
     def address(self, name: str) -> str:
         """Tell where a stand-in or daemon speaks HTTP.
 
@@ -97,7 +102,7 @@
 
     async def publish(self) -> None:
         """Publish the configuration with the operators' client."""
-        path = self.directory / 'answers.json'
+        path = self.answers_path
         path.write_bytes(msgspec.json.encode(self.answers))
         await self.run_client('publish', f'--file={path}', '--author=e2e')
 
@@ -113,15 +118,26 @@
         Raises:
           ProcessError: If it failed.
         """
-        name = f'client-{len(self.processes)}'
-        run = self.spawn(name, commands.build_client(arguments))
-        status = await run.wait(START_SECONDS)
+        status, printed = await self.try_client(*arguments)
         if status != 0:
             raise process.ProcessError(
-                f'auburnroad {arguments} ended with {status}:\n'
-                f'{run.read_log()}'
+                f'{" ".join(arguments)} ended with {status}:\n{printed}'
             )
-        return run.read_log()
+        return printed
+
+    async def try_client(self, *arguments: str) -> tuple[int | None, str]:
+        """Run the operators' client and see how it ends.
+
+        Args:
+          arguments: Its command line.
+
+        Returns:
+          Exit status, None when it didn't end in time, and what it printed.
+        """
+        name = f'client-{len(self.processes)}'
+        run = self.spawn(name, commands.build_client(arguments))
+        status = await run.wait(START_SECONDS)
+        return status, run.read_log()
 
     async def write_hosts(self, states: dict[str, str] | None = None) -> None:
         """Tell the host list stand-in the hosts.
--- a/packages/standins/auburnroad_standins/caller.py
+++ b/packages/standins/auburnroad_standins/caller.py
@@ -17,6 +17,7 @@
 from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
+from auburnroad_standins import balancer
 from auburnroad_standins import caller_kinds
 from auburnroad_standins import entry_pool
 from auburnroad_standins import record_file
@@ -83,7 +84,8 @@
       entry: Entry that was asked.
       status: HTTP status, zero when there was none.
       outcome: What the entry claimed; 'unsent' when nothing left the caller,
-        'broken' when the answer did not come whole.
+        'broken' when the connection broke before the answer's end, 'given-up'
+        when the caller waited no longer.
       code: Code of a refusal, or the error.
       request_id: The entry's id of the request.
       began: Whether the head of an answer came.
@@ -106,17 +108,32 @@
 class Caller:
     """Makes requests at a rate and keeps books of them."""
 
-    __slots__ = ('options', 'books', 'stopping', '_client', '_random')
+    __slots__ = (
+        'options',
+        'books',
+        'stopping',
+        '_balancer',
+        '_client',
+        '_random',
+    )
 
     def __init__(self, options: Options):
         self.options = options
         self.books = record_file.RecordFile(options.books_file)
         self.stopping = asyncio.Event()
+        self._balancer = balancer.Balancer(options.entries)
         self._client = client.HttpClient()
         self._random = random.Random(options.seed)
 
     async def run(self) -> None:
         """Make requests until there are enough, then wait for the last."""
+        watch = asyncio.create_task(self._balancer.run())
+        try:
+            await self._make_calls()
+        finally:
+            watch.cancel()
+
+    async def _make_calls(self) -> None:
         running: set[asyncio.Task] = set()
         number = 0
         while not self.stopping.is_set():
@@ -155,7 +172,10 @@
         self._random.shuffle(entries)
         tries: list[Try] = []
         while len(tries) < options.tries:
-            entry = entries[len(tries) % len(entries)]
+            entry = self._balancer.order(entries)[0]
+            # The next try goes to another entry, if there is one.
+            entries.remove(entry)
+            entries.append(entry)
             done = await self._try(kind, call, entry)
             tries.append(done)
             if _is_final(done):
@@ -173,9 +193,11 @@
         except client.ConnectError as error:
             done.outcome = 'unsent'
             done.code = str(error)
-        except (client.BrokenError, TimeoutError) as error:
+        except client.BrokenError as error:
             done.outcome = 'broken'
-            done.code = str(error) or 'timed out'
+            done.code = str(error)
+        except TimeoutError:
+            done.outcome = 'given-up'
         return done
 
     async def _exchange(self, kind, call, done: Try) -> None:
@@ -203,7 +225,7 @@
 
 def _is_final(done: Try) -> bool:
     """Tell whether a caller would not try again."""
-    if done.outcome in ('unsent', 'broken'):
+    if done.outcome in ('unsent', 'broken', 'given-up'):
         return done.began
     return done.status < 300 or done.status in FINAL_STATUSES
 
@@ -226,7 +248,9 @@
       flags: Further members of Options.
     """
     if kinds:
-        flags['kinds'] = tuple(kinds.split(','))
+        # Fire has split a list of words already, but not a single word.
+        words = kinds.split(',') if isinstance(kinds, str) else kinds
+        flags['kinds'] = tuple(words)
     options = Options(
         name=name,
         entries=tuple(entries.split(',')),
