--- a/packages/e2e/auburnroad_e2e/bench/clusters.py
+++ b/packages/e2e/auburnroad_e2e/bench/clusters.py
@@ -129,7 +129,15 @@
             model=f'{trainers[0].model}-{SECOND_TRAINER}',
         )
         trainers.append(second)
-    return msgspec.structs.replace(answers, trainers=trainers)
+    services = [
+        msgspec.structs.replace(
+            service, waiting=session.queue or service.waiting
+        )
+        for service in answers.services
+    ]
+    return msgspec.structs.replace(
+        answers, trainers=trainers, services=services
+    )
 
 
 def compute_sample_seconds(
--- a/packages/e2e/auburnroad_e2e/bench/scenarios.py
+++ b/packages/e2e/auburnroad_e2e/bench/scenarios.py
@@ -135,7 +135,8 @@
 
 @SCENARIOS.register('unloaded')
 @SCENARIOS.register('burst')
-@SCENARIOS.register('overload')
+@SCENARIOS.register('capacity')
+@SCENARIOS.register('twice')
 @contextlib.asynccontextmanager
 async def run_calls(scene: Scene):
     """Let interactive callers come at the phase's rate."""
