--- a/packages/daemon/auburnroad_daemon/version/ownership_test.py
+++ b/packages/daemon/auburnroad_daemon/version/ownership_test.py
@@ -250,6 +250,19 @@
         status, _ = await self.take(self.entries[0], 0)
         self.assertEqual(200, status)
 
+    async def test_a_step_is_not_given_up_while_the_log_is_down(self):
+        await self.submit(self.entries[0], 0)
+        _, first = await self.take(self.entries[0], 0)
+        self.log.down = True
+        void = ('POST', '/steps/0/void', {'generation': 0})
+        status, answer = await self.entries[0].call(*void)
+        self.assertEqual(503, status)
+        self.assertEqual('log_unavailable', answer['error']['code'])
+        self.assertEqual((200, first), await self.take(self.entries[1], 0))
+        self.log.down = False
+        status, _ = await self.entries[0].call(*void)
+        self.assertEqual(200, status)
+
     async def test_a_step_that_became_too_stale_is_not_handed_over(self):
         await self.submit(self.entries[0], 0)
         await self.take(self.entries[0], 0)
