--- a/packages/core/auburnroad_core/wire/messages.py
+++ b/packages/core/auburnroad_core/wire/messages.py
@@ -65,10 +65,15 @@
     Attributes:
       revision: Offset of the record that published it.
       document: The deployment as JSON.
+      draining: Hosts that operators have ordered to drain.
+      orders_offset: Offset up to which the orders are known, -1 from a daemon
+        that doesn't follow them.
     """
 
     revision: int
     document: bytes
+    draining: list[str] = []
+    orders_offset: int = -1
 
 
 class Submit(Message, tag=4):
@@ -281,6 +286,10 @@
     ledger: bytes
 
 
+class Alive(Message, tag=18):
+    """All that the sender's last Heartbeat on this stream said still holds."""
+
+
 AnyMessage = typing.Union[
     Hello,
     Heartbeat,
@@ -299,4 +308,5 @@
     CopyAcknowledge,
     CopyRequest,
     CopyAnswer,
+    Alive,
 ]
--- a/packages/e2e/auburnroad_e2e/scenario/claims.py
+++ b/packages/e2e/auburnroad_e2e/scenario/claims.py
@@ -37,9 +37,7 @@
     found = books.list_problems(
         await book_files.read_all(world.cluster), frozenset(addresses)
     )
-    # One of each promise, so that many of one don't hide another.
-    first = {text.partition(':')[0]: text for text in reversed(found)}
-    shown = '; '.join(reversed(first.values()))
+    shown = '; '.join(found[:SHOWN])
     _claim(not found, f'{len(found)} broken promises: {shown}')
 
 
