--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import http
 import typing
 
 from absl import logging
--- a/packages/daemon/auburnroad_daemon/process/entry.py
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -144,8 +144,17 @@
         )
 
     def explain(self, id_: str) -> list[history.Event]:
-        """Find the events known of a request or a sample."""
-        return self._history.find(id_)
+        """Find the events known of a request or a sample.
+
+        Args:
+          id_: Id of a request, of one attempt at it, or of a sample, such as
+            'trainer/step/group/index'.
+
+        Returns:
+          The events, oldest first; empty when there are none.
+        """
+        call_id = id_.rpartition('.')[0]
+        return self._history.find(id_) or self._history.find(call_id)
 
     def build_hello(self) -> messages.Hello:
         """Introduce this entry to a side or another entry."""
--- a/packages/daemon/auburnroad_daemon/version/generator.py
+++ b/packages/daemon/auburnroad_daemon/version/generator.py
@@ -204,12 +204,14 @@
         self._in_flight += 1
         task.add_done_callback(lambda done: self._end(work, done))
 
+    def _name_sample(self, want: samples.Want) -> str:
+        return f'{self._trainer.name}/{want.group}/{want.index}'
+
     def _build_call(self, work: _Work, number: int) -> dispatch.Call:
         # The claim keeps ids of a later owner apart from ours.
-        request_id = (
-            f'{self._trainer.name}/{work.want.group}/{work.want.index}'
-            f'/{self._claim}-{number}'
-        )
+        sample = self._name_sample(work.want)
+        request_id = f'{sample}/{self._claim}-{number}'
+        self._dispatcher.record(sample, 'request', request_id)
         return samples.build_call(
             self._trainer,
             self._ledger,
@@ -249,6 +251,9 @@
             return
         metrics.SAMPLES.labels('generated').inc()
         self._durations_ms.append(clock.time_now_ms() - begun_ms)
+        self._dispatcher.record(
+            self._name_sample(work.want), 'whole', result.request_id
+        )
         sample = samples.build_sample(work.want, number, result)
         self._accept(work.want, sample)
         if not self._is_missing(work.want):
--- a/packages/daemon/auburnroad_daemon/version/ownership_test.py
+++ b/packages/daemon/auburnroad_daemon/version/ownership_test.py
@@ -68,6 +68,10 @@
     def __init__(self):
         self.version = 1
         self.calls = []
+        self.events = []
+
+    def record(self, key, event, detail=''):
+        self.events.append((key, event))
 
     async def run(self, call):
         self.calls.append(call.submit.request_id)
@@ -286,6 +290,13 @@
         }
         self.assertEqual({4}, versions)
 
+    async def test_what_happened_to_a_sample_is_recorded(self):
+        await self.submit(self.entries[0], 0)
+        await self.take(self.entries[0], 0)
+        events = self.entries[0].dispatcher.events
+        self.assertIn(('t1/0/g0/0', 'request'), events)
+        self.assertIn(('t1/0/g0/0', 'whole'), events)
+
     async def test_a_version_that_goes_back_is_refused(self):
         entry = self.entries[0]
         await entry.call('PUT', '/version', {'version': 3})
