Pack answers in the log; split publish and wait; name the conflict's base

Cause: each Publish carries all answers. The audit compared all publications though it shows the last ones. A conflict named no base to go on from.

Ruled out: leaving the answers out of the record, since operators' hosts keep nothing and the next one starts from them.

Change: answers travel compressed, plain ones are still read; publications are compared only when shown; publishing.py gives up wait and progress; the conflict says which base to take.

--- a/packages/client/auburnroad_client/commands/answering.py
+++ b/packages/client/auburnroad_client/commands/answering.py
@@ -8,6 +8,7 @@
 from auburnroad_client import exit_codes
 from auburnroad_client import options as client_options
 from auburnroad_client import output
+from auburnroad_client import pack
 from auburnroad_client.questionnaire import answer_checks
 from auburnroad_client.questionnaire import answers as answer_types
 from auburnroad_client.questionnaire import ask
@@ -153,7 +154,7 @@
       The changes.
     """
     old_deployment = msgspec.json.decode(state.deployment)
-    old_answers = msgspec.json.decode(state.answers)
+    old_answers = _unpack(state)
     known = configuration.parse_answers(state)
     old_settings = {} if known is None else _index_settings(known)
     new_settings = _index_settings(answers)
@@ -171,6 +172,16 @@
     )
 
 
+def _unpack(state: configuration.State):
+    try:
+        return pack.unpack_answers(state.answers)
+    except pack.PackError as error:
+        raise exit_codes.CommandError(
+            f'the answers in force cannot be read: {error}',
+            'is the client of another version than the one that published?',
+        ) from error
+
+
 def _index_settings(answers):
     return {
         settings.host: settings for settings in generate.build_daemons(answers)
@@ -208,10 +219,7 @@
       LogUnavailableError: If the log service can't be read.
       NotFoundError: If nothing is in force.
     """
-    known = None
-    if not options.log_service:
-        known = client_options.read_answers(options)
-    async with session.open_log(options, known) as log:
+    async with session.open_log(options) as log:
         state = await configuration.read_state(log)
     answers = configuration.parse_answers(state)
     if answers is None:
--- a/packages/client/auburnroad_client/commands/hosts.py
+++ b/packages/client/auburnroad_client/commands/hosts.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from auburnroad_client.commands import publishing
 from auburnroad_client import configuration
 from auburnroad_client import exit_codes
 from auburnroad_client import options as client_options
 from auburnroad_client import output
+from auburnroad_client import progress
 from auburnroad_client import session
 from auburnroad_core import clock
 from auburnroad_core.log import records
@@ -53,13 +53,8 @@
       LogUnavailableError: If no order was given.
       OutcomeUnknownError: If it could not be found out.
     """
-    known = None
-    if not options.log_service:
-        known = client_options.read_answers(options)
-    deadline_ms = clock.time_now_ms() + int(
-        timeout_seconds * clock.MS_PER_SECOND
-    )
-    async with session.open_log(options, known) as log:
+    deadline_ms = session.build_deadline(timeout_seconds)
+    async with session.open_log(options) as log:
         ordered = await order_host(log, host, draining, author, deadline_ms)
     return output.Report(ordered, _describe(ordered))
 
@@ -94,7 +89,7 @@
         offset = state.draining.get(host, -1)
         return Ordered(host, draining, offset, False)
     record = records.HostOrder(host, draining, author, clock.time_now_ms())
-    async with publishing.say_waiting('waiting until the order is read back'):
+    async with progress.say_waiting('waiting until the order is read back'):
         accepted = await configuration.append(log, record, deadline_ms)
     return Ordered(host, draining, accepted.revision, True)
 
--- a/packages/client/auburnroad_client/commands/looking.py
+++ b/packages/client/auburnroad_client/commands/looking.py
@@ -62,13 +62,9 @@
     Raises:
       LogUnavailableError: If the log service can't be read.
     """
-    known = None
-    if not options.log_service:
-        known = client_options.read_answers(options)
-    async with session.open_log(options, known) as log:
-        trail = await configuration.read_trail(log)
-    shown = trail[-limit:] if limit else trail
-    return output.Report(shown, describe_trail(shown))
+    async with session.open_log(options) as log:
+        trail = await configuration.read_trail(log, limit)
+    return output.Report(trail, describe_trail(trail))
 
 
 def describe_trail(trail: list[configuration.Change]) -> str:
--- a/packages/client/auburnroad_client/commands/publishing.py
+++ b/packages/client/auburnroad_client/commands/publishing.py
@@ -1,17 +1,14 @@
-"""The commands publish and wait: a configuration comes into force."""
-
-import asyncio
-import contextlib
-import typing
+"""The command publish: a configuration comes into force."""
 
 import msgspec
 
 from auburnroad_client.commands import answering
 from auburnroad_client import configuration
-from auburnroad_client import daemons
 from auburnroad_client import exit_codes
 from auburnroad_client import options as client_options
 from auburnroad_client import output
+from auburnroad_client import pack
+from auburnroad_client import progress
 from auburnroad_client.questionnaire import answer_checks
 from auburnroad_client.questionnaire import answers as answer_types
 from auburnroad_client.questionnaire import compare
@@ -24,8 +21,6 @@
 Options = client_options.Options
 
 SUMMARY_CHANGES = 4
-POLL_SECONDS = 0.25
-PROGRESS_SECONDS = 2.0
 
 
 class Published(msgspec.Struct):
@@ -49,14 +44,6 @@
     settings: list[str]
 
 
-class InForce(msgspec.Struct):
-    """Result of wait."""
-
-    revision: int
-    daemons: int
-    silent: list[str]
-
-
 async def publish(
     options: Options,
     file: str,
@@ -84,15 +71,11 @@
       OutcomeUnknownError: If it could not be found out.
     """
     answers = answer_checks.read_answers(file)
-    deadline_ms = _build_deadline(timeout_seconds)
+    deadline_ms = session.build_deadline(timeout_seconds)
     async with session.open_log(options, answers) as log:
         return await publish_answers(log, answers, author, base, deadline_ms)
 
 
-def _build_deadline(timeout_seconds: float) -> int:
-    return clock.time_now_ms() + int(timeout_seconds * clock.MS_PER_SECOND)
-
-
 async def publish_answers(
     log: log_service.LogService,
     answers: answer_types.Answers,
@@ -175,7 +158,7 @@
         at_ms=now_ms,
         summary=summarize(difference),
         deployment=msgspec.Raw(msgspec.json.encode(deployment)),
-        answers=msgspec.Raw(msgspec.json.encode(answers)),
+        answers=pack.pack_answers(answers),
     )
 
 
@@ -198,33 +181,12 @@
 
 
 async def _append(log, record, deadline_ms) -> configuration.Accepted:
-    async with say_waiting('waiting until the record is read back in force'):
+    async with progress.say_waiting(
+        'waiting until the record is read back in force'
+    ):
         return await configuration.append(log, record, deadline_ms)
 
 
-@contextlib.asynccontextmanager
-async def say_waiting(text: str) -> typing.AsyncIterator[None]:
-    """Say on standard error what takes long, while the body runs.
-
-    Args:
-      text: What is waited for.
-
-    Yields:
-      Nothing.
-    """
-
-    async def repeat() -> None:
-        while True:
-            await asyncio.sleep(PROGRESS_SECONDS)
-            output.print_progress(f'{text} ...')
-
-    task = asyncio.ensure_future(repeat())
-    try:
-        yield
-    finally:
-        task.cancel()
-
-
 def _describe(published: Published) -> str:
     lines = [f'accepted: revision {published.revision} is in force']
     if published.superseded_by >= 0:
@@ -238,87 +200,3 @@
         lines.append(f'start the daemons with new settings on: {hosts}')
     lines.append(f'next: auburnroad wait {published.revision}')
     return '\n'.join(lines)
-
-
-async def wait(
-    options: Options,
-    revision: int,
-    timeout_seconds: float,
-    skip_silent: bool,
-) -> output.Report:
-    """Wait until a revision is in force on all daemons.
-
-    Args:
-      options: Flags of the command.
-      revision: The revision, or a higher one.
-      timeout_seconds: How long to wait.
-      skip_silent: Whether daemons that don't answer are passed over.
-
-    Returns:
-      On how many daemons it is in force.
-
-    Raises:
-      TimedOutError: If a daemon doesn't have it in time; the error names all
-        of these.
-    """
-    deadline_ms = _build_deadline(timeout_seconds)
-    places = await session.find_daemons(options)
-    shown = ''
-    while True:
-        behind, silent = split_behind(
-            await daemons.ask(places, '/status'), revision
-        )
-        count = len(places) - len(behind) - len(silent)
-        if not behind and (not silent or (skip_silent and count)):
-            report = InForce(revision, count, silent)
-            return output.Report(report, _describe_in_force(report))
-        line = f'revision {revision}: on {count} of {len(places)} daemons'
-        if line != shown:
-            output.print_progress(line)
-            shown = line
-        if not clock.seconds_until(deadline_ms):
-            raise _build_timed_out(line, behind, silent)
-        await asyncio.sleep(POLL_SECONDS)
-
-
-def split_behind(
-    replies: list[daemons.Reply], revision: int
-) -> tuple[list[str], list[str]]:
-    """Find the daemons that don't have a revision.
-
-    Args:
-      replies: Answers of all daemons to GET /status.
-      revision: The revision wanted.
-
-    Returns:
-      What to show of those that have a lower one, and of those that don't
-      answer.
-    """
-    behind, silent = [], []
-    for reply in replies:
-        status = daemons.parse_status(reply)
-        name = f'{reply.place.host or "?"} ({reply.place.address})'
-        if status is None:
-            silent.append(name)
-        elif status.revision < revision:
-            behind.append(f'{name} at {status.revision}')
-    return behind, silent
-
-
-def _describe_in_force(report: InForce) -> str:
-    text = (
-        f'revision {report.revision} is in force on {report.daemons} daemons'
-    )
-    if report.silent:
-        text += '; without an answer: ' + ', '.join(report.silent)
-    return text
-
-
-def _build_timed_out(line, behind, silent) -> exit_codes.TimedOutError:
-    details = [f'behind: {name}' for name in behind]
-    details += [f'no answer: {name}' for name in silent]
-    return exit_codes.TimedOutError(
-        f'{line} in time',
-        'look at auburnroad status; --skip_silent passes over dead hosts',
-        details,
-    )
--- a/packages/client/auburnroad_client/commands/publishing_test.py
+++ b/packages/client/auburnroad_client/commands/publishing_test.py
@@ -7,6 +7,7 @@
 
 from auburnroad_client.commands import hosts
 from auburnroad_client.commands import publishing
+from auburnroad_client.commands import waiting
 from auburnroad_client import configuration
 from auburnroad_client import daemons
 from auburnroad_client import deployments
@@ -195,6 +196,6 @@
             daemons.Reply(place, error='refused'),
             daemons.Reply(place, 200, b'{"revision": "six"}'),
         ]
-        behind, silent = publishing.split_behind(replies, 7)
+        behind, silent = waiting.split_behind(replies, 7)
         self.assertEqual(['h (127.0.0.1:1) at 6'], behind)
         self.assertEqual(2, len(silent))
--- a/packages/client/auburnroad_client/configuration.py
+++ b/packages/client/auburnroad_client/configuration.py
@@ -4,12 +4,12 @@
 answer of an append: a change counts once it was read back as effective.
 """
 
-import typing
 import uuid
 
 import msgspec
 
 from auburnroad_client import exit_codes
+from auburnroad_client import pack
 from auburnroad_client.questionnaire import answers as answer_types
 from auburnroad_client.questionnaire import compare
 from auburnroad_core.log import appender
@@ -23,6 +23,12 @@
 STREAM = records.CONFIGURATION_STREAM
 State = configuration_fold.State
 
+# A race has few winners; a day's publications would take long to compare.
+CONFLICTS_SHOWN = 20
+IN_FORCE = 'in force'
+SUPERSEDED = 'superseded'
+EXPIRED = 'expired'
+
 _DECODER = msgspec.json.Decoder(records.ConfigurationRecord)
 
 
@@ -105,8 +111,9 @@
     if state.revision < 0:
         return None
     try:
-        return msgspec.json.decode(state.answers, type=answer_types.Answers)
-    except msgspec.DecodeError:
+        plain = pack.unpack_answers(state.answers)
+        return msgspec.convert(plain, answer_types.Answers)
+    except (pack.PackError, msgspec.ValidationError):
         return None
 
 
@@ -186,34 +193,37 @@
     Raises:
       LogUnavailableError: If the log service can't be read.
     """
-    others = [
+    effective = [
         change
-        for change in await read_trail(service)
-        if change.act == 'publish'
-        and change.effect in ('in force', 'superseded')
-        and change.revision > base_revision
+        for change in await read_trail(service, CONFLICTS_SHOWN)
+        if change.act == 'publish' and change.effect in (IN_FORCE, SUPERSEDED)
     ]
+    others = [c for c in effective if c.revision > base_revision]
     details = []
     for other in others:
         details.append(f'revision {other.revision} by {other.author}:')
         details += [f'  {line}' for line in other.changes]
+    newest = effective[-1].revision if effective else -1
     return exit_codes.ConflictError(
-        f'revision {base_revision} is not in force any more; nothing was'
-        ' changed',
-        'take the changes below into your answers, and publish with the new'
-        ' base',
+        f'the answers were made from revision {base_revision}, but revision'
+        f' {newest} is in force; nothing was changed',
+        'take the changes below into your answers, and publish with --base'
+        f' {newest}',
         details,
     )
 
 
-async def read_trail(service: log_service.LogService) -> list[Change]:
+async def read_trail(
+    service: log_service.LogService, limit: int = 0
+) -> list[Change]:
     """Read the audit trail.
 
     Args:
       service: The log service.
+      limit: How many of the last changes are wanted, 0 for all.
 
     Returns:
-      All changes that the log still keeps, oldest first.
+      Changes that the log still keeps, oldest first.
 
     Raises:
       LogUnavailableError: If the log service can't be read.
@@ -230,25 +240,24 @@
         for entry in entries:
             trail.add(entry, verdicts.get(entry.offset))
         if not entries or entries[-1].offset + 1 >= batch.next_offset:
-            return trail.finish(result)
+            return trail.finish(result, limit)
         offset = entries[-1].offset + 1
 
 
 class _Trail:
-    """Collects changes and compares each publication with the one before.
-
-    Documents are dropped once compared, since a day has thousands.
-    """
+    """Collects changes; compares publications only once they are wanted."""
 
-    __slots__ = ('_changes', '_answers')
+    __slots__ = ('_changes', '_documents', '_before')
 
     def __init__(self):
         self._changes: dict[int, Change] = {}
-        self._answers: typing.Any = None
+        # Answers before and after each publication, packed.
+        self._documents: dict[int, tuple[msgspec.Raw, msgspec.Raw]] = {}
+        self._before = msgspec.Raw(b'null')
 
     def add(self, entry: records.Entry, found: verdict.Verdict | None) -> None:
         """Take in one record with its verdict."""
-        effect = 'expired' if found is None else found.value
+        effect = EXPIRED if found is None else found.value
         try:
             record = _DECODER.decode(entry.data)
         except msgspec.DecodeError:
@@ -269,13 +278,11 @@
             )
 
     def _add_publish(self, entry, record, effect) -> None:
-        answers = msgspec.json.decode(record.answers)
-        lines = [
-            str(change)
-            for change in compare.compare_values(self._answers or {}, answers)
-        ]
-        if effect in (verdict.Verdict.EFFECTIVE, 'expired'):
-            self._answers = answers
+        # A copy, since the original keeps the whole batch in memory.
+        answers = record.answers.copy()
+        self._documents[entry.offset] = self._before, answers
+        if effect in (verdict.Verdict.EFFECTIVE, EXPIRED):
+            self._before = answers
         self._changes[entry.offset] = Change(
             entry.offset,
             record.at_ms,
@@ -284,16 +291,28 @@
             effect,
             record.base_revision,
             record.summary,
-            lines,
         )
 
-    def finish(self, result: replay.Replay) -> list[Change]:
-        """Mark what is in force and return all changes."""
+    def finish(self, result: replay.Replay, limit: int) -> list[Change]:
+        """Return the last changes, with what each one changed."""
         revision = -1 if result.state is None else result.state.revision
         for change in self._changes.values():
             effective = change.effect == verdict.Verdict.EFFECTIVE
             if change.revision == revision:
-                change.effect = 'in force'
+                change.effect = IN_FORCE
             elif change.act == 'publish' and effective:
-                change.effect = 'superseded'
-        return [self._changes[offset] for offset in sorted(self._changes)]
+                change.effect = SUPERSEDED
+        offsets = sorted(self._changes)[-limit:]
+        for offset in offsets:
+            if offset in self._documents:
+                self._changes[offset].changes = self._compare(offset)
+        return [self._changes[offset] for offset in offsets]
+
+    def _compare(self, offset: int) -> list[str]:
+        before, after = self._documents[offset]
+        try:
+            old = pack.unpack_answers(before) or {}
+            changes = compare.compare_values(old, pack.unpack_answers(after))
+        except pack.PackError as error:
+            return [f'the answers cannot be read: {error}']
+        return [str(change) for change in changes]
--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -18,6 +18,7 @@
 from auburnroad_client.commands import hosts
 from auburnroad_client.commands import looking
 from auburnroad_client.commands import publishing
+from auburnroad_client.commands import waiting
 from auburnroad_client import exit_codes
 from auburnroad_client import options as client_options
 from auburnroad_client import output
@@ -30,6 +31,7 @@
 INTERRUPTED = 130
 ORDER_SECONDS = 30.0
 WAIT_SECONDS = 60.0
+LARGEST_NUMBER = 2**53
 
 
 class Commands:
@@ -142,7 +144,7 @@
           skip_silent: Pass over daemons that don't answer.
         """
         return plan.Plan(
-            publishing.wait,
+            waiting.wait,
             self._options,
             _parse_number('revision', revision, int),
             _parse_number('timeout_seconds', timeout_seconds, float),
@@ -160,7 +162,9 @@
           limit: How many of the last changes to show, 0 for all.
         """
         return plan.Plan(
-            looking.audit, self._options, _parse_number('limit', limit, int)
+            looking.audit,
+            self._options,
+            abs(_parse_number('limit', limit, int)),
         )
 
     def drain(
@@ -217,11 +221,13 @@
     name: str, text: str, kind: typing.Callable[[str], typing.Any]
 ) -> typing.Any:
     try:
-        return kind(text)
+        number = kind(text)
     except ValueError:
-        raise exit_codes.BadInputError(
-            f'{name}: {text!r} is no number'
-        ) from None
+        number = None
+    # The bounds refuse infinity, and what compares with no number.
+    if number is None or not -1 <= number <= LARGEST_NUMBER:
+        raise exit_codes.BadInputError(f'{name}: {text!r} is no such number')
+    return number
 
 
 def _normalize(arguments: list[str]) -> list[str]:
--- a/packages/client/auburnroad_client/main_test.py
+++ b/packages/client/auburnroad_client/main_test.py
@@ -25,7 +25,7 @@
         self.log = memory_log.MemoryLog()
 
         @contextlib.asynccontextmanager
-        async def open_log(options, answers):
+        async def open_log(options, answers=None):
             yield self.log
 
         patcher = mock.patch.object(session, 'open_log', open_log)
@@ -80,6 +80,7 @@
         code, _, err = self.run_command('publish', ANSWERS, '--base=-1')
         self.assertEqual(3, code)
         self.assertIn('revision 0 by', err)
+        self.assertIn('--base 0', err)
 
     def test_4_platform_unavailable(self):
         self.log.down = True
--- a/packages/client/auburnroad_client/session.py
+++ b/packages/client/auburnroad_client/session.py
@@ -8,20 +8,34 @@
 from auburnroad_client import exit_codes
 from auburnroad_client import options as client_options
 from auburnroad_client.questionnaire import answers as answer_types
+from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.platform import log_service
 
 
+def build_deadline(timeout_seconds: float) -> int:
+    """Build the deadline of a command.
+
+    Args:
+      timeout_seconds: How long it may take.
+
+    Returns:
+      Unix milliseconds.
+    """
+    return clock.time_now_ms() + int(timeout_seconds * clock.MS_PER_SECOND)
+
+
 @contextlib.asynccontextmanager
 async def open_log(
     options: client_options.Options,
-    answers: answer_types.Answers | None,
+    answers: answer_types.Answers | None = None,
 ) -> typing.AsyncIterator[log_service.LogService]:
     """Open the log service that the options or the answers name.
 
     Args:
       options: Flags of the command.
-      answers: Answers that are known, or None.
+      answers: Answers that are known; None to read them from the file that
+        the options name, if it is needed.
 
     Yields:
       The log service.
@@ -29,6 +43,8 @@
     Raises:
       BadInputError: If nothing names its address.
     """
+    if answers is None and not options.log_service:
+        answers = client_options.read_answers(options)
     address = client_options.find_log_service(options, answers)
     http_client = client.HttpClient()
     try:
