Give the audit trail and the command line's words modules of their own

Change: trail.py reads the audit trail, arguments.py prepares words for Fire; no change of behaviour.

Conclusion: each module has one job.

--- a/packages/client/auburnroad_client/commands/looking.py
+++ b/packages/client/auburnroad_client/commands/looking.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from auburnroad_client import configuration
 from auburnroad_client import daemons
 from auburnroad_client import exit_codes
 from auburnroad_client import options as client_options
 from auburnroad_client import output
 from auburnroad_client import overview
 from auburnroad_client import session
+from auburnroad_client import trail as trails
 from auburnroad_core import clock
 
 Options = client_options.Options
@@ -63,11 +63,11 @@
       LogUnavailableError: If the log service can't be read.
     """
     async with session.open_log(options) as log:
-        trail = await configuration.read_trail(log, limit)
+        trail = await trails.read_trail(log, limit)
     return output.Report(trail, describe_trail(trail))
 
 
-def describe_trail(trail: list[configuration.Change]) -> str:
+def describe_trail(trail: list[trails.Change]) -> str:
     """Write the audit trail for people.
 
     Args:
@@ -84,7 +84,7 @@
     return '\n'.join(lines)
 
 
-def _describe_change(change: configuration.Change) -> list[str]:
+def _describe_change(change: trails.Change) -> list[str]:
     head = (
         f'{change.revision:>6}  {format_time(change.at_ms)}'
         f'  {change.act:<8} {change.effect:<11} {change.author}'
--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -14,6 +14,7 @@
 
 import fire
 
+from auburnroad_client import arguments
 from auburnroad_client.commands import answering
 from auburnroad_client.commands import hosts
 from auburnroad_client.commands import looking
@@ -26,12 +27,10 @@
 from auburnroad_core import errors
 
 NAME = 'auburnroad'
-BOOLEAN_FLAGS = ('--json', '--skip_silent')
 HELP_FLAGS = ('--help', '-h')
 INTERRUPTED = 130
 ORDER_SECONDS = 30.0
 WAIT_SECONDS = 60.0
-LARGEST_NUMBER = 2**53
 
 
 class Commands:
@@ -126,8 +125,8 @@
             self._options,
             file,
             author or getpass.getuser(),
-            _parse_number('base', base, int) if base else None,
-            _parse_number('timeout_seconds', timeout_seconds, float),
+            arguments.parse_number('base', base, int) if base else None,
+            arguments.parse_number('timeout_seconds', timeout_seconds, float),
         )
 
     def wait(
@@ -146,8 +145,8 @@
         return plan.Plan(
             waiting.wait,
             self._options,
-            _parse_number('revision', revision, int),
-            _parse_number('timeout_seconds', timeout_seconds, float),
+            arguments.parse_number('revision', revision, int),
+            arguments.parse_number('timeout_seconds', timeout_seconds, float),
             skip_silent == 'True',
         )
 
@@ -164,7 +163,7 @@
         return plan.Plan(
             looking.audit,
             self._options,
-            abs(_parse_number('limit', limit, int)),
+            abs(arguments.parse_number('limit', limit, int)),
         )
 
     def drain(
@@ -213,52 +212,16 @@
             host,
             draining,
             author or getpass.getuser(),
-            _parse_number('timeout_seconds', timeout_seconds, float),
+            arguments.parse_number('timeout_seconds', timeout_seconds, float),
         )
 
 
-def _parse_number(
-    name: str, text: str, kind: typing.Callable[[str], typing.Any]
-) -> typing.Any:
-    try:
-        number = kind(text)
-    except ValueError:
-        number = None
-    # The bounds refuse infinity, and what compares with no number.
-    if number is None or not -1 <= number <= LARGEST_NUMBER:
-        raise exit_codes.BadInputError(f'{name}: {text!r} is no such number')
-    return number
-
-
-def _normalize(arguments: list[str]) -> list[str]:
-    """Bring arguments into the form in which Fire takes them as they are.
-
-    A flag that stands alone gets a value, since Fire would read
-    '--json status' as the value 'status' of --json. What Fire would evaluate,
-    such as a host named 1e5, is quoted.
-    """
-    normal = []
-    for argument in arguments:
-        name, equals, value = argument.partition('=')
-        if argument in BOOLEAN_FLAGS:
-            normal.append(f'{argument}=True')
-        elif argument.startswith('--'):
-            normal.append(name + equals + _quote(value))
-        else:
-            normal.append(_quote(argument))
-    return normal
-
-
-def _quote(text: str) -> str:
-    return text if fire.parser.DefaultParseValue(text) == text else repr(text)
-
-
-def _find_command(arguments: list[str]) -> plan.Plan | None:
+def _find_command(given: list[str]) -> plan.Plan | None:
     """Let Fire find the command, or show help."""
-    words = [word for word in arguments if word not in HELP_FLAGS]
+    words = [word for word in given if word not in HELP_FLAGS]
     if words == ['help']:
         words = []
-    asks_help = len(words) < len(arguments)
+    asks_help = len(words) < len(given)
     if asks_help and words:
         words += ['--', '--help']
     target = sys.stdout if asks_help else sys.stderr
@@ -271,18 +234,18 @@
     return None if isinstance(result, plan.Plan) else result
 
 
-def run(arguments: list[str]) -> int:
+def run(words: list[str]) -> int:
     """Run one command.
 
     Args:
-      arguments: Words after the program's name.
+      words: Words after the program's name.
 
     Returns:
       The exit code.
     """
-    as_json = '--json' in arguments
+    as_json = '--json' in words
     try:
-        found = _find_command(_normalize(arguments))
+        found = _find_command(arguments.normalize(words))
         if found is not None:
             report = asyncio.run(plan.execute(found))
             output.print_report(report, as_json)
