--- a/packages/client/auburnroad_client/commands/publishing_test.py
+++ b/packages/client/auburnroad_client/commands/publishing_test.py
@@ -7,11 +7,13 @@
 
 from auburnroad_client.commands import hosts
 from auburnroad_client.commands import publishing
+from auburnroad_client.commands import waiting
 from auburnroad_client import configuration
 from auburnroad_client import daemons
 from auburnroad_client import deployments
 from auburnroad_client import exit_codes
 from auburnroad_client.questionnaire import answer_checks
+from auburnroad_client import trail as trails
 from auburnroad_core import clock
 from auburnroad_core.log import configuration_fold
 from auburnroad_core.platform import log_service
@@ -154,7 +156,7 @@
         await hosts.order_host(
             self.log, 'target-b1', True, 'bence', deadline_ms
         )
-        trail = await configuration.read_trail(self.log)
+        trail = await trails.read_trail(self.log)
         self.assertEqual(
             [
                 ('publish', 'superseded'),
@@ -177,7 +179,7 @@
         await self.log.append(configuration.STREAM, [new])
         await self.publish(change_share(self.answers, 4))
         self.log.truncate(configuration.STREAM, 2)
-        trail = await configuration.read_trail(self.log)
+        trail = await trails.read_trail(self.log)
         self.assertEqual(
             [(2, 'expired'), (4, 'in force')],
             [(change.revision, change.effect) for change in trail],
@@ -195,6 +197,6 @@
             daemons.Reply(place, error='refused'),
             daemons.Reply(place, 200, b'{"revision": "six"}'),
         ]
-        behind, silent = publishing.split_behind(replies, 7)
+        behind, silent = waiting.split_behind(replies, 7)
         self.assertEqual(['h (127.0.0.1:1) at 6'], behind)
         self.assertEqual(2, len(silent))
--- a/packages/client/auburnroad_client/configuration.py
+++ b/packages/client/auburnroad_client/configuration.py
@@ -4,14 +4,14 @@
 answer of an append: a change counts once it was read back as effective.
 """
 
-import typing
 import uuid
 
 import msgspec
 
 from auburnroad_client import exit_codes
+from auburnroad_client import pack
 from auburnroad_client.questionnaire import answers as answer_types
-from auburnroad_client.questionnaire import compare
+from auburnroad_client import trail
 from auburnroad_core.log import appender
 from auburnroad_core.log import configuration_fold
 from auburnroad_core.log import records
@@ -23,32 +23,8 @@
 STREAM = records.CONFIGURATION_STREAM
 State = configuration_fold.State
 
-_DECODER = msgspec.json.Decoder(records.ConfigurationRecord)
-
-
-class Change(msgspec.Struct):
-    """One record of the audit trail.
-
-    Attributes:
-      revision: Offset of the record.
-      at_ms: Unix milliseconds by the operator's clock.
-      author: Operator's name.
-      act: 'publish', 'drain', 'undrain' or 'unreadable'.
-      effect: 'in force', 'superseded', or the verdict of the fold; 'expired'
-        when the records that it stands on are gone.
-      base_revision: Revision that a publication was made from, -1 for none.
-      summary: What its author says was changed, or the host.
-      changes: What it changed against the configuration before it.
-    """
-
-    revision: int
-    at_ms: int
-    author: str
-    act: str
-    effect: str
-    base_revision: int = -1
-    summary: str = ''
-    changes: list[str] = []
+# A race has few winners; a day's publications would take long to compare.
+CONFLICTS_SHOWN = 20
 
 
 class Accepted(msgspec.Struct):
@@ -105,8 +81,9 @@
     if state.revision < 0:
         return None
     try:
-        return msgspec.json.decode(state.answers, type=answer_types.Answers)
-    except msgspec.DecodeError:
+        plain = pack.unpack_answers(state.answers)
+        return msgspec.convert(plain, answer_types.Answers)
+    except (pack.PackError, msgspec.ValidationError):
         return None
 
 
@@ -186,114 +163,21 @@
     Raises:
       LogUnavailableError: If the log service can't be read.
     """
-    others = [
+    effective = [
         change
-        for change in await read_trail(service)
-        if change.act == 'publish'
-        and change.effect in ('in force', 'superseded')
-        and change.revision > base_revision
+        for change in await trail.read_trail(service, CONFLICTS_SHOWN)
+        if change.act == 'publish' and change.effect in trail.EFFECTIVE
     ]
+    others = [c for c in effective if c.revision > base_revision]
     details = []
     for other in others:
         details.append(f'revision {other.revision} by {other.author}:')
         details += [f'  {line}' for line in other.changes]
+    newest = effective[-1].revision if effective else -1
     return exit_codes.ConflictError(
-        f'revision {base_revision} is not in force any more; nothing was'
-        ' changed',
-        'take the changes below into your answers, and publish with the new'
-        ' base',
+        f'the answers were made from revision {base_revision}, but revision'
+        f' {newest} is in force; nothing was changed',
+        'take the changes below into your answers, and publish with --base'
+        f' {newest}',
         details,
     )
-
-
-async def read_trail(service: log_service.LogService) -> list[Change]:
-    """Read the audit trail.
-
-    Args:
-      service: The log service.
-
-    Returns:
-      All changes that the log still keeps, oldest first.
-
-    Raises:
-      LogUnavailableError: If the log service can't be read.
-    """
-    trail = _Trail()
-    result = replay.Replay(configuration_fold)
-    offset = 0
-    while True:
-        batch = await service.read(STREAM, offset, 0.0)
-        entries = list(batch.records)
-        verdicts = {
-            step.entry.offset: step.verdict for step in result.take(batch)
-        }
-        for entry in entries:
-            trail.add(entry, verdicts.get(entry.offset))
-        if not entries or entries[-1].offset + 1 >= batch.next_offset:
-            return trail.finish(result)
-        offset = entries[-1].offset + 1
-
-
-class _Trail:
-    """Collects changes and compares each publication with the one before.
-
-    Documents are dropped once compared, since a day has thousands.
-    """
-
-    __slots__ = ('_changes', '_answers')
-
-    def __init__(self):
-        self._changes: dict[int, Change] = {}
-        self._answers: typing.Any = None
-
-    def add(self, entry: records.Entry, found: verdict.Verdict | None) -> None:
-        """Take in one record with its verdict."""
-        effect = 'expired' if found is None else found.value
-        try:
-            record = _DECODER.decode(entry.data)
-        except msgspec.DecodeError:
-            self._changes[entry.offset] = Change(
-                entry.offset, 0, '', 'unreadable', effect
-            )
-            return
-        if isinstance(record, records.Publish):
-            self._add_publish(entry, record, effect)
-        elif isinstance(record, records.HostOrder):
-            self._changes[entry.offset] = Change(
-                entry.offset,
-                record.at_ms,
-                record.author,
-                'drain' if record.draining else 'undrain',
-                effect,
-                summary=record.host,
-            )
-
-    def _add_publish(self, entry, record, effect) -> None:
-        answers = msgspec.json.decode(record.answers)
-        lines = [
-            str(change)
-            for change in compare.compare_values(self._answers or {}, answers)
-        ]
-        if effect in (verdict.Verdict.EFFECTIVE, 'expired'):
-            self._answers = answers
-        self._changes[entry.offset] = Change(
-            entry.offset,
-            record.at_ms,
-            record.author,
-            'publish',
-            effect,
-            record.base_revision,
-            record.summary,
-            lines,
-        )
-
-    def finish(self, result: replay.Replay) -> list[Change]:
-        """Mark what is in force and return all changes."""
-        revision = -1 if result.state is None else result.state.revision
-        for change in self._changes.values():
-            effective = change.effect == verdict.Verdict.EFFECTIVE
-            if change.revision == revision:
-                change.effect = 'in force'
-            elif change.act == 'publish' and effective:
-                change.effect = 'superseded'
-        return [self._changes[offset] for offset in sorted(self._changes)]
