--- a/packages/e2e/auburnroad_e2e/scenario/operator_steps.py
+++ b/packages/e2e/auburnroad_e2e/scenario/operator_steps.py
@@ -52,5 +52,7 @@
     world.statuses[operator] = -1 if status is None else status
     printed = child.read_log()
     if status == 0:
-        world.revision = msgspec.json.decode(printed)['revision']
+        # Progress may have been printed before the document.
+        document = printed[printed.index('{') :]
+        world.revision = msgspec.json.decode(document)['revision']
     return printed
