Measure what grouping of appends costs and saves

Cause: the log service admits a few hundred appends a second for everything, and each non-idempotent request needs two records.

The appender takes the most records of a group as an argument, for the comparison with one append a record.

--- a/packages/core/auburnroad_core/log/appender.py
+++ b/packages/core/auburnroad_core/log/appender.py
@@ -104,6 +104,7 @@
         '_stream',
         '_group_ms',
         '_spacing_ms',
+        '_group_records',
         '_pending',
         '_wake',
         '_failures',
@@ -115,11 +116,13 @@
         tail: tails.Tail,
         group_ms: int = GROUP_MS,
         spacing_ms: int = SPACING_MS,
+        group_records: int = GROUP_RECORDS,
     ):
         self._service = service
         self._stream = tail.fold.STREAM
         self._group_ms = group_ms
         self._spacing_ms = max(group_ms, spacing_ms)
+        self._group_records = group_records
         self._pending: dict[str, _Pending] = {}
         self._wake = asyncio.Event()
         self._failures = 0
@@ -220,7 +223,7 @@
         for record_id in late:
             del self._pending[record_id]
         waiting = [p for p in self._pending.values() if p.waiting]
-        group = waiting[:GROUP_RECORDS]
+        group = waiting[: self._group_records]
         for pending in group:
             pending.flying = True
         return group
