--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -169,10 +169,10 @@
         author: str = '',
         timeout_seconds: str = str(ORDER_SECONDS),
     ):
-        """Order that a host takes no new work and finishes what it has.
+        """Order that a target host gets no new work; it finishes what it has.
 
         Args:
-          host: Host's name.
+          host: Target host's name.
           author: Your name for the audit trail; the login name if left out.
           timeout_seconds: How long to try.
         """
@@ -197,8 +197,8 @@
         """Show where one sample or request went.
 
         Args:
-          id: Request id from the answer's auburnroad-request-id header, or
-            sample id such as drafter/12.0/g3/1.
+          id: Request id: from the auburnroad-request-id header of an answer,
+            or the request_id of a sample that a trainer took.
         """
         return plan.Plan(looking.explain, self._options, id)
 
