Say a refusal again whose stream died, whatever its reason

Cause: a call that may not be repeated and was refused before it reached the queue (leaving, no configuration) was not kept, so that an entry which lost the stream heard NotHere and had to say 'unknown' of a call that was not run. Ruled out: reading NotHere as 'not run', which a side that forgot answers could not promise. Change: every request is known before it is judged.

--- a/packages/daemon/auburnroad_daemon/process/side_stop_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_stop_test.py
@@ -128,6 +128,16 @@
         await self.side.wait_closed()
         self.assertEqual(3, len(self.engine.runs))
 
+    async def test_a_refusal_that_a_dead_stream_took_is_said_again(self):
+        self.side.drain()
+        self.entry.submit('r1', idempotent=False)
+        await self.entry.wait_for(messages.Refused, 'r1')
+        self.entry.received.clear()
+        self.entry.stream.send(messages.Resume('r1', 0))
+        refused = await self.entry.wait_for(messages.Refused, 'r1')
+        self.assertEqual(refusals.LEAVING, refused.code)
+        self.assertEqual([], self.engine.runs)
+
 
 class DrainDeadlineTest(side_test.SideCase):
     """A planned stop ends by its deadline, and says what was not run."""
--- a/packages/daemon/auburnroad_daemon/request/side_requests.py
+++ b/packages/daemon/auburnroad_daemon/request/side_requests.py
@@ -102,6 +102,8 @@
         attempt = attempt_module.Attempt(submit, peer, now_ms)
         self._metrics.submitted.labels(submit.service).inc()
         self._note(attempt, 'submitted', submit.service)
+        if not self._attempts.full:
+            self._attempts.add(attempt)
         refusal = self._admit(attempt, now_ms)
         if refusal is not None:
             self._refuse(attempt, refusal, now_ms)
@@ -202,10 +204,9 @@
             return admission.Refusal(refusals.NO_CONFIGURATION, retry_at_ms)
         if queue is None:
             return admission.Refusal(refusals.UNKNOWN_SERVICE, now_ms)
-        if self._attempts.full:
+        if self._attempts.find(submit.request_id) is None:
             retry_at_ms = now_ms + admission.MAX_RETRY_MS
             return admission.Refusal(refusals.OVERLOADED, retry_at_ms)
-        self._attempts.add(attempt)
         return queue.admit(attempt, now_ms)
 
     def _refuse(self, attempt, refusal, now_ms) -> None:
