--- a/packages/e2e/auburnroad_e2e/mutations.py
+++ b/packages/e2e/auburnroad_e2e/mutations.py
@@ -218,9 +218,11 @@
             process.communicate(), CHECK_SECONDS
         )
     except TimeoutError:
-        os.killpg(process.pid, signal.SIGKILL)
-        await process.wait()
         return ''
+    finally:
+        if process.returncode is None:
+            os.killpg(process.pid, signal.SIGKILL)
+            await process.wait()
     return output.decode('utf-8', 'replace')
 
 
