Hedge the step that is waited for, also while later steps wait

Cause: with the next step submitted ahead something always waits for a slot, and a second attempt was made only when nothing did; groups that a step can do without counted as missing too.

Change: only samples of the step asked for hold hedging back, and the groups that may be late don't count.

Unit tests of the daemon green; the whole make test ran before this change with one red scenario, log-truncated, which passed alone.

--- a/packages/daemon/auburnroad_daemon/version/generator.py
+++ b/packages/daemon/auburnroad_daemon/version/generator.py
@@ -171,22 +171,26 @@
                 self._spawn(work)
 
     def _hedge_stragglers(self, now_ms: int) -> None:
-        """Begin second attempts, while nothing else waits for a slot."""
-        if self._wanted or not self._works:
+        """Begin second attempts, once all of the step asked for has begun.
+
+        Samples of later steps don't hold them back: the trainer waits for
+        this one. Nor do groups that the step can do without.
+        """
+        if self._wanted and self._wanted[0].step <= self.asked_step:
             return
         waited = [
             work
             for work in self._works.values()
             if work.want.step <= self.asked_step
         ]
-        wanted = self._trainer.groups_per_step * (
-            self._trainer.samples_per_group
-        )
+        trainer = self._trainer
+        wanted = trainer.groups_per_step * trainer.samples_per_group
+        spared = int(wanted * (1.0 - trainer.group_fraction))
         for work in waited:
             straggler = hedging.Straggler(
                 now_ms - work.begun_ms,
                 len(work.tasks),
-                len(waited),
+                max(0, len(waited) - spared),
                 wanted,
                 self._durations_ms,
             )
