--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-import http
+import http.client
 import typing
 
 from absl import logging
@@ -196,6 +196,7 @@
         self._write(
             h11.Response(
                 status_code=response.status,
+                reason=http.client.responses.get(response.status, ''),
                 headers=messages.encode_headers(headers),
             )
         )
