Count the requests that end with a dying target as one failure

Cause: each request that ran on a killed engine doubled the time until the next probe, so that 6 to 8 of them at once ejected it for 10 s.

Change: a failure of a target that is ejected already changes nothing.

--- a/packages/daemon/auburnroad_daemon/connection/target_health.py
+++ b/packages/daemon/auburnroad_daemon/connection/target_health.py
@@ -71,6 +71,9 @@
         Args:
           now_ms: Unix milliseconds.
         """
+        if not self._up:
+            # All that ran when the target died is one failure, not many.
+            return
         self._up = False
         backoff_ms = FIRST_EJECTION_MS << min(self._failures, 10)
         self._failures += 1
