--- a/packages/e2e/auburnroad_e2e/bench/__main__.py
+++ b/packages/e2e/auburnroad_e2e/bench/__main__.py
@@ -27,20 +27,18 @@
 PARALLEL = 3
 
 
-def build_sessions(only: str, seeds: int) -> list[plan.Session]:
-    """Build all sessions.
+def build_sessions(name: str, seeds: int) -> list[plan.Session]:
+    """Build the sessions of a table.
 
     Args:
-      only: Name of the only table; empty for all.
+      name: Table's name.
       seeds: Number of seeds.
 
     Returns:
-      The sessions, table by table.
+      The sessions.
     """
-    names = [only] if only else tables.NAMES
     return [
         session
-        for name in names
         for seed in range(SEED, SEED + seeds)
         for session in plan.TABLES.get(name)(seed)
     ]
@@ -121,20 +119,22 @@
       out: File for the raw figures.
       parallel: How many deployments run at a time.
     """
-    at_ms = clock.time_now_ms()
+    whole = report.Report(clock.time_now_ms(), seeds, 0.0, (0.0, 0.0), [])
     begun = time.monotonic()
     load = os.getloadavg()[0]
-    chosen = build_sessions(only, seeds)
-    measures = asyncio.run(measure_all(chosen, parallel))
-    results = report.build_results(measures)
-    for result in results:
-        print(report.render(result), flush=True)
-    seconds = round(time.monotonic() - begun, 1)
-    loads = (round(load, 1), round(os.getloadavg()[0], 1))
-    print(f'{seconds} s, load average {loads[0]} before, {loads[1]} after')
-    if out:
-        whole = report.Report(at_ms, seeds, seconds, loads, results)
-        report.write(pathlib.Path(out), whole)
+    for name in [only] if only else tables.NAMES:
+        chosen = build_sessions(name, seeds)
+        measures = asyncio.run(measure_all(chosen, parallel))
+        results = report.build_results(measures)
+        for result in results:
+            print(report.render(result), flush=True)
+        whole.tables.extend(results)
+        whole.seconds = round(time.monotonic() - begun, 1)
+        whole.load_average = (round(load, 1), round(os.getloadavg()[0], 1))
+        if out:
+            report.write(pathlib.Path(out), whole)
+    before, after = whole.load_average
+    print(f'{whole.seconds} s, load average {before} before, {after} after')
 
 
 if __name__ == '__main__':
--- a/packages/e2e/auburnroad_e2e/bench/clusters.py
+++ b/packages/e2e/auburnroad_e2e/bench/clusters.py
@@ -86,6 +86,21 @@
             if replica.service == service
         ]
 
+    async def wait_engines(self) -> None:
+        """Wait until every replica takes work again."""
+        sides = [d.name for d in self.daemons if d.role == 'side']
+        async with asyncio.timeout(IN_FORCE_SECONDS):
+            while not all([await self._is_whole(name) for name in sides]):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _is_whole(self, name: str) -> bool:
+        try:
+            response = await self.get(name, '/status')
+        except client.HttpError:
+            return False
+        status = msgspec.json.decode(response.body)
+        return all(replica['ready'] for replica in status['replicas'])
+
     async def _start_relays(self) -> None:
         """Start none: all is reached without."""
 
--- a/packages/e2e/auburnroad_e2e/bench/plan.py
+++ b/packages/e2e/auburnroad_e2e/bench/plan.py
@@ -5,6 +5,7 @@
 so that all rows of a table are measured on the same processes.
 """
 
+import random
 import typing
 
 import msgspec
@@ -85,15 +86,14 @@
 TABLES: registry.Registry[Table] = registry.Registry('table')
 
 
-def rotate(phases: list[Phase], seed: int) -> list[Phase]:
-    """Begin with another phase for each seed, so that none is always first.
+def shuffle(phases: list[Phase], seed: int) -> list[Phase]:
+    """Put phases into another order for each seed.
 
     Args:
       phases: Phases in the table's order.
       seed: Seed of the session.
 
     Returns:
-      The same phases, in another order.
+      The same phases, so that none always follows the same one.
     """
-    start = seed % len(phases)
-    return phases[start:] + phases[:start]
+    return random.Random(seed).sample(phases, len(phases))
--- a/packages/e2e/auburnroad_e2e/bench/scenarios.py
+++ b/packages/e2e/auburnroad_e2e/bench/scenarios.py
@@ -99,6 +99,7 @@
             child = scene.cluster.processes[name]
             if not child.running:
                 child.start()
+        await scene.cluster.wait_engines()
 
 
 async def _kill_engines(scene: Scene) -> None:
--- a/packages/e2e/auburnroad_e2e/bench/tables.py
+++ b/packages/e2e/auburnroad_e2e/bench/tables.py
@@ -64,7 +64,7 @@
     """Which host a sample goes to."""
     phases = _build_phases(_vary('routing', ROUTINGS), ('calm', 'straggler'))
     return [
-        plan.Session('routing', 'kiadasi', seed, plan.rotate(phases, seed))
+        plan.Session('routing', 'kiadasi', seed, plan.shuffle(phases, seed))
     ]
 
 
@@ -75,7 +75,7 @@
         _vary('hedging', HEDGINGS), ('straggler', 'engine-dies')
     )
     return [
-        plan.Session('hedging', 'kiadasi', seed, plan.rotate(phases, seed))
+        plan.Session('hedging', 'kiadasi', seed, plan.shuffle(phases, seed))
     ]
 
 
@@ -85,7 +85,7 @@
     phases = _build_phases(_vary('swapping', SWAPPINGS), ('swaps',), steps=6)
     return [
         plan.Session(
-            'swapping', name, seed, plan.rotate(phases, seed), SWAP_LOAD
+            'swapping', name, seed, plan.shuffle(phases, seed), SWAP_LOAD
         )
         for name in ('kiadasi', 'kehys')
     ]
@@ -96,7 +96,7 @@
     """Which request a free slot goes to, with two trainers."""
     load = plan.Load()
     rows = _vary('ordering', ORDERINGS)
-    phases = plan.rotate(_build_phases(rows, ('calm', 'burst')), seed)
+    phases = plan.shuffle(_build_phases(rows, ('calm', 'burst')), seed)
     unloaded = plan.Phase('fair', plan.UNLOADED, BUILT)
     return [
         plan.Session(
@@ -152,7 +152,7 @@
             _add_rates(
                 [
                     unloaded,
-                    *plan.rotate(_build_phases(rows, scenarios), seed),
+                    *plan.shuffle(_build_phases(rows, scenarios), seed),
                 ],
                 load,
             ),
