--- a/packages/standins/auburnroad_standins/caller.py
+++ b/packages/standins/auburnroad_standins/caller.py
@@ -8,7 +8,6 @@
 import asyncio
 import os
 import random
-import signal
 import sys
 
 import fire
@@ -21,6 +20,7 @@
 from auburnroad_standins import caller_kinds
 from auburnroad_standins import entry_pool
 from auburnroad_standins import record_file
+from auburnroad_standins import stopping
 
 LAST_CALL_SECONDS = 30.0
 IN_FLIGHT_LIMIT = 256
@@ -233,8 +233,7 @@
 
 async def _run(options: Options) -> None:
     caller = Caller(options)
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, caller.stopping.set)
+    stopping.on_sigterm(caller.stopping.set)
     await caller.run()
 
 
--- a/packages/standins/auburnroad_standins/trainer.py
+++ b/packages/standins/auburnroad_standins/trainer.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 
 import fire
@@ -20,6 +19,7 @@
 from auburnroad_core import registry
 from auburnroad_standins import entry_pool
 from auburnroad_standins import record_file
+from auburnroad_standins import stopping
 from auburnroad_standins import text
 from auburnroad_standins import trainer_options
 
@@ -304,7 +304,7 @@
     def stop():
         trainer.stopping = True
 
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
+    stopping.on_sigterm(stop)
     await trainer.run()
 
 
