Refuse calls past their deadline as not run, and leave no process behind

Ruled out for the first: the side, which refuses such work, but later. Change: the dispatcher refuses before it sends; strikes and deployments run in task groups that end together, and children that were not closed are ended when their launcher ends.

--- a/packages/daemon/auburnroad_daemon/request/dispatch.py
+++ b/packages/daemon/auburnroad_daemon/request/dispatch.py
@@ -133,6 +133,9 @@
         """
         run = _Run(self, call, on_chunk)
         metrics.CALLS.labels(call.submit.service).inc()
+        if call.submit.deadline_ms <= clock.time_now_ms():
+            # Sent on, it might run although nobody waits for it.
+            return self._count(call, run.give_up('deadline_passed'))
         try:
             async with asyncio.timeout(
                 clock.seconds_until(call.submit.deadline_ms)
@@ -142,6 +145,9 @@
             result = run.give_up('deadline_passed')
         finally:
             run.cancel()
+        return self._count(call, result)
+
+    def _count(self, call: Call, result: Result) -> Result:
         metrics.OUTCOMES.labels(call.submit.service, result.outcome).inc()
         return result
 
--- a/packages/daemon/auburnroad_daemon/request/dispatch_test.py
+++ b/packages/daemon/auburnroad_daemon/request/dispatch_test.py
@@ -117,6 +117,12 @@
         self.assertEqual(types.Outcome.UNKNOWN, result.outcome)
         self.assertEqual(['call.1'], links[0].cancelled)
 
+    async def test_a_call_past_its_deadline_is_not_run(self):
+        dispatcher, links = self.build(run)
+        result = await dispatcher.run(build_call(timeout_ms=-1))
+        self.assertEqual(types.Outcome.NOT_RUN, result.outcome)
+        self.assertEqual([], links[0].submitted)
+
     async def test_without_a_host_the_answer_comes_at_once(self):
         dispatcher, links = self.build()
         result = await dispatcher.run(build_call())
--- a/packages/e2e/auburnroad_e2e/demo.py
+++ b/packages/e2e/auburnroad_e2e/demo.py
@@ -155,10 +155,12 @@
     """
     say(f'logs and books are in {directory}')
     runs = []
-    for name in DEPLOYMENTS:
-        (directory / name).mkdir()
-        runs.append(run_deployment(name, directory / name))
-    parts = await asyncio.gather(*runs)
+    async with asyncio.TaskGroup() as group:
+        for name in DEPLOYMENTS:
+            (directory / name).mkdir()
+            run = run_deployment(name, directory / name)
+            runs.append(group.create_task(run))
+    parts = [run.result() for run in runs]
     merged = merge_books(parts)
     figures = books.build_figures(merged)
     findings = [text for part in parts for text in books.list_problems(part)]
--- a/packages/e2e/auburnroad_e2e/launch/process.py
+++ b/packages/e2e/auburnroad_e2e/launch/process.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import atexit
 import pathlib
 import signal
 import subprocess
@@ -15,6 +16,19 @@
 KILL_WAIT_SECONDS = 5.0
 
 
+# Children that were started here and not seen to end.
+_children: set[subprocess.Popen] = set()
+
+
+@atexit.register
+def end_children() -> None:
+    """End what an interrupted run left behind, as it ends itself."""
+    for child in _children:
+        if child.poll() is None:
+            child.kill()
+    _children.clear()
+
+
 class ProcessError(errors.AuburnroadError):
     """A process that did not do what its start needs."""
 
@@ -69,6 +83,7 @@
                 stderr=subprocess.STDOUT,
             )
         self._frozen = False
+        _children.add(self._popen)
 
     def kill(self) -> None:
         """End the process at once."""
--- a/packages/e2e/auburnroad_e2e/scenario/storm.py
+++ b/packages/e2e/auburnroad_e2e/scenario/storm.py
@@ -37,7 +37,13 @@
             world.note(name)
             await STRIKES.get(name)(world)
 
-    await asyncio.gather(*(strike(name) for name in chosen))
+    # A strike that fails ends the others before the scenario is closed.
+    try:
+        async with asyncio.TaskGroup() as strikes:
+            for name in chosen:
+                strikes.create_task(strike(name))
+    except BaseExceptionGroup as group:
+        raise group.exceptions[0] from group
 
 
 def _choose(world: World, role: str) -> str:
