Let the folds share what checkpoints need

Cause: duplicates listed the fields and the judging of checkpoints three times in the folds. Change: a base state, judge_checkpoint and build_whole in checkpoint.py; no behaviour changes.

--- a/packages/core/auburnroad_core/log/checkpoint.py
+++ b/packages/core/auburnroad_core/log/checkpoint.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from auburnroad_core.log import records
+from auburnroad_core.log import verdict
 from auburnroad_core.platform import log_service
 
 Shape = typing.TypeVar('Shape')
@@ -17,6 +18,57 @@
 _DECODER = msgspec.json.Decoder(typing.Union[records.Checkpoint])
 
 
+class FoldState(msgspec.Struct):
+    """What every fold keeps of its stream besides its own state.
+
+    Attributes:
+      applied: Offset of the last record folded in, -1 for none.
+      checkpoint: Offset of the last checkpoint, -1 for none.
+      checkpoint_ms: Unix milliseconds of it by its writer's clock.
+      checkpoint_covers: Offset of the last record that it includes.
+    """
+
+    applied: int = -1
+    checkpoint: int = -1
+    checkpoint_ms: int = 0
+    checkpoint_covers: int = -1
+
+
+def judge_checkpoint(
+    state: FoldState, entry: records.Entry, record: records.Checkpoint
+) -> verdict.Verdict:
+    """Note a checkpoint that was folded in.
+
+    Args:
+      state: State of a fold; it is changed in place.
+      entry: The record where the log put it.
+      record: The record.
+
+    Returns:
+      INVALID for a checkpoint that claims to cover itself, else EFFECTIVE.
+    """
+    if record.covers >= entry.offset:
+        return verdict.Verdict.INVALID
+    state.checkpoint = entry.offset
+    state.checkpoint_ms = record.at_ms
+    state.checkpoint_covers = record.covers
+    return verdict.Verdict.EFFECTIVE
+
+
+def build_whole(state: FoldState, now_ms: int) -> records.Checkpoint:
+    """Build the checkpoint that carries a whole state forward.
+
+    Args:
+      state: State to carry.
+      now_ms: Unix milliseconds.
+
+    Returns:
+      The record.
+    """
+    body = msgspec.Raw(msgspec.json.encode(state))
+    return records.Checkpoint(state.applied, body, now_ms)
+
+
 def parse_checkpoint(entry: records.Entry) -> records.Checkpoint | None:
     """Parse a record if it is a checkpoint that can be true.
 
--- a/packages/core/auburnroad_core/log/configuration_fold.py
+++ b/packages/core/auburnroad_core/log/configuration_fold.py
@@ -25,7 +25,7 @@
 _NOTHING = msgspec.Raw(b'null')
 
 
-class State(msgspec.Struct):
+class State(checkpoint.FoldState):
     """What is in force after a record.
 
     Attributes:
@@ -37,10 +37,6 @@
       answers: The answers that it was generated from as JSON.
       draining: Offset of the order that drains a host, by host.
       seen: Offsets of the last records by their ids, oldest first.
-      applied: Offset of the last record folded in, -1 for none.
-      checkpoint: Offset of the last checkpoint, -1 for none.
-      checkpoint_ms: Unix milliseconds of it by its writer's clock.
-      checkpoint_covers: Offset of the last record that it covers.
     """
 
     revision: int = -1
@@ -51,10 +47,6 @@
     answers: msgspec.Raw = _NOTHING
     draining: dict[str, int] = {}
     seen: dict[str, int] = {}
-    applied: int = -1
-    checkpoint: int = -1
-    checkpoint_ms: int = 0
-    checkpoint_covers: int = -1
 
 
 def start(batch: log_service.Batch) -> State | None:
@@ -100,8 +92,7 @@
     Returns:
       The record.
     """
-    body = msgspec.Raw(msgspec.json.encode(state))
-    return records.Checkpoint(state.applied, body, now_ms)
+    return checkpoint.build_whole(state, now_ms)
 
 
 def parse_deployment(document: bytes) -> deployment.Deployment | None:
@@ -134,7 +125,7 @@
         return _judge_publish(state, entry, record)
     if isinstance(record, records.HostOrder):
         return _judge_order(state, entry, record)
-    return _judge_checkpoint(state, entry, record)
+    return checkpoint.judge_checkpoint(state, entry, record)
 
 
 def _judge_publish(state, entry, record) -> verdict.Verdict:
@@ -160,15 +151,6 @@
     return verdict.Verdict.EFFECTIVE
 
 
-def _judge_checkpoint(state, entry, record) -> verdict.Verdict:
-    if record.covers >= entry.offset:
-        return verdict.Verdict.INVALID
-    state.checkpoint = entry.offset
-    state.checkpoint_ms = record.at_ms
-    state.checkpoint_covers = record.covers
-    return verdict.Verdict.EFFECTIVE
-
-
 def _forget_seen(state: State, before: int) -> None:
     while state.seen:
         oldest = next(iter(state.seen))
--- a/packages/core/auburnroad_core/log/intent_fold.py
+++ b/packages/core/auburnroad_core/log/intent_fold.py
@@ -64,24 +64,16 @@
     spent: list[str] = []
 
 
-class State(msgspec.Struct):
+class State(checkpoint.FoldState):
     """What is known of the keys after a record.
 
     Attributes:
       keys: By key, all at or above the floor.
       floor_ms: Keys made before this Unix time in milliseconds are expired.
-      applied: Offset of the last record folded in, -1 for none.
-      checkpoint: Offset of the last checkpoint, -1 for none.
-      checkpoint_ms: Unix milliseconds of it by its writer's clock.
-      checkpoint_covers: Offset of the last record that it covers.
     """
 
     keys: dict[str, Held] = {}
     floor_ms: int = 0
-    applied: int = -1
-    checkpoint: int = -1
-    checkpoint_ms: int = 0
-    checkpoint_covers: int = -1
 
 
 def start(batch: log_service.Batch) -> State | None:
@@ -201,13 +193,10 @@
         carried = msgspec.json.decode(record.state, type=State)
     except msgspec.DecodeError:
         return verdict.Verdict.INVALID
-    if record.covers >= entry.offset:
-        return verdict.Verdict.INVALID
-    state.checkpoint = entry.offset
-    state.checkpoint_ms = record.at_ms
-    state.checkpoint_covers = record.covers
-    _raise_floor(state, carried.floor_ms)
-    return verdict.Verdict.EFFECTIVE
+    outcome = checkpoint.judge_checkpoint(state, entry, record)
+    if outcome is verdict.Verdict.EFFECTIVE:
+        _raise_floor(state, carried.floor_ms)
+    return outcome
 
 
 def _round_floor(time_ms: int, life_ms: int) -> int:
--- a/packages/core/auburnroad_core/log/trainer_fold.py
+++ b/packages/core/auburnroad_core/log/trainer_fold.py
@@ -85,22 +85,14 @@
         return self.generations.get(step, 0)
 
 
-class State(msgspec.Struct):
+class State(checkpoint.FoldState):
     """What holds for all trainers after a record.
 
     Attributes:
       trainers: By trainer's name.
-      applied: Offset of the last record folded in, -1 for none.
-      checkpoint: Offset of the last checkpoint, -1 for none.
-      checkpoint_ms: Unix milliseconds of it by its writer's clock.
-      checkpoint_covers: Offset of the last record that it covers.
     """
 
     trainers: dict[str, TrainerState] = {}
-    applied: int = -1
-    checkpoint: int = -1
-    checkpoint_ms: int = 0
-    checkpoint_covers: int = -1
 
     def find_trainer(self, name: str) -> TrainerState:
         """Find what holds for a trainer, an empty state for a new one."""
@@ -148,8 +140,7 @@
     Returns:
       The record.
     """
-    body = msgspec.Raw(msgspec.json.encode(state))
-    return records.Checkpoint(state.applied, body, now_ms)
+    return checkpoint.build_whole(state, now_ms)
 
 
 def list_identities(
@@ -180,7 +171,7 @@
     except msgspec.DecodeError:
         return verdict.Verdict.INVALID
     if isinstance(record, records.Checkpoint):
-        return _judge_checkpoint(state, entry, record)
+        return checkpoint.judge_checkpoint(state, entry, record)
     trainer = state.trainers.setdefault(record.trainer, TrainerState())
     if isinstance(record, records.Claim):
         return _judge_claim(trainer, entry, record)
@@ -189,15 +180,6 @@
     return _judge_void(trainer, record)
 
 
-def _judge_checkpoint(state, entry, record) -> verdict.Verdict:
-    if record.covers >= entry.offset:
-        return verdict.Verdict.INVALID
-    state.checkpoint = entry.offset
-    state.checkpoint_ms = record.at_ms
-    state.checkpoint_covers = record.covers
-    return verdict.Verdict.EFFECTIVE
-
-
 def _judge_claim(trainer, entry, record) -> verdict.Verdict:
     if entry.record_id == trainer.claim_id:
         return verdict.Verdict.DUPLICATE
