--- a/packages/e2e/auburnroad_e2e/mutations_test.py
+++ b/packages/e2e/auburnroad_e2e/mutations_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from auburnroad_e2e import known_red
 from auburnroad_e2e import mutations
 
 
@@ -21,6 +22,13 @@
         self.assertEqual(sorted(set(names)), sorted(names))
         self.assertTrue(all(one.edits and one.checks for one in listed))
 
+    def test_every_listed_edit_still_applies(self):
+        for mutation in mutations.load_mutations(()):
+            for edit in mutation.edits:
+                path = known_red.ROOT / 'packages' / edit.file
+                with self.subTest(mutation.name):
+                    mutations.mutate(path.read_text(encoding='utf-8'), edit)
+
 
 class FindReasonTest(unittest.TestCase):
     """A run that failed no test has no reason."""
