--- a/packages/daemon/auburnroad_daemon/request/routing.py
+++ b/packages/daemon/auburnroad_daemon/request/routing.py
@@ -13,7 +13,9 @@
 
 from auburnroad_core import registry
 
-AFFINITY_OVERLOAD = 1.25
+# Outstanding requests for each slot above the least loaded host.
+IDLE_SLACK = 0.25
+QUEUE_SLACK = 0.125
 PREFIX_BYTES = 256
 
 
@@ -97,19 +99,23 @@
 
 @POLICIES.register('affinity')
 def choose_affinity(candidates, choice, rng) -> Candidate:
-    """Keep one context on one host, as long as that host isn't overloaded.
+    """Keep one context on one host, as long as that costs no waiting.
 
-    Hosts are ranked by rendezvous hashing of the prefix. The first one whose
-    load stays within a bound of the mean takes the request, so that a popular
-    context spills to the next host in its ranking instead of queueing.
+    Hosts are ranked by rendezvous hashing of the prefix. The highest one
+    whose load is close to the least takes the request: closer when it would
+    wait there for a slot than when one is idle, since a cached prefix saves
+    less than a turn in the queue costs.
     """
-    slots = sum(c.slots for c in candidates)
-    mean = (sum(c.outstanding for c in candidates) + 1) / max(slots, 1)
-    bound = max(mean * AFFINITY_OVERLOAD, 1.0 / max(slots, 1))
-    free = [c for c in candidates if c.outstanding + 1 <= bound * c.slots]
-    if not choice.affinity_key or not free:
-        return min(candidates, key=lambda c: (c.load, rng.random()))
-    return max(free, key=lambda c: _rank(c.host, choice.affinity_key))
+    least = min(c.load for c in candidates)
+    close = [c for c in candidates if c.load <= least + _find_slack(c)]
+    if not choice.affinity_key:
+        return min(close, key=lambda c: (c.load, rng.random()))
+    return max(close, key=lambda c: _rank(c.host, choice.affinity_key))
+
+
+def _find_slack(candidate: Candidate) -> float:
+    idle = candidate.outstanding < candidate.slots
+    return IDLE_SLACK if idle else QUEUE_SLACK
 
 
 def _rank(host: str, key: int) -> int:
