Name the attempts and metrics of each role by their role

Cause: read as a newcomer, request/ had attempt.py and attempts.py of the side next to remote_attempt.py of the entry, and process/ metrics.py of the side next to entry_metrics.py. SampleId and AUDIT_STREAM were used by nothing.

--- a/packages/core/auburnroad_core/log/records.py
+++ b/packages/core/auburnroad_core/log/records.py
@@ -12,7 +12,6 @@
 CONFIGURATION_STREAM = 'configuration'
 TRAINERS_STREAM = 'trainers'
 INTENTS_STREAM = 'intents'
-AUDIT_STREAM = 'audit'
 
 
 class Record(msgspec.Struct):
--- a/packages/core/auburnroad_core/types.py
+++ b/packages/core/auburnroad_core/types.py
@@ -38,30 +38,6 @@
     end: int
 
 
-class SampleId(msgspec.Struct, array_like=True, frozen=True):
-    """Identity of a sample; attempts at it have numbers of their own.
-
-    Attributes:
-      trainer: Trainer's name.
-      step: Step that the sample was submitted for.
-      generation: How often the step's sealed contents were given up as lost.
-      group: Group's name within the step.
-      index: Place within the group, from 0.
-    """
-
-    trainer: str
-    step: int
-    generation: int
-    group: str
-    index: int
-
-    def __str__(self) -> str:
-        return (
-            f'{self.trainer}/{self.step}.{self.generation}'
-            f'/{self.group}/{self.index}'
-        )
-
-
 class HostLoad(msgspec.Struct, array_like=True, frozen=True):
     """Load of the replicas of one service on one host, as one figure.
 
--- a/packages/daemon/auburnroad_daemon/connection/side_link.py
+++ b/packages/daemon/auburnroad_daemon/connection/side_link.py
@@ -12,7 +12,7 @@
 from auburnroad_core import types
 from auburnroad_core.wire import messages
 from auburnroad_daemon.connection import link as links
-from auburnroad_daemon.request import remote_attempt
+from auburnroad_daemon.request import entry_attempt
 
 
 class LinkOwner(typing.Protocol):
@@ -59,7 +59,7 @@
         self._services: list[str] = []
         self._loads: dict[str, types.HostLoad] = {}
         self._sent_at_report: dict[str, int] = {}
-        self._attempts: dict[str, remote_attempt.Attempt] = {}
+        self._attempts: dict[str, entry_attempt.Attempt] = {}
         self._sent: collections.Counter[str] = collections.Counter()
 
     @property
@@ -78,7 +78,7 @@
         return self._loads
 
     @property
-    def attempts(self) -> dict[str, remote_attempt.Attempt]:
+    def attempts(self) -> dict[str, entry_attempt.Attempt]:
         """Attempts whose end has not arrived, by request id."""
         return self._attempts
 
@@ -110,7 +110,7 @@
         """Give the link up; attempts on it become unknown."""
         await self._link.close()
 
-    def submit(self, attempt: remote_attempt.Attempt) -> None:
+    def submit(self, attempt: entry_attempt.Attempt) -> None:
         """Send a request to the side.
 
         Args:
@@ -120,7 +120,7 @@
         self._sent[attempt.submit.service] += 1
         self._link.send(attempt.submit)
 
-    def cancel(self, attempt: remote_attempt.Attempt) -> None:
+    def cancel(self, attempt: entry_attempt.Attempt) -> None:
         """Tell the side that nobody waits for an attempt any more."""
         if self._forget(attempt.request_id) is not None:
             self._link.send(messages.Cancel(attempt.request_id))
@@ -141,7 +141,7 @@
     def handle_lost(self, reason: str) -> None:
         """End every attempt as unknown."""
         for attempt in list(self._attempts.values()):
-            attempt.receive_end(remote_attempt.Lost(reason))
+            attempt.receive_end(entry_attempt.Lost(reason))
         self._attempts.clear()
         self._sent.clear()
         self._sent_at_report.clear()
@@ -156,7 +156,7 @@
                 self._handle_end(message)
             case messages.NotHere():
                 self._end(
-                    message.request_id, remote_attempt.Lost('never arrived')
+                    message.request_id, entry_attempt.Lost('never arrived')
                 )
             case messages.Hello():
                 self._handle_hello(stream, message)
@@ -194,15 +194,15 @@
         if isinstance(message, messages.Done):
             self.send(messages.Acknowledge(message.request_id))
 
-    def _ask_again(self, attempt: remote_attempt.Attempt) -> None:
+    def _ask_again(self, attempt: entry_attempt.Attempt) -> None:
         self.send(messages.Resume(attempt.request_id, attempt.next_index))
 
-    def _end(self, request_id: str, event: remote_attempt.Event) -> None:
+    def _end(self, request_id: str, event: entry_attempt.Event) -> None:
         attempt = self._forget(request_id)
         if attempt is not None:
             attempt.receive_end(event)
 
-    def _forget(self, request_id: str) -> remote_attempt.Attempt | None:
+    def _forget(self, request_id: str) -> entry_attempt.Attempt | None:
         attempt = self._attempts.pop(request_id, None)
         if attempt is not None:
             self._sent[attempt.submit.service] -= 1
--- a/packages/daemon/auburnroad_daemon/connection/side_link_test.py
+++ b/packages/daemon/auburnroad_daemon/connection/side_link_test.py
@@ -6,7 +6,7 @@
 from auburnroad_core import types
 from auburnroad_core.wire import messages
 from auburnroad_daemon.connection import side_link
-from auburnroad_daemon.request import remote_attempt
+from auburnroad_daemon.request import entry_attempt
 
 
 class FakeOwner:
@@ -47,7 +47,7 @@
             {},
             b'',
         )
-        self.attempt = remote_attempt.Attempt(submit, 'h1')
+        self.attempt = entry_attempt.Attempt(submit, 'h1')
         self.link.submit(self.attempt)
         self.stream = FakeStream()
 
@@ -60,12 +60,12 @@
         self.link.handle_message(self.stream, build_hello('second'))
         self.assertTrue(self.attempt.ended)
         self.assertIsInstance(
-            await self.attempt.next_event(), remote_attempt.Lost
+            await self.attempt.next_event(), entry_attempt.Lost
         )
 
     async def test_what_the_side_does_not_know_is_lost(self):
         self.link.handle_message(self.stream, messages.NotHere('r1'))
         self.assertTrue(self.attempt.ended)
         self.assertIsInstance(
-            await self.attempt.next_event(), remote_attempt.Lost
+            await self.attempt.next_event(), entry_attempt.Lost
         )
--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -22,9 +22,9 @@
 from auburnroad_daemon.connection import side_streams
 from auburnroad_daemon.process import health
 from auburnroad_daemon.process import history
-from auburnroad_daemon.process import metrics as metrics_module
 from auburnroad_daemon.process import roles
 from auburnroad_daemon.process import side_drain
+from auburnroad_daemon.process import side_metrics
 from auburnroad_daemon.process import side_status
 from auburnroad_daemon.request import side_requests
 from auburnroad_daemon.version import configuration_fallback
@@ -45,7 +45,7 @@
         self._settings = settings
         self._incarnation = secrets.token_hex(8)
         self._client = client.HttpClient()
-        self._metrics = metrics_module.SideMetrics()
+        self._metrics = side_metrics.SideMetrics()
         self._history = history.History()
         self._configuration = side_configuration.SideConfiguration()
         self._replicas = [
--- a/packages/daemon/auburnroad_daemon/process/side_stop_test.py
+++ b/packages/daemon/auburnroad_daemon/process/side_stop_test.py
@@ -7,7 +7,7 @@
 from auburnroad_core import types
 from auburnroad_core.wire import messages
 from auburnroad_daemon.process import side_test
-from auburnroad_daemon.request import attempts
+from auburnroad_daemon.request import side_attempts as attempts
 
 
 class StreamLossTest(side_test.SideCase):
--- a/packages/daemon/auburnroad_daemon/request/dispatch.py
+++ b/packages/daemon/auburnroad_daemon/request/dispatch.py
@@ -19,7 +19,7 @@
 from auburnroad_daemon.connection import side_link
 from auburnroad_daemon.process import entry_metrics as metrics
 from auburnroad_daemon.process import history
-from auburnroad_daemon.request import remote_attempt
+from auburnroad_daemon.request import entry_attempt
 from auburnroad_daemon.request import retry_budget
 from auburnroad_daemon.request import routing
 
@@ -303,7 +303,7 @@
         """Make one attempt; return its result, or why there is none."""
         self._attempts += 1
         self._call.tried.append(link.host.name)
-        attempt = remote_attempt.Attempt(self._build_submit(), link.host.name)
+        attempt = entry_attempt.Attempt(self._build_submit(), link.host.name)
         self._current = (link, attempt)
         link.submit(attempt)
         self._dispatcher.record(
@@ -339,7 +339,7 @@
     def _judge(self, event, base: int) -> Result | tuple[str, int]:
         if isinstance(event, messages.Refused):
             return event.code, event.retry_at_ms
-        if isinstance(event, remote_attempt.Lost):
+        if isinstance(event, entry_attempt.Lost):
             self._maybe_run = True
             self._dispatcher.record(self._call_id, 'lost', event.reason)
             return 'attempt_lost', 0
--- a/packages/daemon/auburnroad_daemon/request/dispatch_test.py
+++ b/packages/daemon/auburnroad_daemon/request/dispatch_test.py
@@ -9,7 +9,7 @@
 from auburnroad_core.wire import messages
 from auburnroad_daemon.process import history
 from auburnroad_daemon.request import dispatch
-from auburnroad_daemon.request import remote_attempt
+from auburnroad_daemon.request import entry_attempt
 
 
 class FakeLink:
@@ -41,7 +41,7 @@
 
 
 def lose(attempt):
-    attempt.receive_end(remote_attempt.Lost('the side is down'))
+    attempt.receive_end(entry_attempt.Lost('the side is down'))
 
 
 def run(attempt):
@@ -213,7 +213,7 @@
     """Chunks that come twice or with a gap."""
 
     def test_a_gap_is_asked_for_and_a_repetition_dropped(self):
-        attempt = remote_attempt.Attempt(build_call().submit, 'h')
+        attempt = entry_attempt.Attempt(build_call().submit, 'h')
         self.assertFalse(
             attempt.receive_chunk(messages.Chunk('call', 1, 'b', []))
         )
@@ -226,7 +226,7 @@
         self.assertEqual(1, attempt.next_index)
 
     def test_an_end_before_its_chunks_is_not_believed(self):
-        attempt = remote_attempt.Attempt(build_call().submit, 'h')
+        attempt = entry_attempt.Attempt(build_call().submit, 'h')
         done = messages.Done('call', types.Outcome.RUN, 200, chunks=1)
         self.assertFalse(attempt.receive_end(done))
         attempt.receive_chunk(messages.Chunk('call', 0, 'a', []))
--- a/packages/daemon/auburnroad_daemon/request/run.py
+++ b/packages/daemon/auburnroad_daemon/request/run.py
@@ -13,8 +13,8 @@
 from auburnroad_daemon.connection import engine
 from auburnroad_daemon.connection import replica as replica_module
 from auburnroad_daemon.connection import silence
-from auburnroad_daemon.request import attempt as attempt_module
 from auburnroad_daemon.request import pace
+from auburnroad_daemon.request import side_attempt
 from auburnroad_daemon.request import token_writer
 
 ENGINE_SILENCE_SECONDS = 5.0
@@ -44,12 +44,12 @@
       target_failed: Whether the target is at fault.
     """
 
-    answer: attempt_module.Answer
+    answer: side_attempt.Answer
     target_failed: bool = False
 
 
 async def run_completion(
-    attempt: attempt_module.Attempt, replica: replica_module.Replica
+    attempt: side_attempt.Attempt, replica: replica_module.Replica
 ) -> Result:
     """Run a completion on a model engine.
 
@@ -152,7 +152,7 @@
 
 
 async def run_call(
-    attempt: attempt_module.Attempt, replica: replica_module.Replica
+    attempt: side_attempt.Attempt, replica: replica_module.Replica
 ) -> Result:
     """Pass a call on to a plain service, once.
 
@@ -186,9 +186,7 @@
     return Result(answer)
 
 
-def build_unknown(
-    attempt: attempt_module.Attempt, error: str
-) -> messages.Done:
+def build_unknown(attempt: side_attempt.Attempt, error: str) -> messages.Done:
     """Build the answer of a request that a target may have run.
 
     Args:
--- a/packages/daemon/auburnroad_daemon/request/run_test.py
+++ b/packages/daemon/auburnroad_daemon/request/run_test.py
@@ -6,8 +6,8 @@
 from auburnroad_core import types
 from auburnroad_core.wire import messages
 from auburnroad_daemon.connection import engine
-from auburnroad_daemon.request import attempt
 from auburnroad_daemon.request import run
+from auburnroad_daemon.request import side_attempt as attempt
 
 
 class RunCompletionTest(unittest.IsolatedAsyncioTestCase):
--- a/packages/daemon/auburnroad_daemon/request/runner.py
+++ b/packages/daemon/auburnroad_daemon/request/runner.py
@@ -10,16 +10,16 @@
 from auburnroad_core import types
 from auburnroad_core.wire import messages
 from auburnroad_daemon.connection import replica as replica_module
-from auburnroad_daemon.process import metrics as metrics_module
-from auburnroad_daemon.request import attempt as attempt_module
+from auburnroad_daemon.process import side_metrics
 from auburnroad_daemon.request import run
+from auburnroad_daemon.request import side_attempt
 
 # Attempt, replica, answer, and how long a whole answer took, else None.
 Ended = typing.Callable[
     [
-        attempt_module.Attempt,
+        side_attempt.Attempt,
         replica_module.Replica,
-        attempt_module.Answer,
+        side_attempt.Answer,
         int | None,
     ],
     None,
@@ -31,7 +31,7 @@
 
     __slots__ = ('_metrics', '_ended', '_runs', '_cancels')
 
-    def __init__(self, metrics: metrics_module.SideMetrics, ended: Ended):
+    def __init__(self, metrics: side_metrics.SideMetrics, ended: Ended):
         self._metrics = metrics
         self._ended = ended
         self._runs: set[asyncio.Task] = set()
@@ -44,7 +44,7 @@
 
     def start(
         self,
-        attempt: attempt_module.Attempt,
+        attempt: side_attempt.Attempt,
         replica: replica_module.Replica,
         kind: str,
     ) -> None:
@@ -115,7 +115,7 @@
         replica.health.record_failure(now_ms)
 
 
-def _is_whole(answer: attempt_module.Answer) -> bool:
+def _is_whole(answer: side_attempt.Answer) -> bool:
     if isinstance(answer, messages.Refused):
         return False
     return answer.outcome is types.Outcome.RUN
--- a/packages/daemon/auburnroad_daemon/request/attempts.py
+++ b/packages/daemon/auburnroad_daemon/request/side_attempts.py
@@ -6,7 +6,7 @@
 
 from auburnroad_core.wire import messages
 from auburnroad_core.wire import stream
-from auburnroad_daemon.request import attempt as attempt_module
+from auburnroad_daemon.request import side_attempt
 
 ORPHAN_MS = 5_000
 MAX_ATTEMPTS = 20_000
@@ -20,7 +20,7 @@
     __slots__ = ('_by_id', '_by_stream')
 
     def __init__(self):
-        self._by_id: dict[str, attempt_module.Attempt] = {}
+        self._by_id: dict[str, side_attempt.Attempt] = {}
         self._by_stream: dict[stream.Stream, set[str]] = {}
 
     @property
@@ -34,7 +34,7 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
-    def find(self, request_id: str) -> attempt_module.Attempt | None:
+    def find(self, request_id: str) -> side_attempt.Attempt | None:
         """Find a request.
 
         Args:
@@ -45,7 +45,7 @@
         """
         return self._by_id.get(request_id)
 
-    def add(self, attempt: attempt_module.Attempt) -> None:
+    def add(self, attempt: side_attempt.Attempt) -> None:
         """Take a new request in.
 
         Args:
@@ -56,7 +56,7 @@
 
     def move(
         self,
-        attempt: attempt_module.Attempt,
+        attempt: side_attempt.Attempt,
         peer: stream.Stream,
         next_index: int,
     ) -> None:
@@ -71,7 +71,7 @@
         self._attach(attempt, peer)
         attempt.resume(peer, next_index)
 
-    def forget(self, attempt: attempt_module.Attempt) -> None:
+    def forget(self, attempt: side_attempt.Attempt) -> None:
         """Drop a request.
 
         Args:
@@ -126,7 +126,7 @@
             known.discard(attempt.request_id)
 
 
-def is_orphan(attempt: attempt_module.Attempt, now_ms: int) -> bool:
+def is_orphan(attempt: side_attempt.Attempt, now_ms: int) -> bool:
     """Tell whether nobody came back for a request in time.
 
     Args:
@@ -140,7 +140,7 @@
     return orphaned_ms is not None and now_ms - orphaned_ms >= ORPHAN_MS
 
 
-def is_old(attempt: attempt_module.Attempt, now_ms: int) -> bool:
+def is_old(attempt: side_attempt.Attempt, now_ms: int) -> bool:
     """Tell whether a finished request may be forgotten.
 
     A call that may not be repeated is kept for much longer, since nothing
--- a/packages/daemon/auburnroad_daemon/request/side_queue.py
+++ b/packages/daemon/auburnroad_daemon/request/side_queue.py
@@ -12,18 +12,18 @@
 from auburnroad_core import types
 from auburnroad_daemon.connection import replica as replica_module
 from auburnroad_daemon.request import admission
-from auburnroad_daemon.request import attempt as attempt_module
 from auburnroad_daemon.request import ordering
 from auburnroad_daemon.request import placement
 from auburnroad_daemon.request import reservation
 from auburnroad_daemon.request import shares
+from auburnroad_daemon.request import side_attempt
 from auburnroad_daemon.version import side_configuration
 
 VERSION_WAIT_MS = 3_000
 RUN_MS_WEIGHT = 0.2
 MAX_GROUPS = 4096
 
-Start = typing.Callable[[attempt_module.Attempt, replica_module.Replica], None]
+Start = typing.Callable[[side_attempt.Attempt, replica_module.Replica], None]
 
 
 class SideQueue:
@@ -56,7 +56,7 @@
         self._start = start
         self._placement = placement.Placement()
         self._waiting: dict[str, ordering.Waiting] = {}
-        self._attempts: dict[str, attempt_module.Attempt] = {}
+        self._attempts: dict[str, side_attempt.Attempt] = {}
         self._running: collections.Counter[str] = collections.Counter()
         self._progress: collections.OrderedDict[tuple, int] = (
             collections.OrderedDict()
@@ -78,7 +78,7 @@
         return configured.find_service(self._service)
 
     @property
-    def waiting(self) -> list[attempt_module.Attempt]:
+    def waiting(self) -> list[side_attempt.Attempt]:
         """Requests that wait, oldest first."""
         return list(self._attempts.values())
 
@@ -100,7 +100,7 @@
         )
 
     def admit(
-        self, attempt: attempt_module.Attempt, now_ms: int
+        self, attempt: side_attempt.Attempt, now_ms: int
     ) -> admission.Refusal | None:
         """Take a request in, or say why not.
 
@@ -122,7 +122,7 @@
             self.dispatch(now_ms)
         return refusal
 
-    def remove(self, attempt: attempt_module.Attempt) -> bool:
+    def remove(self, attempt: side_attempt.Attempt) -> bool:
         """Take a request back that no replica was given.
 
         Args:
@@ -136,7 +136,7 @@
 
     def release(
         self,
-        attempt: attempt_module.Attempt,
+        attempt: side_attempt.Attempt,
         replica: replica_module.Replica,
         run_ms: int | None,
     ) -> None:
@@ -174,7 +174,7 @@
 
     def take_expired(
         self, now_ms: int
-    ) -> list[tuple[attempt_module.Attempt, admission.Refusal]]:
+    ) -> list[tuple[side_attempt.Attempt, admission.Refusal]]:
         """Take out every request that waits in vain.
 
         Args:
@@ -305,13 +305,13 @@
         return min(r.health.probe_ms for r in self._replicas)
 
 
-def _get_trainer(attempt: attempt_module.Attempt) -> str:
+def _get_trainer(attempt: side_attempt.Attempt) -> str:
     if attempt.is_interactive:
         return ordering.CALLERS
     return attempt.submit.trainer
 
 
-def _describe(attempt: attempt_module.Attempt) -> ordering.Waiting:
+def _describe(attempt: side_attempt.Attempt) -> ordering.Waiting:
     submit = attempt.submit
     return ordering.Waiting(
         submit.request_id,
--- a/packages/daemon/auburnroad_daemon/request/side_requests.py
+++ b/packages/daemon/auburnroad_daemon/request/side_requests.py
@@ -9,11 +9,11 @@
 from auburnroad_core.wire import stream
 from auburnroad_daemon.connection import replica as replica_module
 from auburnroad_daemon.process import history as history_module
-from auburnroad_daemon.process import metrics as metrics_module
+from auburnroad_daemon.process import side_metrics
 from auburnroad_daemon.request import admission
-from auburnroad_daemon.request import attempt as attempt_module
-from auburnroad_daemon.request import attempts as attempts_module
 from auburnroad_daemon.request import runner
+from auburnroad_daemon.request import side_attempt
+from auburnroad_daemon.request import side_attempts
 from auburnroad_daemon.request import side_queue
 from auburnroad_daemon.version import side_configuration
 
@@ -41,14 +41,14 @@
         self,
         replicas: list[replica_module.Replica],
         configuration: side_configuration.SideConfiguration,
-        metrics: metrics_module.SideMetrics,
+        metrics: side_metrics.SideMetrics,
         history: history_module.History,
     ):
         self._replicas = replicas
         self._configuration = configuration
         self._metrics = metrics
         self._history = history
-        self._attempts = attempts_module.Attempts()
+        self._attempts = side_attempts.Attempts()
         self._runner = runner.Runner(metrics, self._end)
         self.leaving = False
         self._queues = {
@@ -99,7 +99,7 @@
             self._attempts.move(known, peer, 0)
             return
         now_ms = clock.time_now_ms()
-        attempt = attempt_module.Attempt(submit, peer, now_ms)
+        attempt = side_attempt.Attempt(submit, peer, now_ms)
         self._metrics.submitted.labels(submit.service).inc()
         self._note(attempt, 'submitted', submit.service)
         if not self._attempts.full:
@@ -231,7 +231,7 @@
 
     def _end_overdue(self, attempt, now_ms) -> None:
         submit = attempt.submit
-        if attempts_module.is_orphan(attempt, now_ms):
+        if side_attempts.is_orphan(attempt, now_ms):
             self._cancel_unwanted(attempt)
         grace_ms = 0 if submit.idempotent else LATE_RUN_MS
         if now_ms >= submit.deadline_ms + grace_ms:
--- a/packages/daemon/auburnroad_daemon/request/token_writer.py
+++ b/packages/daemon/auburnroad_daemon/request/token_writer.py
@@ -8,7 +8,7 @@
 
 from auburnroad_core import types
 from auburnroad_daemon.connection import engine
-from auburnroad_daemon.request import attempt as attempt_module
+from auburnroad_daemon.request import side_attempt
 
 FLUSH_SECONDS = 0.02
 FLUSH_CHARACTERS = 4096
@@ -27,7 +27,7 @@
         'spans',
     )
 
-    def __init__(self, attempt: attempt_module.Attempt):
+    def __init__(self, attempt: side_attempt.Attempt):
         self._attempt = attempt
         self._text: list[str] = []
         self._pending_spans: list[types.VersionSpan] = []
--- a/packages/daemon/auburnroad_daemon/version/relay.py
+++ b/packages/daemon/auburnroad_daemon/version/relay.py
@@ -14,7 +14,7 @@
 
 from auburnroad_core.http import messages
 from auburnroad_core.platform import weight_store
-from auburnroad_daemon.process import metrics as metrics_module
+from auburnroad_daemon.process import side_metrics
 
 FETCH_TIMEOUT_SECONDS = 30.0
 VERSIONS_KEPT = 2
@@ -48,7 +48,7 @@
     __slots__ = ('_source', '_metrics', '_weights', '_fetches', '_refusals')
 
     def __init__(
-        self, source: WeightSource, metrics: metrics_module.SideMetrics
+        self, source: WeightSource, metrics: side_metrics.SideMetrics
     ):
         self._source = source
         self._metrics = metrics
--- a/packages/daemon/auburnroad_daemon/version/relay_test.py
+++ b/packages/daemon/auburnroad_daemon/version/relay_test.py
@@ -8,7 +8,7 @@
 from auburnroad_core.http import server
 from auburnroad_core.platform import host_list
 from auburnroad_core.platform import weight_store
-from auburnroad_daemon.process import metrics
+from auburnroad_daemon.process import side_metrics
 from auburnroad_daemon.version import relay
 from auburnroad_daemon.version import relay_tree
 
@@ -38,7 +38,7 @@
 
     def setUp(self):
         self.store = FakeStore()
-        self.relay = relay.WeightRelay(self.store, metrics.SideMetrics())
+        self.relay = relay.WeightRelay(self.store, side_metrics.SideMetrics())
 
     async def get(self, path):
         return await self.relay.handle(messages.Request('GET', path, {}))
@@ -105,7 +105,7 @@
     """The client of another side's relay sees what its store would say."""
 
     async def test_reads_through_another_relay(self):
-        upstream = relay.WeightRelay(FakeStore(), metrics.SideMetrics())
+        upstream = relay.WeightRelay(FakeStore(), side_metrics.SideMetrics())
         http = server.HttpServer(upstream.handle)
         host, port = await http.start('127.0.0.1', 0)
         http_client = client.HttpClient()
--- a/packages/daemon/auburnroad_daemon/version/swapper.py
+++ b/packages/daemon/auburnroad_daemon/version/swapper.py
@@ -15,7 +15,7 @@
 from auburnroad_daemon.connection import engine
 from auburnroad_daemon.connection import replica as replica_module
 from auburnroad_daemon.connection import waiting
-from auburnroad_daemon.process import metrics as metrics_module
+from auburnroad_daemon.process import side_metrics
 from auburnroad_daemon.version import relay as relay_module
 from auburnroad_daemon.version import side_configuration
 from auburnroad_daemon.version import swaps
@@ -44,7 +44,7 @@
         replicas: list[replica_module.Replica],
         configuration: side_configuration.SideConfiguration,
         relay: relay_module.WeightRelay,
-        metrics: metrics_module.SideMetrics,
+        metrics: side_metrics.SideMetrics,
         changed: typing.Callable[[], None],
     ):
         self._replicas = {replica.name: replica for replica in replicas}
