--- a/packages/core/auburnroad_core/settings/deployment.py
+++ b/packages/core/auburnroad_core/settings/deployment.py
@@ -83,7 +83,7 @@
     routing: str = 'affinity'
     ordering: str = 'fair'
     swapping: str = 'rolling'
-    hedging: str = 'tail'
+    hedging: str = 'never'
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
