Begin a generator without second attempts, and describe packed answers

Cause: read as a newcomer, the generator began with the policy that is out of force, until it was configured a line later; the Publish record did not say that its answers are packed. Change: it begins with never; the docstring says it. No behaviour changes. The folds' like shapes and the lists of counters that duplicates names stay: each is a declaration of its own.

--- a/packages/core/auburnroad_core/log/records.py
+++ b/packages/core/auburnroad_core/log/records.py
@@ -27,7 +27,8 @@
       at_ms: Unix milliseconds of the publication, by the operator's clock.
       summary: What was changed, for the audit trail.
       deployment: The deployment as generated; see settings/deployment.py.
-      answers: The answers that it was generated from.
+      answers: The answers that it was generated from: a JSON string of
+        compressed JSON, or plain JSON.
     """
 
     base_revision: int
--- a/packages/daemon/auburnroad_daemon/version/generator.py
+++ b/packages/daemon/auburnroad_daemon/version/generator.py
@@ -100,7 +100,7 @@
         self._outdated = True
         self._wake = asyncio.Event()
         self._pump = asyncio.create_task(self._run())
-        self._hedge = hedging.POLICIES.get('tail')
+        self._hedge = hedging.hedge_never
         self.last_step = 0
         self.asked_step = -1
 
