Serve the users' platform by a gateway role, thin and whole

Cause: the service ran on stand-ins only; the users' platform has no host for control and no disk, and its replicas are reached directly.

Ruled out: sides on the replicas' hosts (a longer path, priced), a second settings parser (the platform renders deploy/gateway.jsonc), an owner elected outside the log.

Change: package gateway (batches, directory, forwarding, members, weights over one log) and the adapter in platform/. The HTTP server limits the time for a head and refuses two lengths for one body; the client passes over late copies of other answers.

--- a/Makefile
+++ b/Makefile
@@ -3,18 +3,19 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := core daemon client standins e2e
+PACKAGES := core daemon client standins e2e gateway
 STAMP := $(VENV)/.installed
 
 .PHONY: setup format lint unit scenarios mutations golden demo bench capacity test clean
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
-	  $(foreach package,$(PACKAGES),--editable packages/$(package))
+	  $(foreach package,$(PACKAGES),--editable packages/$(package)) \
+	  --editable platform
 	touch $(STAMP)
 
 format: setup
--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import time
 import typing
 
 import h11
@@ -19,6 +20,11 @@
 READ_BYTES = 65536
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 CONNECT_TIMEOUT_SECONDS = 2.0
+# An idle connection is used up to this share of the time that the server
+# keeps it, as its clock started earlier.
+KEEP_ALIVE_SHARE = 0.8
+# For servers that don't say how long they keep an idle connection.
+IDLE_SECONDS = 30.0
 
 # In no registry of its own: each role adds it to the one that it shows.
 BYTES = prometheus_client.Counter(
@@ -46,12 +52,14 @@
 class _Connection:
     """One pooled connection."""
 
-    __slots__ = ('h11', 'reader', 'writer')
+    __slots__ = ('h11', 'reader', 'writer', 'idle_seconds', 'usable_until')
 
     def __init__(self, reader, writer):
         self.h11 = h11.Connection(h11.CLIENT)
         self.reader = reader
         self.writer = writer
+        self.idle_seconds = IDLE_SECONDS
+        self.usable_until = 0.0
 
     async def next_event(self):
         """Read until h11 has an event."""
@@ -129,17 +137,30 @@
 class HttpClient:
     """Sends requests to any address over pooled connections."""
 
-    __slots__ = ('_idle',)
+    __slots__ = ('_idle', '_connect_timeout_seconds')
 
-    def __init__(self):
+    def __init__(
+        self, connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
+    ):
         self._idle = collections.defaultdict(collections.deque)
-
-    async def open(self, address: str, request: messages.Request) -> Reply:
+        self._connect_timeout_seconds = connect_timeout_seconds
+
+    async def open(
+        self,
+        address: str,
+        request: messages.Request,
+        is_own: typing.Callable[[dict[str, str]], bool] | None = None,
+        fresh: bool = False,
+    ) -> Reply:
         """Send a request and wait for the head of its response.
 
         Args:
           address: 'IP number:port'.
           request: What to send; its host header is filled in.
+          is_own: Tells by its headers whether a response answers this
+            request; one that doesn't is a late copy and is passed over.
+          fresh: Whether to open a connection even if one is idle, for a
+            request that must not be sent twice.
 
         Returns:
           The reply, whose body the caller reads or closes.
@@ -148,9 +169,9 @@
           ConnectError: If no byte was sent.
           BrokenError: If the connection failed later.
         """
-        connection = await self._acquire(address)
+        connection = await self._acquire(address, fresh)
         try:
-            return await self._exchange(address, connection, request)
+            return await self._exchange(address, connection, request, is_own)
         except (OSError, h11.ProtocolError) as error:
             connection.writer.close()
             raise BrokenError(f'{address}: {error}') from error
@@ -190,7 +211,12 @@
             # same, and only the connection can't be used again.
             connection.writer.close()
             return
+        if connection.h11.trailing_data[0]:
+            # Bytes behind a whole response belong to no request.
+            connection.writer.close()
+            return
         connection.h11.start_next_cycle()
+        connection.usable_until = time.monotonic() + connection.idle_seconds
         idle = self._idle[address]
         if len(idle) >= IDLE_CONNECTIONS_PER_ADDRESS:
             connection.writer.close()
@@ -204,36 +230,31 @@
                 connection.writer.close()
         self._idle.clear()
 
-    async def _acquire(self, address: str) -> _Connection:
+    async def _acquire(self, address: str, fresh: bool) -> _Connection:
         idle = self._idle[address]
-        while idle:
+        while idle and not fresh:
             connection = idle.pop()
             if not _is_stale(connection):
                 return connection
             connection.writer.close()
         host, _, port = address.rpartition(':')
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self._connect_timeout_seconds):
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError, ValueError) as error:
             raise ConnectError(f'{address}: {error}') from error
         return _Connection(reader, writer)
 
-    async def _exchange(self, address, connection, request) -> Reply:
-        headers = {'host': address, **request.headers}
-        headers['content-length'] = str(len(request.body))
-        connection.send(
-            h11.Request(
-                method=request.method,
-                target=request.target,
-                headers=messages.encode_headers(headers),
-            )
-        )
-        if request.body:
-            connection.send(h11.Data(data=request.body))
-        connection.send(h11.EndOfMessage())
+    async def _exchange(self, address, connection, request, is_own) -> Reply:
+        events = _build_events(address, request)
+        for event in events:
+            connection.send(event)
         await connection.writer.drain()
-        return await self._read_head(address, connection)
+        reply = await self._read_head(address, connection)
+        while is_own is not None and not is_own(reply.headers):
+            await _skip_reply(address, connection, events)
+            reply = await self._read_head(address, connection)
+        return reply
 
     async def _read_head(self, address, connection) -> Reply:
         event = await connection.next_event()
@@ -245,13 +266,54 @@
             name.decode('ascii'): value.decode('latin-1')
             for name, value in event.headers
         }
+        connection.idle_seconds = _parse_keep_alive(headers)
         return Reply(event.status_code, headers, self, address, connection)
 
 
+def _build_events(address: str, request: messages.Request) -> list:
+    headers = {'host': address, **request.headers}
+    headers['content-length'] = str(len(request.body))
+    events = [
+        h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=messages.encode_headers(headers),
+        )
+    ]
+    if request.body:
+        events.append(h11.Data(data=request.body))
+    return [*events, h11.EndOfMessage()]
+
+
+async def _skip_reply(address: str, connection: _Connection, events) -> None:
+    """Read over a response to another request; the own one follows."""
+    event = await connection.next_event()
+    while isinstance(event, h11.Data):
+        event = await connection.next_event()
+    if not isinstance(event, h11.EndOfMessage):
+        raise BrokenError(f'{address}: a stray response ended early')
+    if connection.h11.their_state is not h11.DONE:
+        raise BrokenError(f'{address}: closed after a stray response')
+    connection.h11.start_next_cycle()
+    for event in events:
+        # The request is on its way already: only h11 has to know of it.
+        connection.h11.send(event)
+
+
+def _parse_keep_alive(headers: dict[str, str]) -> float:
+    """Find how long a connection may be idle, in seconds."""
+    for part in headers.get('keep-alive', '').split(','):
+        name, _, value = part.strip().partition('=')
+        if name.lower() == 'timeout' and value.isdecimal():
+            return int(value) * KEEP_ALIVE_SHARE
+    return IDLE_SECONDS
+
+
 def _is_stale(connection: _Connection) -> bool:
     """Tell whether an idle connection was closed or holds stray bytes."""
     return (
-        connection.reader.at_eof()
+        time.monotonic() > connection.usable_until
+        or connection.reader.at_eof()
         or connection.writer.is_closing()
         or connection.h11.our_state is not h11.IDLE
     )
--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -29,10 +29,14 @@
     Attributes:
       header_bytes: Request line and headers together.
       body_bytes: Body.
+      header_seconds: Time for a head to arrive, from its first byte.
+      idle_seconds: Time that a connection may be idle.
     """
 
     header_bytes: int = 32768
     body_bytes: int = 16 * 1024 * 1024
+    header_seconds: float = 30.0
+    idle_seconds: float = 300.0
 
 
 class _RefusedError(Exception):
@@ -103,8 +107,10 @@
     async def _refuse_malformed(self, error) -> None:
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        # The text isn't sent back: it quotes what the caller sent.
+        logging.info('malformed HTTP: %.200s', error)
         status = error.error_status_hint
-        refused = _RefusedError(status, 'malformed_http', str(error))
+        refused = _RefusedError(status, 'malformed_http', 'not HTTP/1.1')
         await self._send(refused.respond())
 
     async def _read_request(self) -> messages.Request | None:
@@ -112,10 +118,14 @@
         body = []
         size = 0
         while True:
-            event = await self._next_event()
+            if head is None:
+                event = await self._next_head()
+            else:
+                event = await self._next_event()
             if isinstance(event, h11.Request):
                 head = event
                 self._check_header_size(head)
+                self._check_framing(head)
                 self._check_declared_size(head)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
@@ -137,6 +147,14 @@
                 431, 'headers_too_large', f'the headers are over {limit} bytes'
             )
 
+    def _check_framing(self, head) -> None:
+        names = {name for name, _ in head.headers}
+        if {b'content-length', b'transfer-encoding'} <= names:
+            # Somebody on the way may take the other one for the length.
+            raise _RefusedError(
+                400, 'ambiguous_length', 'two lengths for one body'
+            )
+
     def _check_declared_size(self, head) -> None:
         for name, value in head.headers:
             if name == b'content-length':
@@ -152,6 +170,24 @@
                 413, 'body_too_large', f'the body is over {limit} bytes'
             )
 
+    async def _next_head(self):
+        """Read a head within the time limits; silence closes."""
+        limits = self._server.limits
+        if not self._h11.trailing_data[0]:
+            try:
+                async with asyncio.timeout(limits.idle_seconds):
+                    data = await self._reader.read(READ_BYTES)
+            except TimeoutError:
+                return None
+            self._h11.receive_data(data)
+        try:
+            async with asyncio.timeout(limits.header_seconds):
+                return await self._next_event()
+        except TimeoutError:
+            raise _RefusedError(
+                408, 'head_too_slow', 'the head took too long'
+            ) from None
+
     async def _next_event(self):
         while True:
             event = self._h11.next_event()
@@ -210,17 +246,25 @@
 
     async def _send_chunks(self, chunks) -> None:
         watch = asyncio.ensure_future(self._watch_peer())
+        pump = asyncio.ensure_future(self._pump(chunks))
         try:
-            async for chunk in chunks:
-                if watch.done():
-                    raise ConnectionResetError('the caller went away')
-                self._write(h11.Data(data=chunk))
-                await self._writer.drain()
+            await asyncio.wait(
+                {pump, watch}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not pump.done():
+                raise ConnectionResetError('the caller went away')
+            pump.result()
         finally:
+            pump.cancel()
             watch.cancel()
-            await asyncio.gather(watch, return_exceptions=True)
+            await asyncio.gather(pump, watch, return_exceptions=True)
             await chunks.aclose()
 
+    async def _pump(self, chunks) -> None:
+        async for chunk in chunks:
+            self._write(h11.Data(data=chunk))
+            await self._writer.drain()
+
     def _write(self, event) -> None:
         data = self._h11.send(event)
         if data:
@@ -274,6 +318,11 @@
         """How many connections have a request in flight."""
         return sum(connection.busy for connection in self._connections)
 
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
     async def start(self, host: str, port: int) -> tuple[str, int]:
         """Start to listen.
 
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Batches: acceptance, ownership, running, results, reading."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -0,0 +1,473 @@
+"""Runs the batches that this gateway owns, and takes over orphaned ones.
+
+The log says who owns a batch. Results are records too, and the first one of
+an item counts, so a former owner that doesn't know yet wastes work at most.
+"""
+
+import asyncio
+import time
+
+from auburnroad_core import clock
+from auburnroad_gateway.batches import fold
+from auburnroad_gateway.batches import journal
+from auburnroad_gateway.batches import ordering
+from auburnroad_gateway.batches import records
+from auburnroad_gateway.batches import run as runs
+from auburnroad_gateway.directory import placement
+from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import configuration
+from auburnroad_gateway.telemetry import events
+
+# How often stalled runs, expired items and orphaned batches are looked for.
+TICK_SECONDS = 0.1
+# Events come every 40 to 120 ms; a run that is silent for so long, at a
+# replica that isn't loading, goes on elsewhere.
+STALL_SECONDS = 0.6
+# Until its first event a run may wait in the replica's queue.
+FIRST_EVENT_SECONDS = 1.2
+# A run on a slow replica moves if a fast one has a free slot, once it has
+# been seen to be slow for so many events.
+SLOW_EVENTS = 4
+# The text of a run that lasts longer is saved, and again after as long.
+SAVE_SECONDS = 2.0
+# Batches stay readable a little longer than promised.
+FORGET_SLACK_MS = 10_000
+
+
+class OwnedBatch:
+    """A batch that this gateway runs.
+
+    Attributes:
+      state: What the log tells of it.
+      route: Its route, when last looked up.
+      waiting: Runs that wait for a slot, by item index.
+      running: Task by item index.
+      runs: All runs without a result, by item index.
+    """
+
+    __slots__ = ('state', 'route', 'waiting', 'running', 'runs', 'carried')
+
+    def __init__(self, state: fold.Batch, route, carried: set[str]):
+        self.state = state
+        self.route = route
+        self.carried = carried
+        self.running: dict[int, asyncio.Task] = {}
+        self.runs: dict[int, runs.ItemRun] = {}
+        for index, item in enumerate(state.submission.items):
+            if index not in state.finished:
+                self.runs[index] = _build_run(state, item, index)
+        self.waiting = dict(self.runs)
+
+    def stop(self) -> None:
+        """Cancel all runs."""
+        for task in self.running.values():
+            task.cancel()
+        self.running.clear()
+        self.waiting.clear()
+
+
+class Owner:
+    """Starts, watches and finishes the runs of owned batches."""
+
+    __slots__ = (
+        '_settings',
+        '_adapter',
+        '_client',
+        '_journal',
+        '_membership',
+        '_configuration',
+        '_directory',
+        '_owned',
+        '_claimed',
+        '_wake',
+        'stopping',
+    )
+
+    def __init__(
+        self,
+        settings,
+        adapter,
+        http_client,
+        batch_journal: journal.Journal,
+        membership,
+        holder,
+        replicas,
+    ):
+        self._settings = settings
+        self._adapter = adapter
+        self._client = http_client
+        self._journal = batch_journal
+        self._membership = membership
+        self._configuration = holder
+        self._directory = replicas
+        self._owned: dict[str, OwnedBatch] = {}
+        self._claimed: dict[str, str] = {}
+        self._wake = asyncio.Event()
+        self.stopping = False
+        batch_journal.fold.on_change(self._handle_change)
+        membership.on_change(self._wake.set)
+        replicas.on_change(self._wake.set)
+
+    @property
+    def busy(self) -> bool:
+        """Whether items are running here."""
+        return any(owned.running for owned in self._owned.values())
+
+    async def run(self) -> None:
+        """Work for as long as the process lives."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self._wake.wait()
+            except TimeoutError:
+                self._tick()
+            self._wake.clear()
+            self._start_runs()
+
+    def hand_over(self) -> None:
+        """Save every text and stop, so that others go on with it."""
+        self.stopping = True
+        for owned in self._owned.values():
+            for index in list(owned.running):
+                self._save(owned, owned.runs[index])
+            owned.stop()
+        self._owned.clear()
+
+    def _handle_change(self, changed: fold.Batch) -> None:
+        owned = self._owned.get(changed.id)
+        if owned is None:
+            self._wake.set()
+            return
+        if changed.ended or changed.owner != self._membership.incarnation:
+            owned.stop()
+            del self._owned[changed.id]
+            return
+        for index in changed.finished & owned.runs.keys():
+            self._drop_run(owned, index)
+
+    def _drop_run(self, owned: OwnedBatch, index: int) -> None:
+        owned.runs.pop(index, None)
+        owned.waiting.pop(index, None)
+        task = owned.running.pop(index, None)
+        if task is not None:
+            task.cancel()
+
+    def _tick(self) -> None:
+        if self.stopping or not self._journal.loaded:
+            return
+        self._adopt()
+        now = time.monotonic()
+        now_ms = clock.time_now_ms()
+        for owned in list(self._owned.values()):
+            self._give_up(owned, now_ms)
+            self._watch(owned, now)
+        life_ms = int(self._settings.bounds.read_life_s * 1000)
+        for batch_id in self._journal.fold.forget(
+            now_ms - life_ms - FORGET_SLACK_MS
+        ):
+            owned = self._owned.pop(batch_id, None)
+            if owned is not None:
+                owned.stop()
+
+    def _adopt(self) -> None:
+        """Begin batches that are ours, and claim those of dead owners."""
+        own = self._membership.incarnation
+        for state in self._journal.fold.batches.values():
+            if not state.open or state.id in self._owned:
+                continue
+            if state.owner == own:
+                self._begin(state)
+            elif not self._membership.is_alive(state.owner):
+                self._claim(state)
+
+    def _begin(self, state: fold.Batch) -> None:
+        route = self._find_route(state)
+        if route is not None:
+            self._owned[state.id] = OwnedBatch(
+                state, route, self._find_carried(state)
+            )
+            self._reuse(self._owned[state.id])
+            self._wake.set()
+
+    def _claim(self, state: fold.Batch) -> None:
+        if self._membership.choose(state.id) != self._membership.incarnation:
+            return
+        if self._claimed.get(state.id) == state.owner:
+            return
+        self._claimed[state.id] = state.owner
+        events.write(
+            'batch_claimed',
+            batch=state.id,
+            previous=state.owner,
+            finished=len(state.finished),
+        )
+        self._journal.add(
+            records.Claim(state.id, self._membership.incarnation, state.owner)
+        )
+
+    def _find_carried(self, state: fold.Batch) -> set[str]:
+        """Find groups that an earlier batch has asked for in vain."""
+        groups = {item.group for item in state.submission.items}
+        return {
+            item.group
+            for other in self._journal.fold.batches.values()
+            if other is not state
+            and other.submission.step < (state.submission.step)
+            for item in other.submission.items
+            if item.group in groups
+        }
+
+    def _reuse(self, owned: OwnedBatch) -> None:
+        """Take results over that an earlier batch has of the same items."""
+        terms = owned.state.submission
+        wanted = {
+            run.item.id: run
+            for run in owned.runs.values()
+            if run.item.group in owned.carried
+        }
+        for other in self._journal.fold.batches.values():
+            if not wanted or other is owned.state:
+                continue
+            for result in other.results:
+                item = other.submission.items[result.index]
+                run = wanted.get(item.id)
+                if run is not None and _fits(run, item, result, terms, owned):
+                    del wanted[item.id]
+                    self._append_result(owned, _move_result(result, run.index))
+
+    def _find_route(self, state: fold.Batch):
+        current = self._configuration.current
+        if current is None:
+            return None
+        submission = state.submission
+        return configuration.match_route(
+            current, submission.host, submission.path
+        )
+
+    def _start_runs(self) -> None:
+        """Give free slots to waiting items, in order."""
+        if self.stopping:
+            return
+        self._adopt()
+        queue = []
+        for owned in self._owned.values():
+            owned.route = self._find_route(owned.state) or owned.route
+            queue.extend(self._list_waiting(owned))
+        queue.sort(key=lambda entry: entry[0])
+        full = set()
+        now = time.monotonic()
+        for _, owned, run in queue:
+            service = owned.route.backends[0].service
+            submission = owned.state.submission
+            key = (service, submission.model, submission.minimum_version)
+            if key in full:
+                continue
+            target = placement.choose_for_item(
+                self._directory.list_ready(service),
+                self._settings.failure_domain,
+                submission.model,
+                submission.minimum_version,
+                now,
+            )
+            if target is None:
+                full.add(key)
+                continue
+            self._start(owned, run, target)
+
+    def _list_waiting(self, owned: OwnedBatch):
+        due_ms = owned.state.submitted_ms + owned.route.due_ms
+        left: dict[str, int] = {}
+        for run in owned.runs.values():
+            left[run.item.group] = left.get(run.item.group, 0) + 1
+        for run in owned.waiting.values():
+            entry = ordering.Waiting(
+                due_ms,
+                run.item.group in owned.carried,
+                left[run.item.group],
+                run.item.length_hint,
+                run.index,
+            )
+            yield ordering.build_sort_key(entry), owned, run
+
+    def _start(self, owned: OwnedBatch, run: runs.ItemRun, target) -> None:
+        del owned.waiting[run.index]
+        run.replica = target
+        run.progress_at = time.monotonic()
+        run.saved_at = run.progress_at
+        target.in_flight += 1
+        owned.running[run.index] = asyncio.ensure_future(
+            self._attempt(owned, run)
+        )
+
+    async def _attempt(self, owned: OwnedBatch, run: runs.ItemRun) -> None:
+        submission = owned.state.submission
+        terms = runs.Terms(
+            submission.host,
+            submission.model,
+            submission.minimum_version,
+            owned.route.single_version,
+        )
+        target = run.replica
+        try:
+            end = await runs.run_attempt(
+                self._client, self._adapter, run, terms
+            )
+        finally:
+            target.in_flight -= 1
+            self._wake.set()
+        if owned.running.pop(run.index, None) is not None:
+            self._finish_attempt(owned, run, target, end)
+
+    def _finish_attempt(self, owned, run, target, end: runs.RunEnd) -> None:
+        if end is runs.RunEnd.DONE:
+            self._append_result(
+                owned, _build_result(run, batch.Outcome.SUCCEEDED)
+            )
+            return
+        if end is runs.RunEnd.FAILED:
+            run.failures += 1
+        exhausted = run.failures >= owned.route.max_attempts
+        if end is runs.RunEnd.IMPOSSIBLE or exhausted:
+            self._terminate(owned, run, end.value)
+            return
+        if end is runs.RunEnd.FAILED:
+            self._save(owned, run)
+        if end is not runs.RunEnd.NOT_RUN:
+            events.write(
+                'item_attempt_ended',
+                batch=owned.state.id,
+                item=run.item.id,
+                replica=target.id,
+                how=end.value,
+                events=len(run.texts),
+                failures=run.failures,
+            )
+        owned.waiting[run.index] = run
+
+    def _terminate(self, owned, run: runs.ItemRun, reason: str) -> None:
+        events.write(
+            'item_terminated',
+            batch=owned.state.id,
+            item=run.item.id,
+            reason=reason,
+            failures=run.failures,
+        )
+        self._append_result(
+            owned, _build_result(run, batch.Outcome.TERMINATED)
+        )
+
+    def _append_result(self, owned, result: batch.ItemResult) -> None:
+        self._drop_run(owned, result.index)
+        self._journal.add(records.Results(owned.state.id, [result]))
+
+    def _save(self, owned: OwnedBatch, run: runs.ItemRun) -> None:
+        run.saved_at = time.monotonic()
+        last = -1 if run.last_event is None else run.last_event
+        self._journal.add(
+            records.Progress(
+                owned.state.id,
+                run.index,
+                last,
+                records.pack_text(run.text),
+                sorted(run.versions),
+                run.failures,
+            )
+        )
+
+    def _give_up(self, owned: OwnedBatch, now_ms: int) -> None:
+        """Terminate what is too old to be wanted."""
+        if now_ms < owned.state.submitted_ms + owned.route.give_up_ms:
+            return
+        for run in list(owned.runs.values()):
+            self._terminate(owned, run, 'too old')
+
+    def _watch(self, owned: OwnedBatch, now: float) -> None:
+        """Move runs that stall or crawl, and save long ones."""
+        for index in list(owned.running):
+            run = owned.runs[index]
+            if self._is_stalled(run, now):
+                run.replica.note_failure(now)
+                self._move(owned, run, 'stalled')
+            elif self._is_crawling(owned, run, now):
+                self._move(owned, run, 'slow')
+            elif run.texts and now - run.saved_at > SAVE_SECONDS:
+                self._save(owned, run)
+
+    def _is_stalled(self, run: runs.ItemRun, now: float) -> bool:
+        if run.replica.is_loading(now):
+            run.progress_at = max(run.progress_at, now - STALL_SECONDS / 2)
+            return False
+        limit = STALL_SECONDS if run.texts else FIRST_EVENT_SECONDS
+        return now - run.progress_at > limit
+
+    def _is_crawling(self, owned, run: runs.ItemRun, now: float) -> bool:
+        ready = self._directory.list_ready(run.replica.registration.service)
+        median = placement.find_median_pace(ready)
+        if len(run.texts) < SLOW_EVENTS or not placement.is_slow(
+            run.replica, median
+        ):
+            return False
+        submission = owned.state.submission
+        better = placement.choose_for_item(
+            ready,
+            self._settings.failure_domain,
+            submission.model,
+            submission.minimum_version,
+            now,
+        )
+        return better is not None and not placement.is_slow(better, median)
+
+    def _move(self, owned, run: runs.ItemRun, reason: str) -> None:
+        events.write(
+            'item_moved',
+            batch=owned.state.id,
+            item=run.item.id,
+            replica=run.replica.id,
+            reason=reason,
+            events=len(run.texts),
+            pace_ms=round(run.replica.pace_ms, 1),
+        )
+        owned.running.pop(run.index).cancel()
+        owned.waiting[run.index] = run
+        self._wake.set()
+
+
+def _build_run(state: fold.Batch, item, index: int) -> runs.ItemRun:
+    """Build a run that goes on with what the log has of its text."""
+    run = runs.ItemRun(item, index)
+    saved = state.progress.get(index)
+    if saved is None:
+        return run
+    run.failures = saved.failures
+    if saved.last_event >= 0:
+        # One text stands for all events so far; they join the same way.
+        run.texts = [records.unpack_text(saved.text)]
+        run.last_event = saved.last_event
+        run.versions = set(saved.versions)
+    return run
+
+
+def _build_result(run: runs.ItemRun, outcome) -> batch.ItemResult:
+    return batch.ItemResult(
+        run.index,
+        outcome,
+        records.pack_text(run.text),
+        sorted(run.versions),
+    )
+
+
+def _fits(run, item, result, terms, owned) -> bool:
+    """Tell whether an earlier result may stand for a run."""
+    if result.outcome is not batch.Outcome.SUCCEEDED:
+        return False
+    if (item.path, item.body) != (run.item.path, run.item.body):
+        return False
+    if owned.route.single_version and len(result.versions) != 1:
+        return False
+    return all(version >= terms.minimum_version for version in result.versions)
+
+
+def _move_result(result: batch.ItemResult, index: int):
+    return batch.ItemResult(
+        index, result.outcome, result.text, result.versions
+    )
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators and trainers ask for, as last written."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas: who is registered, how loaded, which one to choose."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Single requests: attempts at replicas and what the caller gets."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/log/__init__.py
@@ -0,0 +1,1 @@
+"""The log service: interface, appends in groups, tails, detours."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -0,0 +1,105 @@
+"""Reaches the log service directly or, if it turns us away, by a peer.
+
+The log service may be cut off from some hosts while it serves others. A call
+that fails directly is sent once more through another gateway that lives; for
+a while the detour then goes first. An append that was lost on one way may be
+repeated on the other, since its producer's sequence number makes it one.
+"""
+
+import itertools
+import time
+
+from auburnroad_gateway.log import service
+from auburnroad_gateway.telemetry import events
+
+# How long the detour goes first before the direct way is tried again.
+DETOUR_SECONDS = 2.0
+
+
+class DetourLog:
+    """Implements service.LogService over several ways.
+
+    Attributes:
+      direct: The log service as this host reaches it.
+    """
+
+    __slots__ = ('direct', '_find_peers', '_open_peer', '_until', '_turn')
+
+    def __init__(self, direct, find_peers, open_peer):
+        """Wire the ways.
+
+        Args:
+          direct: The log service as this host reaches it.
+          find_peers: Returns the addresses of gateways that may help.
+          open_peer: Builds a log service behind such an address.
+        """
+        self.direct = direct
+        self._find_peers = find_peers
+        self._open_peer = open_peer
+        self._until = 0.0
+        self._turn = itertools.count()
+
+    async def append(
+        self, topic, partition, records, producer=None, expected_end=None
+    ) -> int:
+        """Append records; see service.LogService."""
+        # Without a producer a repeated append might be a second one.
+        repeatable = producer is not None or expected_end is not None
+        return await self._call(
+            repeatable,
+            'append',
+            topic,
+            partition,
+            records,
+            producer,
+            expected_end,
+        )
+
+    async def read(self, topic, partition, from_offset, wait_ms):
+        """Read records; see service.LogService."""
+        return await self._call(
+            True, 'read', topic, partition, from_offset, wait_ms
+        )
+
+    async def read_newest(self, topic) -> service.Snapshot:
+        """Read the newest records; see service.LogService."""
+        return await self._call(True, 'read_newest', topic)
+
+    async def trim(self, topic, partition, before) -> None:
+        """Delete old records; see service.LogService."""
+        return await self._call(True, 'trim', topic, partition, before)
+
+    async def _call(self, repeatable, verb, *arguments):
+        lost = None
+        for way in self._list_ways():
+            try:
+                result = await getattr(way, verb)(*arguments)
+            except service.LogLostError as error:
+                self._note(way, error)
+                lost = error
+                if not repeatable:
+                    raise
+            except service.LogRefusedError as error:
+                self._note(way, error)
+                refused = error
+            else:
+                return result
+        # One lost try leaves the outcome open, whatever the other said.
+        raise lost or refused
+
+    def _list_ways(self) -> list:
+        peers = self._find_peers()
+        if not peers:
+            return [self.direct]
+        peer = self._open_peer(peers[next(self._turn) % len(peers)])
+        if time.monotonic() < self._until:
+            return [peer, self.direct]
+        return [self.direct, peer]
+
+    def _note(self, way, error) -> None:
+        now = time.monotonic()
+        if way is not self.direct:
+            self._until = 0.0
+        elif now >= self._until:
+            self._until = now + DETOUR_SECONDS
+            events.write('log_detour', error=str(error))
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/members/__init__.py
@@ -0,0 +1,1 @@
+"""The other gateways: their heartbeats, and calls between them."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -0,0 +1,235 @@
+"""Which gateways live, by their heartbeats in the log service.
+
+A member is given up only after its heartbeat has been missing for a while in
+which the log could be read all the time: an outage, or a pause of this very
+process, makes nobody look dead.
+"""
+
+import asyncio
+import time
+import uuid
+
+import msgspec
+import xxhash
+
+from auburnroad_gateway.log import service
+from auburnroad_gateway.model import settings as gateway_settings
+from auburnroad_gateway.telemetry import events
+
+TOPIC = 'keyed.members'
+BEAT_SECONDS = 0.5
+# Three heartbeats and the time that one needs to be appended and read.
+DEAD_SECONDS = 1.8
+# A longer pause between two looks says nothing of who lived meanwhile.
+GAP_SECONDS = 1.2
+CHECK_SECONDS = 0.2
+# Detours are asked of members whose heartbeat is at most so old.
+PEER_AGE_SECONDS = 5.0
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    """A member's heartbeat.
+
+    Attributes:
+      incarnation: Names one start of its process.
+      address: 'IP number:port' for other gateways.
+      leaving: Whether it hands its work over before it stops.
+    """
+
+    incarnation: str
+    address: str
+    leaving: bool
+
+
+class Member:
+    """A gateway as this one sees it.
+
+    Attributes:
+      name: Its host's name.
+      beat: Its newest heartbeat.
+      seen_at: When that was seen, in monotonic seconds.
+      alive: Whether it is taken to live.
+    """
+
+    __slots__ = ('name', 'beat', 'seen_at', 'alive')
+
+    def __init__(self, name: str, beat: Beat, seen_at: float):
+        self.name = name
+        self.beat = beat
+        self.seen_at = seen_at
+        self.alive = True
+
+
+class Membership:
+    """Sends this gateway's heartbeats and watches the others'.
+
+    Attributes:
+      incarnation: Names this start of the process.
+      leaving: Whether a planned stop has begun.
+      confirmed_at: When the last heartbeat of ours was known to be in the
+        log, in monotonic seconds; zero before.
+    """
+
+    __slots__ = (
+        'incarnation',
+        'leaving',
+        'confirmed_at',
+        '_settings',
+        '_log',
+        '_members',
+        '_checked_at',
+        '_beat_now',
+        '_listeners',
+    )
+
+    def __init__(self, settings: gateway_settings.Settings, log):
+        self.incarnation = uuid.uuid4().hex
+        self.leaving = False
+        self.confirmed_at = 0.0
+        self._settings = settings
+        self._log = log
+        self._members: dict[str, Member] = {}
+        self._checked_at = 0.0
+        self._beat_now = asyncio.Event()
+        self._listeners = []
+
+    @property
+    def alive(self) -> list[str]:
+        """Incarnations that live and stay, this one among them."""
+        others = [
+            member.beat.incarnation
+            for member in self._members.values()
+            if member.alive and not member.beat.leaving
+        ]
+        if self.leaving or self.incarnation in others:
+            return others
+        return [*others, self.incarnation]
+
+    def is_alive(self, incarnation: str) -> bool:
+        """Tell whether an incarnation lives and stays."""
+        return incarnation in self.alive
+
+    def list_peers(self) -> list[str]:
+        """List addresses of other gateways, the freshest ones first."""
+        now = time.monotonic()
+        own = self._settings.name
+        peers = [
+            member
+            for member in self._members.values()
+            if member.name != own
+            and (member.alive or now - member.seen_at < PEER_AGE_SECONDS)
+        ]
+        peers.sort(key=lambda member: -member.seen_at)
+        return [member.beat.address for member in peers]
+
+    def choose(self, key: str) -> str:
+        """Choose the live member that takes over a piece of work.
+
+        Args:
+          key: Names the work. Every gateway that sees the same members
+            chooses the same one.
+
+        Returns:
+          An incarnation; empty if nobody is left.
+        """
+        return max(
+            self.alive,
+            key=lambda name: xxhash.xxh64_intdigest(f'{key}/{name}'.encode()),
+            default='',
+        )
+
+    def on_change(self, listener) -> None:
+        """Call a function after a member came, left or died."""
+        self._listeners.append(listener)
+
+    def leave(self) -> None:
+        """Tell the others that this gateway is about to stop."""
+        self.leaving = True
+        self._beat_now.set()
+
+    def apply(self, record: service.KeyedRecord) -> None:
+        """Take a heartbeat from the log."""
+        try:
+            beat = msgspec.msgpack.decode(record.value, type=Beat)
+        except msgspec.DecodeError:
+            self._members.pop(record.key, None)
+            return
+        now = time.monotonic()
+        before = self._members.get(record.key)
+        if before is not None and before.beat == beat and before.alive:
+            before.seen_at = now
+            return
+        self._members[record.key] = Member(record.key, beat, now)
+        events.write(
+            'member_changed',
+            member=record.key,
+            incarnation=beat.incarnation,
+            leaving=beat.leaving,
+            restarted=before is not None
+            and before.beat.incarnation != beat.incarnation,
+        )
+        self._notify()
+
+    async def run_beats(self) -> None:
+        """Send heartbeats for as long as the process lives."""
+        while True:
+            self._beat_now.clear()
+            sent_at = time.monotonic()
+            beat = Beat(
+                self.incarnation,
+                f'{self._settings.host}:{self._settings.peer_port}',
+                self.leaving,
+            )
+            record = service.encode_keyed(
+                self._settings.name, msgspec.msgpack.encode(beat)
+            )
+            try:
+                await self._log.append(TOPIC, 0, [record])
+                self.confirmed_at = sent_at
+            except service.LogError as error:
+                events.write('heartbeat_not_sent', error=str(error))
+            try:
+                async with asyncio.timeout(BEAT_SECONDS):
+                    await self._beat_now.wait()
+            except TimeoutError:
+                pass
+
+    async def run_checks(self, tail) -> None:
+        """Give members up whose heartbeats are missing.
+
+        Args:
+          tail: The tail that hands heartbeats to apply().
+        """
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            self.check(time.monotonic(), tail.read_at)
+
+    def check(self, now: float, read_at: float) -> None:
+        """Give members up that have been silent while the log was read.
+
+        Args:
+          now: Monotonic time in seconds.
+          read_at: When the log was last read with success, in the same.
+        """
+        blind = now - read_at > GAP_SECONDS
+        paused = now - self._checked_at > GAP_SECONDS
+        self._checked_at = now
+        if blind or paused:
+            for member in self._members.values():
+                member.seen_at = now
+            return
+        for member in self._members.values():
+            silent = now - member.seen_at
+            if member.alive and silent > DEAD_SECONDS:
+                member.alive = False
+                events.write(
+                    'member_dead',
+                    member=member.name,
+                    incarnation=member.beat.incarnation,
+                    silent_ms=int(silent * 1000),
+                )
+                self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/model/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data types of the gateway, without I/O."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -0,0 +1,60 @@
+"""Settings of a gateway process, as its settings file holds them."""
+
+import msgspec
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Times that the operators of the deployment promise or expect.
+
+    Attributes:
+      grace_s: From SIGTERM until the process is killed, in seconds.
+      lease_ms: Two holders of one duty must not act within this time.
+      read_life_s: How long a batch can be read after its submission, in
+        seconds.
+    """
+
+    grace_s: float = 8.0
+    lease_ms: int = 3000
+    read_life_s: float = 120.0
+
+
+class LogLimits(msgspec.Struct, frozen=True):
+    """What the log service takes at most.
+
+    Attributes:
+      record_bytes: One record.
+      call_bytes: All records of one append.
+    """
+
+    record_bytes: int = 262144
+    call_bytes: int = 2097152
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """One gateway's settings.
+
+    Attributes:
+      name: Host's name, unique in the deployment.
+      host: IP number that other gateways reach.
+      failure_domain: Failure domain of the host.
+      caller_address: 'IP number:port' to listen on for callers.
+      ready_address: 'IP number:port' of the readiness check.
+      peer_port: Port for other gateways.
+      metrics_port: Port of the metrics.
+      log_address: 'IP number:port' of the log service.
+      heartbeat_ms: How often replicas renew their registration.
+      log_limits: Sizes that the log service takes.
+      bounds: Times that the deployment expects.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    caller_address: str
+    ready_address: str
+    peer_port: int
+    metrics_port: int
+    log_address: str
+    heartbeat_ms: int = 1200
+    log_limits: LogLimits = LogLimits()
+    bounds: Bounds = Bounds()
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/process/__init__.py
@@ -0,0 +1,1 @@
+"""Assembles a gateway process, starts and stops it."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -0,0 +1,273 @@
+"""The role gateway: wires its parts to each other, starts and stops them."""
+
+import asyncio
+import time
+
+from auburnroad_core.http import client
+from auburnroad_core.http import messages
+from auburnroad_core.http import server
+from auburnroad_gateway import adapter as adapters
+
+from auburnroad_gateway.batches import intake
+from auburnroad_gateway.batches import journal
+from auburnroad_gateway.batches import owner
+from auburnroad_gateway.batches import reading
+from auburnroad_gateway.configuration import holder
+from auburnroad_gateway.directory import directory
+from auburnroad_gateway.forwarding import refusals
+from auburnroad_gateway.forwarding import requests
+from auburnroad_gateway.forwarding import streams
+from auburnroad_gateway.log import detour
+from auburnroad_gateway.log import tail
+from auburnroad_gateway.members import membership
+from auburnroad_gateway.members import relay
+from auburnroad_gateway.model import configuration
+from auburnroad_gateway.model import settings as gateway_settings
+from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.weights import duty
+from auburnroad_gateway.weights import rollout
+
+# Bounds how often changes of a topic wake this process; each is in force
+# within two seconds.
+OPERATOR_PACE_SECONDS = 0.05
+REPLICA_PACE_SECONDS = 0.1
+MEMBER_PACE_SECONDS = 0.2
+EXPIRE_SECONDS = 0.2
+# A connection on one site opens in a millisecond, or not at all.
+CONNECT_TIMEOUT_SECONDS = 0.4
+# The balancer looks once a second and sends new connections until it has
+# missed the gateway twice.
+UNREADY_SECONDS = 2.6
+# What is left of the time to stop, for the way out.
+STOP_MARGIN_SECONDS = 1.0
+STOP_CHECK_SECONDS = 0.05
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.Settings,
+        adapter: adapters.Adapter,
+    ):
+        self._settings = settings
+        self._adapter = adapter
+        self._tasks: list[asyncio.Task] = []
+        self._stopping = False
+        self._closed = asyncio.Event()
+        self._client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
+        self._peer_client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
+        self._log = detour.DetourLog(
+            adapter.open_log(), self._list_peers, self._open_peer
+        )
+        self._members = membership.Membership(settings, self._log)
+        self._configuration = holder.ConfigurationHolder(adapter)
+        self._directory = directory.Directory(adapter)
+        self._duty = duty.Duty(
+            self._members, self._log, settings.bounds.lease_ms
+        )
+        self._build_tails()
+        self._build_path()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections are welcome."""
+        return (
+            not self._stopping
+            and self._configuration.current is not None
+            and self._replica_tail.loaded
+        )
+
+    async def start(self) -> None:
+        """Listen and begin to work.
+
+        Raises:
+          OSError: If an address of the settings can't be had.
+        """
+        settings = self._settings
+        for listener, address in (
+            (self._caller_server, settings.caller_address),
+            (self._ready_server, settings.ready_address),
+            (self._peer_server, f'{settings.host}:{settings.peer_port}'),
+        ):
+            host, _, port = address.rpartition(':')
+            await listener.start(host, int(port))
+        for work in (
+            *(entry.run() for entry in self._tails),
+            *self._journal.run(),
+            self._members.run_beats(),
+            self._members.run_checks(self._member_tail),
+            self._owner.run(),
+            self._rollout.run(self._duty_tail),
+            self._expire(),
+        ):
+            task = asyncio.create_task(work)
+            task.add_done_callback(_report_failure)
+            self._tasks.append(task)
+
+    def stop(self) -> None:
+        """Begin a planned stop; calling it again changes nothing."""
+        if not self._stopping:
+            self._stopping = True
+            events.write('stopping', busy=self._caller_server.busy_connections)
+            self._tasks.append(asyncio.create_task(self._stop()))
+
+    async def wait_closed(self) -> None:
+        """Wait until a planned stop is complete."""
+        await self._closed.wait()
+
+    def _list_peers(self) -> list[str]:
+        return self._members.list_peers()
+
+    def _open_peer(self, address: str) -> relay.PeerLog:
+        return relay.PeerLog(address, self._peer_client)
+
+    def _build_tails(self) -> None:
+        log = self._log
+        self._operator_tail = tail.KeyedTail(
+            log,
+            self._adapter.operator_topic,
+            self._configuration.apply,
+            OPERATOR_PACE_SECONDS,
+        )
+        self._replica_tail = tail.KeyedTail(
+            log,
+            self._adapter.replica_topic,
+            self._directory.apply,
+            REPLICA_PACE_SECONDS,
+        )
+        self._member_tail = tail.KeyedTail(
+            log, membership.TOPIC, self._members.apply, MEMBER_PACE_SECONDS
+        )
+        self._duty_tail = tail.KeyedTail(
+            log, duty.TOPIC, self._duty.apply, MEMBER_PACE_SECONDS
+        )
+        self._tails = [
+            self._operator_tail,
+            self._replica_tail,
+            self._member_tail,
+            self._duty_tail,
+        ]
+
+    def _build_path(self) -> None:
+        settings, adapter = self._settings, self._adapter
+        incarnation = self._members.incarnation
+        self._journal = journal.Journal(
+            self._log, incarnation, settings.log_limits
+        )
+        self._intake = intake.Intake(adapter, self._journal, incarnation)
+        self._reader = reading.Reader(adapter, self._journal)
+        self._owner = owner.Owner(
+            settings,
+            adapter,
+            self._client,
+            self._journal,
+            self._members,
+            self._configuration,
+            self._directory,
+        )
+        self._forwarder = requests.Forwarder(
+            adapter, self._client, self._directory, settings.failure_domain
+        )
+        self._streams = streams.StreamForwarder(
+            adapter, self._client, self._forwarder
+        )
+        self._rollout = rollout.WeightRollout(
+            settings,
+            adapter,
+            self._client,
+            self._duty,
+            self._configuration,
+            self._directory,
+        )
+        self._caller_server = server.HttpServer(self._handle_caller)
+        self._ready_server = server.HttpServer(self._handle_ready)
+        self._peer_server = server.HttpServer(self._handle_peer)
+        self._configuration.on_change(self._apply_limits)
+
+    def _apply_limits(self) -> None:
+        limits = self._configuration.current.limits
+        self._caller_server.limits = server.HttpLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_ms / 1000,
+            limits.idle_ms / 1000,
+        )
+
+    async def _handle_ready(self, request) -> messages.Response:
+        return messages.Response(200 if self.ready else 503)
+
+    async def _handle_peer(self, request) -> messages.Response:
+        if request.path == relay.PATH:
+            return await relay.serve(self._log.direct, request)
+        return messages.Response(404)
+
+    async def _handle_caller(self, request) -> messages.Response:
+        """Find what a request asks for, and have it done."""
+        current = self._configuration.current
+        if current is None:
+            return refusals.refuse(
+                'not_configured', refusals.RETRY_OUTAGE_SECONDS
+            )
+        batch_call = self._adapter.decode_batch_call(request)
+        if batch_call is not None:
+            return await self._reader.handle(batch_call)
+        host = request.headers.get('host', '')
+        route = configuration.match_route(current, host, request.path)
+        if route is None:
+            return refusals.build_error(404, 'no_route')
+        if route.kind is configuration.RouteKind.BATCH:
+            return await self._intake.submit(request)
+        pending = requests.Call(
+            request,
+            self._adapter.decode_call(request.headers),
+            route,
+            time.monotonic(),
+        )
+        if route.kind is configuration.RouteKind.STREAM:
+            return await self._streams.forward(pending)
+        return await self._forwarder.forward(pending)
+
+    async def _expire(self) -> None:
+        """Follow outages of the log, and drop what has lapsed in one."""
+        was_failing = False
+        while True:
+            await asyncio.sleep(EXPIRE_SECONDS)
+            now = time.monotonic()
+            failing = self._replica_tail.failing
+            if failing or was_failing:
+                self._directory.note_outage_end(now)
+            was_failing = failing
+            if not failing:
+                self._directory.expire(now)
+
+    async def _stop(self) -> None:
+        """Hand batches over, answer what is in flight, and leave."""
+        stop_at = (
+            time.monotonic()
+            + self._settings.bounds.grace_s
+            - STOP_MARGIN_SECONDS
+        )
+        unready_until = time.monotonic() + UNREADY_SECONDS
+        self._caller_server.draining = True
+        self._members.leave()
+        self._owner.hand_over()
+        await self._duty.release(self._duty_tail)
+        while time.monotonic() < stop_at:
+            await asyncio.sleep(STOP_CHECK_SECONDS)
+            if time.monotonic() < unready_until:
+                continue
+            if self._journal.idle and not self._caller_server.connections:
+                break
+        events.write(
+            'stopped',
+            connections_open=self._caller_server.connections,
+            records_left=not self._journal.idle,
+        )
+        self._closed.set()
+
+
+def _report_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        events.write('task_failed', error=repr(task.exception()))
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see of a gateway: event lines and metrics."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/telemetry/events.py
@@ -0,0 +1,104 @@
+"""Structured log lines on standard output, one JSON object each.
+
+A line is written for each decision that changes what the process believes
+and for each failure. Writing never blocks: when the reader of the output
+falls behind, or lines come too fast, they are dropped and counted, and a
+later line tells how many.
+"""
+
+import collections
+import os
+import time
+
+import msgspec
+
+# Bounds the cost of logging under load, in lines a second and at once.
+LINES_PER_SECOND = 40.0
+BURST_LINES = 200.0
+# What is kept while nobody reads the output.
+BACKLOG_LINES = 1000
+STDOUT = 1
+
+
+class EventLog:
+    """Writes lines to a file descriptor that must not block."""
+
+    __slots__ = (
+        'dropped',
+        '_descriptor',
+        '_backlog',
+        '_tokens',
+        '_filled_at',
+        '_fields',
+        '_reported',
+    )
+
+    def __init__(self, descriptor: int = STDOUT):
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._backlog = collections.deque()
+        self._tokens = BURST_LINES
+        self._filled_at = time.monotonic()
+        self._fields: dict[str, object] = {}
+        self._reported = 0
+
+    def open(self, **fields) -> None:
+        """Make the output non-blocking and name this process.
+
+        Args:
+          fields: Fields that each line has.
+        """
+        os.set_blocking(self._descriptor, False)
+        self._fields = fields
+
+    def write(self, event: str, **fields) -> None:
+        """Write one line, or count it as dropped.
+
+        Args:
+          event: Name of the event, from the catalogue in docs/OPERATIONS.md.
+          fields: What decided, and the outcome.
+        """
+        if not self._take_token():
+            self.dropped += 1
+            return
+        if self.dropped > self._reported:
+            fields['lines_dropped'] = self.dropped - self._reported
+            self._reported = self.dropped
+        line = {
+            'time_ms': time.time_ns() // 1_000_000,
+            'event': event,
+            **self._fields,
+            **fields,
+        }
+        self._put(msgspec.json.encode(line, enc_hook=repr) + b'\n')
+
+    def _take_token(self) -> bool:
+        now = time.monotonic()
+        gained = (now - self._filled_at) * LINES_PER_SECOND
+        self._tokens = min(BURST_LINES, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _put(self, data: bytes) -> None:
+        if len(self._backlog) >= BACKLOG_LINES:
+            self.dropped += 1
+            return
+        self._backlog.append(data)
+        while self._backlog:
+            head = self._backlog[0]
+            try:
+                written = os.write(self._descriptor, head)
+            except OSError:
+                # A full pipe, or one without a reader: kept for later.
+                return
+            if written < len(head):
+                self._backlog[0] = head[written:]
+                return
+            self._backlog.popleft()
+
+
+LOG = EventLog()
+write = LOG.write
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weight versions: who gives the orders and in which order."""
