Let one gateway run a service's batches and weights

Pauses came from loads of weights under long runs, from slow replicas, and from a coordinator cut off from the log (1.5 s without an answer before a detour).

Ruled out: slower generation by full batches (14 % at most), admission (the batch is in the log after 25 ms).

Change: the holder of a service's weights also runs its batches and moves runs off replicas that load, drain, stall or crawl; replicas load after the burst; calls of the log get a companion after 0.25 s of silence; saved text is a delta each 0.8 s; expected tokens bound what a replica is given.

--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -22,7 +22,8 @@
       ended: Whether nothing more of it is wanted.
       results: Results in the order of the log; the index is the position.
       finished: Indexes of the items that have a result.
-      progress: Newest progress by item index, until the item has a result.
+      progress: Progress by item index, each following the one before, until
+        the item has a result.
     """
 
     __slots__ = (
@@ -44,7 +45,7 @@
         self.ended = False
         self.results: list[batch.ItemResult] = []
         self.finished: set[int] = set()
-        self.progress: dict[int, records.Progress] = {}
+        self.progress: dict[int, list[records.Progress]] = {}
         self._data = data
         self._submission: batch.Submission | None = None
 
@@ -151,11 +152,14 @@
 
 
 def _apply_progress(target: Batch, record: records.Progress) -> None:
-    if record.index in target.finished:
+    if record.index in target.finished or target.ended:
         return
-    before = target.progress.get(record.index)
-    if before is None or record.last_event >= before.last_event:
-        target.progress[record.index] = record
+    known = target.progress.setdefault(record.index, [])
+    if record.after < 0:
+        known.clear()
+    # Of two owners' texts that overlap, the one that came first goes on.
+    if record.after == (known[-1].last_event if known else -1):
+        known.append(record)
 
 
 def _apply_end(target: Batch, record: records.End) -> None:
--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -6,6 +6,7 @@
 """
 
 import time
+import typing
 import uuid
 
 from auburnroad_core import clock
@@ -16,6 +17,7 @@
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.log import appender
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
 
 # How long a batch waits for a log service that is away. Trainers come back
@@ -27,22 +29,34 @@
 class Intake:
     """Takes batches from trainers."""
 
-    __slots__ = ('_adapter', '_journal', '_incarnation')
+    __slots__ = ('_adapter', '_journal', '_choose_owner')
 
     def __init__(
         self,
         adapter: adapters.Adapter,
         batch_journal: journal.Journal,
-        incarnation: str,
+        choose_owner: typing.Callable[
+            [configuration.Route, batch.Submission], str
+        ],
     ):
+        """Wire the intake.
+
+        Args:
+          adapter: Decodes batches.
+          batch_journal: Where they go.
+          choose_owner: Chooses the incarnation that runs a batch.
+        """
         self._adapter = adapter
         self._journal = batch_journal
-        self._incarnation = incarnation
+        self._choose_owner = choose_owner
 
-    async def submit(self, request: messages.Request) -> messages.Response:
+    async def submit(
+        self, route: configuration.Route, request: messages.Request
+    ) -> messages.Response:
         """Accept a batch.
 
         Args:
+          route: The batch's route.
           request: The trainer's request.
 
         Returns:
@@ -59,7 +73,7 @@
         encoded = records.build_submission_records(
             submission,
             uuid.uuid4().hex,
-            self._incarnation,
+            self._choose_owner(route, submission),
             clock.time_now_ms(),
             self._journal.record_bytes,
         )
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -14,6 +14,7 @@
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.directory import placement
+from auburnroad_gateway.directory import replica
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
@@ -25,11 +26,13 @@
 STALL_SECONDS = 0.6
 # Until its first event a run may wait in the replica's queue.
 FIRST_EVENT_SECONDS = 1.2
-# A run on a slow replica moves if a fast one has a free slot, once it has
-# been seen to be slow for so many events.
-SLOW_EVENTS = 4
+# A run that moves for speed stays so long where it is, so that runs don't
+# chase each other.
+SETTLE_SECONDS = 0.4
 # The text of a run that lasts longer is saved, and again after as long.
-SAVE_SECONDS = 2.0
+SAVE_SECONDS = 0.8
+# Room that a run needs in memory until it is counted again and can move.
+GROWTH_EVENTS = 8
 # Batches stay readable a little longer than promised.
 FORGET_SLACK_MS = 10_000
 
@@ -113,6 +116,11 @@
         """Whether items are running here."""
         return any(owned.running for owned in self._owned.values())
 
+    @property
+    def waiting(self) -> int:
+        """How many items wait for a slot."""
+        return sum(len(owned.waiting) for owned in self._owned.values())
+
     async def run(self) -> None:
         """Work for as long as the process lives."""
         while True:
@@ -124,6 +132,13 @@
             self._wake.clear()
             self._start_runs()
 
+    def look(self) -> None:
+        """Look for runs that are better off elsewhere, now."""
+        self._count_memory()
+        now = time.monotonic()
+        for owned in list(self._owned.values()):
+            self._watch(owned, now)
+
     def hand_over(self) -> None:
         """Save every text and stop, so that others go on with it."""
         self.stopping = True
@@ -156,11 +171,10 @@
         if self.stopping or not self._journal.loaded:
             return
         self._adopt()
-        now = time.monotonic()
         now_ms = clock.time_now_ms()
         for owned in list(self._owned.values()):
             self._give_up(owned, now_ms)
-            self._watch(owned, now)
+        self.look()
         life_ms = int(self._settings.bounds.read_life_s * 1000)
         for batch_id in self._journal.fold.forget(
             now_ms - life_ms - FORGET_SLACK_MS
@@ -258,15 +272,14 @@
         now = time.monotonic()
         for _, owned, run in queue:
             service = owned.route.backends[0].service
-            submission = owned.state.submission
-            key = (service, submission.model, submission.minimum_version)
+            need = self._build_need(owned, run)
+            key = (service, need.model, need.minimum_version)
             if key in full:
                 continue
             target = placement.choose_for_item(
                 self._directory.list_ready(service),
                 self._settings.failure_domain,
-                submission.model,
-                submission.minimum_version,
+                need,
                 now,
             )
             if target is None:
@@ -274,6 +287,32 @@
                 continue
             self._start(owned, run, target)
 
+    def _build_need(self, owned, run: runs.ItemRun) -> placement.Need:
+        submission = owned.state.submission
+        service = self._find_service(owned)
+        return placement.Need(
+            submission.model,
+            submission.minimum_version,
+            count_tokens(run, service.tokens_per_event),
+            service.memory_tokens,
+        )
+
+    def _find_service(self, owned) -> configuration.Service:
+        name = owned.route.backends[0].service
+        known = self._configuration.current.services.get(name)
+        return known or configuration.Service(name)
+
+    def _count_memory(self) -> None:
+        """Count the tokens that running items hold in each replica."""
+        held: dict[replica.Replica, int] = {}
+        for owned in self._owned.values():
+            per_event = self._find_service(owned).tokens_per_event
+            for index in owned.running:
+                run = owned.runs[index]
+                tokens = count_tokens(run, per_event)
+                held[run.replica] = held.get(run.replica, 0) + tokens
+                run.replica.tokens = held[run.replica]
+
     def _list_waiting(self, owned: OwnedBatch):
         due_ms = owned.state.submitted_ms + owned.route.due_ms
         left: dict[str, int] = {}
@@ -293,8 +332,10 @@
         del owned.waiting[run.index]
         run.replica = target
         run.progress_at = time.monotonic()
-        run.saved_at = run.progress_at
+        run.started_at = run.saved_at = run.progress_at
         target.in_flight += 1
+        per_event = self._find_service(owned).tokens_per_event
+        target.tokens += count_tokens(run, per_event)
         owned.running[run.index] = asyncio.ensure_future(
             self._attempt(owned, run)
         )
@@ -314,12 +355,23 @@
             )
         finally:
             target.in_flight -= 1
+            if not target.in_flight:
+                target.tokens = 0
             self._wake.set()
         if owned.running.pop(run.index, None) is not None:
             self._finish_attempt(owned, run, target, end)
 
     def _finish_attempt(self, owned, run, target, end: runs.RunEnd) -> None:
         if end is runs.RunEnd.DONE:
+            events.write(
+                'item_done',
+                batch=owned.state.id,
+                item=run.item.id,
+                replica=target.id,
+                events=len(run.texts),
+                versions=sorted(run.versions),
+                took_ms=int((time.monotonic() - run.started_at) * 1000),
+            )
             self._append_result(
                 owned, _build_result(run, batch.Outcome.SUCCEEDED)
             )
@@ -361,18 +413,22 @@
         self._journal.add(records.Results(owned.state.id, [result]))
 
     def _save(self, owned: OwnedBatch, run: runs.ItemRun) -> None:
+        """Save what a run has gained since it was last saved."""
         run.saved_at = time.monotonic()
         last = -1 if run.last_event is None else run.last_event
         self._journal.add(
             records.Progress(
                 owned.state.id,
                 run.index,
+                run.saved_event,
                 last,
-                records.pack_text(run.text),
+                records.pack_text('\n'.join(run.texts[run.saved_texts :])),
                 sorted(run.versions),
                 run.failures,
             )
         )
+        run.saved_event = last
+        run.saved_texts = len(run.texts)
 
     def _give_up(self, owned: OwnedBatch, now_ms: int) -> None:
         """Terminate what is too old to be wanted."""
@@ -388,8 +444,10 @@
             if self._is_stalled(run, now):
                 run.replica.note_failure(now)
                 self._move(owned, run, 'stalled')
-            elif self._is_crawling(owned, run, now):
-                self._move(owned, run, 'slow')
+                continue
+            reason = self._find_reason_to_move(owned, run, now)
+            if reason:
+                self._move(owned, run, reason)
             elif run.texts and now - run.saved_at > SAVE_SECONDS:
                 self._save(owned, run)
 
@@ -400,22 +458,28 @@
         limit = STALL_SECONDS if run.texts else FIRST_EVENT_SECONDS
         return now - run.progress_at > limit
 
-    def _is_crawling(self, owned, run: runs.ItemRun, now: float) -> bool:
-        ready = self._directory.list_ready(run.replica.registration.service)
-        median = placement.find_median_pace(ready)
-        if len(run.texts) < SLOW_EVENTS or not placement.is_slow(
-            run.replica, median
-        ):
-            return False
-        submission = owned.state.submission
+    def _find_reason_to_move(self, owned, run, now: float) -> str:
+        """Find why a run is better off elsewhere; empty if it isn't."""
+        current = run.replica
+        vacate = current.vacating or not self._directory.is_ready(current)
+        if not vacate and now - run.started_at < SETTLE_SECONDS:
+            return ''
+        ready = self._directory.list_ready(current.registration.service)
         better = placement.choose_for_item(
             ready,
             self._settings.failure_domain,
-            submission.model,
-            submission.minimum_version,
+            self._build_need(owned, run),
             now,
         )
-        return better is not None and not placement.is_slow(better, median)
+        if better is None or better is current:
+            return ''
+        if vacate:
+            return 'vacating'
+        if not run.texts or self.waiting:
+            return ''
+        return (
+            'slow' if placement.is_faster(better, current, ready, now) else ''
+        )
 
     def _move(self, owned, run: runs.ItemRun, reason: str) -> None:
         events.write(
@@ -425,25 +489,46 @@
             replica=run.replica.id,
             reason=reason,
             events=len(run.texts),
-            pace_ms=round(run.replica.pace_ms, 1),
+            pace_ms=round(run.replica.find_pace(time.monotonic()), 1),
         )
         owned.running.pop(run.index).cancel()
         owned.waiting[run.index] = run
-        self._wake.set()
+        self._start_runs()
+
+
+def count_tokens(run: runs.ItemRun, tokens_per_event: int) -> int:
+    """Count the tokens that a run is expected to hold in memory.
+
+    Args:
+      run: The run.
+      tokens_per_event: Tokens that one of its events stands for.
+
+    Returns:
+      Its prompt, and the larger of what was predicted and what there is with
+      some room to grow.
+    """
+    events = (run.last_event or 0) + GROWTH_EVENTS
+    generated = events * tokens_per_event
+    return run.item.prompt_tokens + max(run.item.length_hint, generated)
 
 
 def _build_run(state: fold.Batch, item, index: int) -> runs.ItemRun:
     """Build a run that goes on with what the log has of its text."""
     run = runs.ItemRun(item, index)
     saved = state.progress.get(index)
-    if saved is None:
+    if not saved:
         return run
-    run.failures = saved.failures
-    if saved.last_event >= 0:
-        # One text stands for all events so far; they join the same way.
-        run.texts = [records.unpack_text(saved.text)]
-        run.last_event = saved.last_event
-        run.versions = set(saved.versions)
+    run.failures = saved[-1].failures
+    if saved[-1].last_event >= 0:
+        # One text stands for several events; they join the same way.
+        run.texts = [
+            records.unpack_text(part.text)
+            for part in saved
+            if part.last_event != part.after
+        ]
+        run.last_event = run.saved_event = saved[-1].last_event
+        run.saved_texts = len(run.texts)
+        run.versions = set(saved[-1].versions)
     return run
 
 
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -51,19 +51,21 @@
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True, tag='p'):
-    """How far an item has come, for whoever goes on with it.
+    """What an item has gained, for whoever goes on with it.
 
     Attributes:
       batch_id: The batch.
       index: The item's index.
-      last_event: Id of the last event of the text, -1 for none.
-      text: Packed text so far.
-      versions: Weight versions of that text.
+      after: Id of the event that this text follows, -1 for the first.
+      last_event: Id of the last event of this text, -1 for none.
+      text: Packed text of the events between.
+      versions: Weight versions of all the text up to here.
       failures: Answers that count as a failed run.
     """
 
     batch_id: str
     index: int
+    after: int
     last_event: int
     text: bytes
     versions: list[int]
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -39,7 +39,10 @@
       failures: Answers that count as a failed run.
       progress_at: When the last event came, or the attempt began, in
         monotonic seconds.
-      replica: Where it runs, None while it waits.
+      started_at: When the attempt began, in monotonic seconds.
+      replica: Where it runs or ran last, None before.
+      saved_event: Id of the last event that was saved, -1 for none.
+      saved_texts: How many of the texts were saved.
       saved_at: When its text was last saved, or the attempt began, in
         monotonic seconds.
     """
@@ -52,7 +55,10 @@
         'versions',
         'failures',
         'progress_at',
+        'started_at',
         'replica',
+        'saved_event',
+        'saved_texts',
         'saved_at',
     )
 
@@ -64,7 +70,10 @@
         self.versions: set[int] = set()
         self.failures = 0
         self.progress_at = 0.0
+        self.started_at = 0.0
         self.replica: replica.Replica | None = None
+        self.saved_event = -1
+        self.saved_texts = 0
         self.saved_at = 0.0
 
     @property
@@ -77,6 +86,8 @@
         self.texts.clear()
         self.versions.clear()
         self.last_event = None
+        self.saved_event = -1
+        self.saved_texts = 0
 
 
 class Terms(msgspec.Struct, frozen=True):
@@ -180,7 +191,7 @@
         return False
     now = time.monotonic()
     if run.texts:
-        run.replica.note_pace((now - run.progress_at) * 1000)
+        run.replica.note_pace((now - run.progress_at) * 1000, now)
     run.last_event = event.id
     run.texts.append(event.data)
     run.progress_at = now
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -1,17 +1,45 @@
 """Chooses a replica for a request or an item. Pure decisions on data.
 
 Pattern: the slowest run decides when a step is whole, and every request that
-a replica runs slows its others a little. Work therefore goes where the most
-slots are free in relation to the measured pace, and a near replica only goes
-first among equals.
+a replica runs slows its others a little. Work therefore goes where the
+measured pace is best, and a near replica only goes first among equals. A run
+can be resumed elsewhere for the price of reading its text once more, so that
+long ones leave slow replicas as soon as a fast one has a free slot.
 """
 
+import msgspec
+
 from auburnroad_gateway.directory import replica
 
-# A replica is slow when an event takes it so much longer than the median.
-SLOW_RATIO = 1.6
+# A full replica needs so much longer for an event than an empty one.
+FULL_SLOWDOWN = 0.15
 # A near replica is preferred up to this difference of the relative load.
 NEAR_BONUS = 0.1
+# The same for items, relative to the pace: most of their bytes are few.
+NEAR_PACE_BONUS = 0.03
+# A run moves to a replica that is faster by this factor; below it, measuring
+# errors and the moves themselves outweigh the gain.
+MOVE_RATIO = 1.15
+
+# Share of a replica's memory that expected tokens may fill: when it runs
+# out, the newest run loses what it has.
+MEMORY_SHARE = 0.95
+
+
+class Need(msgspec.Struct, frozen=True):
+    """What an item needs of a replica.
+
+    Attributes:
+      model: Model that generates; empty for any.
+      minimum_version: Oldest weight version that may generate.
+      tokens: Tokens that it is expected to hold in memory.
+      memory_tokens: Tokens that a replica holds; zero for no limit.
+    """
+
+    model: str
+    minimum_version: int
+    tokens: int = 0
+    memory_tokens: int = 0
 
 
 def choose_replica(
@@ -36,7 +64,7 @@
     calm = [entry for entry in left if entry.avoid_until <= now]
     return min(
         calm or left,
-        key=lambda entry: _rate(entry, failure_domain, now, 0.0),
+        key=lambda entry: _rate_load(entry, failure_domain, now),
         default=None,
     )
 
@@ -44,8 +72,7 @@
 def choose_for_item(
     candidates: list[replica.Replica],
     failure_domain: str,
-    model: str,
-    minimum_version: int,
+    need: Need,
     now: float,
 ) -> replica.Replica | None:
     """Choose a replica for an item of a batch.
@@ -53,12 +80,12 @@
     Args:
       candidates: Replicas of the service that take new work.
       failure_domain: The gateway's own.
-      model: Model that generates; empty for any.
-      minimum_version: Oldest weight version that may generate.
+      need: What the item needs.
       now: Monotonic time in seconds.
 
     Returns:
-      The best one with a free slot, None if no such replica has one.
+      The one that is expected to generate fastest, of those with a free
+      slot; None if no replica has one.
     """
     usable = [
         entry
@@ -66,39 +93,79 @@
         if entry.avoid_until <= now
         and not entry.is_loading(now)
         and entry.count_free(now) > 0
-        and is_fresh(entry, model, minimum_version)
+        and is_fresh(entry, need.model, need.minimum_version)
+        and has_memory(entry, need)
     ]
-    median = find_median_pace(candidates)
+    median = find_median_pace(candidates, now)
     return min(
         usable,
-        key=lambda entry: _rate(entry, failure_domain, now, median),
+        key=lambda entry: _rate_pace(entry, failure_domain, now, median),
         default=None,
     )
 
 
+def is_faster(
+    better: replica.Replica,
+    current: replica.Replica,
+    candidates: list[replica.Replica],
+    now: float,
+) -> bool:
+    """Tell whether a run gains by moving from one replica to another.
+
+    Args:
+      better: Where it would go.
+      current: Where it runs.
+      candidates: All replicas of the service that take new work.
+      now: Monotonic time in seconds.
+
+    Returns:
+      Whether the pace there is better by MOVE_RATIO at least.
+    """
+    median = find_median_pace(candidates, now)
+    there = better.find_pace(now) or median
+    return there > 0 and current.find_pace(now) > MOVE_RATIO * there
+
+
+def has_memory(entry: replica.Replica, need: Need) -> bool:
+    """Tell whether a replica is expected to keep an item in memory.
+
+    One that runs nothing takes any item.
+    """
+    if not need.memory_tokens or not entry.in_flight:
+        return True
+    return entry.tokens + need.tokens <= MEMORY_SHARE * need.memory_tokens
+
+
 def is_fresh(entry: replica.Replica, model: str, minimum: int) -> bool:
     """Tell whether a replica's weights are new enough, as far as known."""
     version = entry.versions.get(model)
     return not model or version is None or version >= minimum
 
 
-def is_slow(entry: replica.Replica, median_pace_ms: float) -> bool:
-    """Tell whether a replica is much slower than its peers."""
-    return median_pace_ms > 0 and entry.pace_ms > SLOW_RATIO * median_pace_ms
-
-
-def find_median_pace(candidates: list[replica.Replica]) -> float:
+def find_median_pace(candidates: list[replica.Replica], now: float) -> float:
     """Find the median pace of replicas in milliseconds an event.
 
     Returns:
       The lower median, zero if no pace is known.
     """
-    paces = sorted(entry.pace_ms for entry in candidates if entry.pace_ms)
+    paces = sorted(
+        pace for entry in candidates if (pace := entry.find_pace(now))
+    )
     return paces[(len(paces) - 1) // 2] if paces else 0.0
 
 
-def _rate(entry, failure_domain, now, median_pace_ms) -> tuple:
+def _rate_load(entry, failure_domain: str, now: float) -> float:
     load = entry.count_load(now) / entry.registration.slots
     if entry.registration.failure_domain != failure_domain:
         load += NEAR_BONUS
-    return is_slow(entry, median_pace_ms), load
+    return load
+
+
+def _rate_pace(entry, failure_domain, now, median_pace_ms) -> float:
+    """Rate the expected pace with one more run; any unit will do."""
+    pace = entry.find_pace(now) or median_pace_ms or 1.0
+    load = (entry.count_load(now) + 1) / entry.registration.slots
+    pace *= 1 + FULL_SLOWDOWN * load
+    if entry.registration.failure_domain != failure_domain:
+        pace *= 1 + NEAR_PACE_BONUS
+    return pace
--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -11,7 +11,11 @@
 # It refused since it was full or busy with an order: soon over.
 REFUSED_SECONDS = 0.1
 # Weight of the newest sample in the moving average of the pace.
-PACE_WEIGHT = 0.2
+PACE_WEIGHT = 0.1
+# A longer gap is a pause (weights, preemption) and says nothing of the pace.
+PAUSE_RATIO = 8.0
+# Without a run for so long, a replica may have become fast or slow again.
+PACE_LIFE_SECONDS = 4.0
 
 
 class Replica:
@@ -20,23 +24,27 @@
     Attributes:
       registration: Its newest registration.
       in_flight: Requests of this gateway that it works on.
+      tokens: Tokens that those of them are expected to hold in memory.
       avoid_until: It is passed over until then, in monotonic seconds.
       failures: Failed attempts since the last good answer.
       versions: Weight version by model, as last seen from any source.
-      pace_ms: Moving average of the time between two events of a run; zero
-        until there was one.
       loading_until: An order to load weights is taken to be carried out
         until then, in monotonic seconds.
+      vacating: Whether its runs are to go on elsewhere, as it is about to
+        load weights.
     """
 
     __slots__ = (
         'registration',
         'in_flight',
+        'tokens',
         'avoid_until',
         'failures',
         'versions',
-        'pace_ms',
         'loading_until',
+        'vacating',
+        '_pace_ms',
+        '_pace_at',
         '_foreign',
         '_foreign_at',
     )
@@ -44,11 +52,14 @@
     def __init__(self, entry: registration.Registration):
         self.registration = entry
         self.in_flight = 0
+        self.tokens = 0
         self.avoid_until = 0.0
         self.failures = 0
         self.versions = dict(entry.versions)
-        self.pace_ms = 0.0
         self.loading_until = 0.0
+        self.vacating = False
+        self._pace_ms = 0.0
+        self._pace_at = 0.0
         self._foreign = 0
         self._foreign_at = 0.0
 
@@ -81,8 +92,8 @@
         return self.registration.slots - self.count_load(now)
 
     def is_loading(self, now: float) -> bool:
-        """Tell whether it is taken to load weights just now."""
-        return now < self.loading_until
+        """Tell whether it is taken to load weights now or in a moment."""
+        return self.vacating or now < self.loading_until
 
     def note_load(self, load: call.Load | None, now: float) -> None:
         """Take the load that an answer tells of.
@@ -114,9 +125,25 @@
         self.failures += 1
         self.avoid_until = max(self.avoid_until, now + pause)
 
-    def note_pace(self, event_ms: float) -> None:
+    def note_pace(self, event_ms: float, now: float) -> None:
         """Take the time between two events of a run, in milliseconds."""
-        if not self.pace_ms:
-            self.pace_ms = event_ms
-            return
-        self.pace_ms += PACE_WEIGHT * (event_ms - self.pace_ms)
+        known = self.find_pace(now)
+        self._pace_at = now
+        if not known:
+            self._pace_ms = event_ms
+        elif event_ms < PAUSE_RATIO * known:
+            self._pace_ms += PACE_WEIGHT * (event_ms - known)
+
+    def find_pace(self, now: float) -> float:
+        """Find the recent pace.
+
+        Args:
+          now: Monotonic time in seconds.
+
+        Returns:
+          Moving average of the time between two events of a run, in
+          milliseconds; zero if there was none lately.
+        """
+        if now - self._pace_at > PACE_LIFE_SECONDS:
+            return 0.0
+        return self._pace_ms
--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -6,6 +6,7 @@
 repeated on the other, since its producer's sequence number makes it one.
 """
 
+import asyncio
 import itertools
 import time
 
@@ -13,7 +14,10 @@
 from auburnroad_gateway.telemetry import events
 
 # How long the detour goes first before the direct way is tried again.
-DETOUR_SECONDS = 2.0
+DETOUR_SECONDS = 3.0
+# A way that is silent for so long is given a companion: 60 times the log
+# service's usual 4 ms, beyond what a read was asked to wait.
+SILENCE_SECONDS = 0.25
 
 
 class DetourLog:
@@ -43,10 +47,16 @@
         self, topic, partition, records, producer=None, expected_end=None
     ) -> int:
         """Append records; see service.LogService."""
-        # Without a producer a repeated append might be a second one.
-        repeatable = producer is not None or expected_end is not None
+        # Without a producer a repeated append might be a second one, which
+        # only a keyed topic bears.
+        repeatable = (
+            producer is not None
+            or expected_end is not None
+            or topic.startswith(service.KEYED_PREFIX)
+        )
         return await self._call(
             repeatable,
+            0,
             'append',
             topic,
             partition,
@@ -58,34 +68,61 @@
     async def read(self, topic, partition, from_offset, wait_ms):
         """Read records; see service.LogService."""
         return await self._call(
-            True, 'read', topic, partition, from_offset, wait_ms
+            True, wait_ms, 'read', topic, partition, from_offset, wait_ms
         )
 
     async def read_newest(self, topic) -> service.Snapshot:
         """Read the newest records; see service.LogService."""
-        return await self._call(True, 'read_newest', topic)
+        return await self._call(True, 0, 'read_newest', topic)
 
     async def trim(self, topic, partition, before) -> None:
         """Delete old records; see service.LogService."""
-        return await self._call(True, 'trim', topic, partition, before)
-
-    async def _call(self, repeatable, verb, *arguments):
-        lost = None
-        for way in self._list_ways():
-            try:
-                result = await getattr(way, verb)(*arguments)
-            except service.LogLostError as error:
-                self._note(way, error)
-                lost = error
-                if not repeatable:
-                    raise
-            except service.LogRefusedError as error:
-                self._note(way, error)
-                refused = error
-            else:
-                return result
+        return await self._call(True, 0, 'trim', topic, partition, before)
+
+    async def _call(self, repeatable, wait_ms, verb, *arguments):
+        ways = self._list_ways()
+        if not repeatable:
+            ways = ways[:1]
+        patience = SILENCE_SECONDS + wait_ms / 1000
+        running: dict[asyncio.Task, object] = {}
+        failure = None
+        try:
+            while ways or running:
+                if ways:
+                    way = ways.pop(0)
+                    task = asyncio.ensure_future(
+                        getattr(way, verb)(*arguments)
+                    )
+                    running[task] = way
+                done, _ = await asyncio.wait(
+                    running,
+                    timeout=patience if ways else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    self._note(way, 'silent')
+                for task in done:
+                    way = running.pop(task)
+                    error = task.exception()
+                    if error is None:
+                        return task.result()
+                    failure = self._note_error(way, error, failure)
+        finally:
+            for task in running:
+                task.cancel()
+        raise failure
+
+    def _note_error(self, way, error, failure):
+        """Note a failed try; return the error that tells most."""
+        if not isinstance(
+            error, (service.LogRefusedError, service.LogLostError)
+        ):
+            raise error
+        self._note(way, str(error))
         # One lost try leaves the outcome open, whatever the other said.
-        raise lost or refused
+        if isinstance(failure, service.LogLostError):
+            return failure
+        return error
 
     def _list_ways(self) -> list:
         peers = self._find_peers()
@@ -96,10 +133,10 @@
             return [peer, self.direct]
         return [self.direct, peer]
 
-    def _note(self, way, error) -> None:
+    def _note(self, way, error: str) -> None:
         now = time.monotonic()
         if way is not self.direct:
             self._until = 0.0
         elif now >= self._until:
             self._until = now + DETOUR_SECONDS
-            events.write('log_detour', error=str(error))
+            events.write('log_detour', error=error)
--- a/packages/gateway/auburnroad_gateway/log/service.py
+++ b/packages/gateway/auburnroad_gateway/log/service.py
@@ -11,6 +11,10 @@
 
 from auburnroad_core import errors
 
+# Topics with this prefix keep the newest record of each key for good; their
+# records are built by encode_keyed.
+KEYED_PREFIX = 'keyed.'
+
 
 class LogError(errors.AuburnroadError):
     """Base of the log service's failures."""
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -16,10 +16,10 @@
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import events
 
-TOPIC = 'keyed.members'
+TOPIC = service.KEYED_PREFIX + 'members'
 BEAT_SECONDS = 0.5
-# Three heartbeats and the time that one needs to be appended and read.
-DEAD_SECONDS = 1.8
+# Three heartbeats, less the time that one needs on a detour.
+DEAD_SECONDS = 1.6
 # A longer pause between two looks says nothing of who lived meanwhile.
 GAP_SECONDS = 1.2
 CHECK_SECONDS = 0.2
--- a/packages/gateway/auburnroad_gateway/model/batch.py
+++ b/packages/gateway/auburnroad_gateway/model/batch.py
@@ -16,6 +16,7 @@
       tokens: Prompt tokens and the most output tokens together.
       group: Items of one group are wanted all or not at all.
       length_hint: Caller's estimate of the output tokens, zero for none.
+      prompt_tokens: Tokens that are read before the first one is generated.
     """
 
     id: str
@@ -25,6 +26,7 @@
     tokens: int
     group: str
     length_hint: int = 0
+    prompt_tokens: int = 0
 
 
 class Submission(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/gateway/auburnroad_gateway/model/configuration.py
+++ b/packages/gateway/auburnroad_gateway/model/configuration.py
@@ -74,11 +74,16 @@
       name: Service's name.
       max_connections: What one replica accepts from all gateways together.
       models: Models that its engines run; empty for a plain service.
+      memory_tokens: Tokens that fit in a replica's KV cache, zero if it
+        isn't limited.
+      tokens_per_event: Tokens that one event of a stream stands for.
     """
 
     name: str
     max_connections: int = 64
     models: tuple[str, ...] = ()
+    memory_tokens: int = 0
+    tokens_per_event: int = 1
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -64,7 +64,7 @@
         self._members = membership.Membership(settings, self._log)
         self._configuration = holder.ConfigurationHolder(adapter)
         self._directory = directory.Directory(adapter)
-        self._duty = duty.Duty(
+        self._duties = duty.Duties(
             self._members, self._log, settings.bounds.lease_ms
         )
         self._build_tails()
@@ -123,6 +123,22 @@
     def _open_peer(self, address: str) -> relay.PeerLog:
         return relay.PeerLog(address, self._peer_client)
 
+    def _choose_owner(self, route, submission) -> str:
+        """Choose who runs a batch.
+
+        Whoever orders the weights of a service knows best where to run; with
+        several models the work is spread instead.
+        """
+        service = self._configuration.current.services.get(
+            route.backends[0].service
+        )
+        if service is not None and len(service.models) <= 1:
+            holder = self._duties.find_holder(service.name)
+            if holder:
+                return holder
+        chosen = self._members.choose(f'{route.name}/{submission.model}')
+        return chosen or self._members.incarnation
+
     def _build_tails(self) -> None:
         log = self._log
         self._operator_tail = tail.KeyedTail(
@@ -141,7 +157,7 @@
             log, membership.TOPIC, self._members.apply, MEMBER_PACE_SECONDS
         )
         self._duty_tail = tail.KeyedTail(
-            log, duty.TOPIC, self._duty.apply, MEMBER_PACE_SECONDS
+            log, duty.TOPIC, self._duties.apply, MEMBER_PACE_SECONDS
         )
         self._tails = [
             self._operator_tail,
@@ -156,7 +172,9 @@
         self._journal = journal.Journal(
             self._log, incarnation, settings.log_limits
         )
-        self._intake = intake.Intake(adapter, self._journal, incarnation)
+        self._intake = intake.Intake(
+            adapter, self._journal, self._choose_owner
+        )
         self._reader = reading.Reader(adapter, self._journal)
         self._owner = owner.Owner(
             settings,
@@ -177,9 +195,10 @@
             settings,
             adapter,
             self._client,
-            self._duty,
+            self._duties,
             self._configuration,
             self._directory,
+            self._owner,
         )
         self._caller_server = server.HttpServer(self._handle_caller)
         self._ready_server = server.HttpServer(self._handle_ready)
@@ -218,7 +237,7 @@
         if route is None:
             return refusals.build_error(404, 'no_route')
         if route.kind is configuration.RouteKind.BATCH:
-            return await self._intake.submit(request)
+            return await self._intake.submit(route, request)
         pending = requests.Call(
             request,
             self._adapter.decode_call(request.headers),
@@ -253,7 +272,7 @@
         self._caller_server.draining = True
         self._members.leave()
         self._owner.hand_over()
-        await self._duty.release(self._duty_tail)
+        await self._duties.release(self._duty_tail)
         while time.monotonic() < stop_at:
             await asyncio.sleep(STOP_CHECK_SECONDS)
             if time.monotonic() < unready_until:
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -1,4 +1,4 @@
-"""Which gateway gives the orders to load weights.
+"""Which gateway runs a service's engines: its weights and its batches.
 
 The holder stands in a keyed record of the log service. Taking the duty is an
 append on the condition that nothing was appended since the taker last read,
@@ -9,20 +9,19 @@
 
 import msgspec
 
-from auburnroad_gateway.log import service
+from auburnroad_gateway.log import service as log_service
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.telemetry import events
 
-TOPIC = 'keyed.duties'
-KEY = 'weights'
+TOPIC = log_service.KEYED_PREFIX + 'duties'
 # A holder whose heartbeats don't reach the log gives no orders: it is before
 # anybody takes it for dead.
-CONFIRMED_SECONDS = 1.5
+CONFIRMED_SECONDS = 1.4
 RETRY_SECONDS = 0.5
 
 
 class Holder(msgspec.Struct, frozen=True, array_like=True):
-    """Value of the record.
+    """Value of a duty's record.
 
     Attributes:
       incarnation: Who holds the duty; empty after a planned stop.
@@ -32,90 +31,119 @@
 
 
 class Duty:
-    """Watches the duty and takes it when nobody holds it.
+    """What is known of one service's duty.
 
     Attributes:
-      fence: Fencing number of the newest holder, zero before the first.
+      holder: Incarnation of the holder; empty if nobody holds it.
+      fence: Its fencing number.
+      act_from: It must not act before, in monotonic seconds.
     """
 
-    __slots__ = (
-        'fence',
-        '_membership',
-        '_log',
-        '_lease_seconds',
-        '_holder',
-        '_act_from',
-        '_retry_at',
-    )
+    __slots__ = ('holder', 'fence', 'act_from')
+
+    def __init__(self, holder: str, fence: int, act_from: float):
+        self.holder = holder
+        self.fence = fence
+        self.act_from = act_from
+
+
+class Duties:
+    """Watches the duties and takes those that nobody holds."""
+
+    __slots__ = ('_membership', '_log', '_lease_seconds', '_duties', '_retry')
 
     def __init__(self, members: membership.Membership, log, lease_ms: int):
-        self.fence = 0
         self._membership = members
         self._log = log
         self._lease_seconds = lease_ms / 1000
-        self._holder: str | None = None
-        self._act_from = 0.0
-        self._retry_at = 0.0
+        self._duties: dict[str, Duty] = {}
+        self._retry: dict[str, float] = {}
 
-    def apply(self, record: service.KeyedRecord) -> None:
-        """Take the duty's record from the log."""
-        if record.key != KEY:
-            return
+    def apply(self, record: log_service.KeyedRecord) -> None:
+        """Take a duty's record from the log."""
         try:
             holder = msgspec.msgpack.decode(record.value, type=Holder)
         except msgspec.DecodeError:
             return
-        before = self._holder
-        self._holder = holder.incarnation
-        # Record offsets begin at zero, fencing numbers at one.
-        self.fence = record.offset + 1
-        now = time.monotonic()
-        if before is not None:
+        act_from = 0.0
+        if record.key in self._duties:
             # The holder before may have ordered until a moment ago.
-            self._act_from = now + self._lease_seconds
+            act_from = time.monotonic() + self._lease_seconds
+        # Offsets begin at zero, fencing numbers at one.
+        self._duties[record.key] = Duty(
+            holder.incarnation, record.offset + 1, act_from
+        )
         events.write(
-            'weights_duty_changed', holder=holder.incarnation, fence=self.fence
+            'duty_changed',
+            service=record.key,
+            holder=holder.incarnation,
+            fence=record.offset + 1,
         )
 
-    def may_act(self, now: float) -> bool:
-        """Tell whether this gateway may give orders just now."""
+    def find_holder(self, service: str) -> str:
+        """Find the live holder of a service's duty; empty for none."""
+        duty = self._duties.get(service)
+        if duty is None or not self._membership.is_alive(duty.holder):
+            return ''
+        return duty.holder
+
+    def find_fence(self, service: str) -> int:
+        """Find the fencing number of a service's duty."""
+        return self._duties[service].fence
+
+    def may_act(self, service: str, now: float) -> bool:
+        """Tell whether this gateway may give orders just now.
+
+        Args:
+          service: Service whose replicas are ordered.
+          now: Monotonic time in seconds.
+
+        Returns:
+          Whether it holds the duty, nobody before it can still order, and
+          nobody can take it for dead yet.
+        """
+        duty = self._duties.get(service)
         return (
-            self._holder == self._membership.incarnation
+            duty is not None
+            and duty.holder == self._membership.incarnation
             and not self._membership.leaving
-            and now >= self._act_from
+            and now >= duty.act_from
             and now - self._membership.confirmed_at < CONFIRMED_SECONDS
         )
 
-    async def check(self, tail) -> None:
-        """Take the duty if its holder is gone and it falls to us.
+    async def check(self, service: str, tail) -> None:
+        """Take a duty if its holder is gone and it falls to us.
 
         Args:
+          service: Service whose duty it is.
           tail: The tail that hands records to apply().
         """
         now = time.monotonic()
-        if not tail.loaded or tail.failing or now < self._retry_at:
+        if not tail.loaded or tail.failing:
             return
-        if self._holder and self._membership.is_alive(self._holder):
+        if now < self._retry.get(service, 0.0) or self.find_holder(service):
             return
         own = self._membership.incarnation
-        if self._membership.choose(KEY) != own:
+        if self._membership.choose(service) != own:
             return
-        self._retry_at = now + RETRY_SECONDS
-        await self._append(own, tail.next_offset)
+        self._retry[service] = now + RETRY_SECONDS
+        await self._append(service, own, tail.next_offset)
 
     async def release(self, tail) -> None:
-        """Give the duty back before a planned stop."""
-        if self._holder == self._membership.incarnation:
-            await self._append('', tail.next_offset)
+        """Give all duties back before a planned stop."""
+        own = self._membership.incarnation
+        for service, duty in list(self._duties.items()):
+            if duty.holder == own:
+                await self._append(service, '', tail.next_offset)
 
-    async def _append(self, holder: str, expected_end: int) -> None:
-        record = service.encode_keyed(
-            KEY, msgspec.msgpack.encode(Holder(holder))
+    async def _append(self, service, holder: str, expected_end: int) -> None:
+        record = log_service.encode_keyed(
+            service, msgspec.msgpack.encode(Holder(holder))
         )
         try:
             await self._log.append(
                 TOPIC, 0, [record], expected_end=expected_end
             )
-        except service.LogError as error:
+        except log_service.LogError as error:
             # Another one was faster, or the tail will show that it worked.
-            events.write('weights_duty_not_taken', error=str(error))
+            events.write('duty_not_written', service=service, error=str(error))
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -1,8 +1,11 @@
 """Brings replicas to the weight version that their trainer has named.
 
-Pattern: each version is named shortly before the step that needs it, and a
-replica that loads serves nobody. Replicas load a few at a time, idle ones
-first, so that the others go on with the step.
+Pattern: each version is named while the step before it still allows the
+version that is loaded, and a replica that loads serves nobody for a second.
+A step begins with a burst that fills every slot and ends with a few long
+runs. So replicas load after the burst, a few at a time, idle ones first, and
+their last runs go on at the others. A replica that is too old for the step
+loads at once.
 
 An order without an answer may still be carried out seconds later. It names
 how many orders the replica has accepted before it, so that it has no effect
@@ -28,6 +31,12 @@
 POLL_SECONDS = 0.25
 LOAD_MOST_SECONDS = 4.0
 RETRY_SECONDS = 0.4
+# Replicas that are never idle load so long after the version was named; the
+# next one may follow four seconds after it.
+FORCE_SECONDS = 2.4
+# Time for the runs of a replica to go on elsewhere before it loads.
+VACATE_SECONDS = 0.3
+VACATE_CHECK_SECONDS = 0.02
 
 
 class WeightRollout:
@@ -37,20 +46,26 @@
         '_settings',
         '_adapter',
         '_client',
-        '_duty',
+        '_duties',
         '_configuration',
         '_directory',
+        '_owner',
         '_tasks',
+        '_named_at',
     )
 
-    def __init__(self, settings, adapter, http_client, duty, holder, replicas):
+    def __init__(
+        self, settings, adapter, http_client, duties, holder, replicas, owner
+    ):
         self._settings = settings
         self._adapter: adapters.Adapter = adapter
         self._client: client.HttpClient = http_client
-        self._duty = duty
+        self._duties = duties
         self._configuration = holder
         self._directory = replicas
+        self._owner = owner
         self._tasks: dict[replica.Replica, asyncio.Task] = {}
+        self._named_at: dict[tuple[str, int], float] = {}
 
     async def run(self, tail) -> None:
         """Work for as long as the process lives.
@@ -60,49 +75,72 @@
         """
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            await self._duty.check(tail)
-            now = time.monotonic()
-            if self._duty.may_act(now):
-                self._start_loads(now)
-
-    def _start_loads(self, now: float) -> None:
-        current = self._configuration.current
-        if current is None:
-            return
-        self._tasks = {
-            target: task
-            for target, task in self._tasks.items()
-            if not task.done()
-        }
-        for service in current.services.values():
-            for model in service.models:
-                version = self._configuration.named_versions.get(model)
-                if version is not None:
-                    self._load_service(service, model, version, now)
+            current = self._configuration.current
+            if current is None:
+                continue
+            self._tasks = {
+                target: task
+                for target, task in self._tasks.items()
+                if not task.done()
+            }
+            for service in current.services.values():
+                if service.models:
+                    await self._duties.check(service.name, tail)
+                    self._load_service(service, time.monotonic())
 
     def _load_service(
-        self, service: configuration.Service, model, version, now: float
+        self, service: configuration.Service, now: float
     ) -> None:
-        replicas = self._directory.list_all(service.name)
+        if not self._duties.may_act(service.name, now):
+            return
+        for model in service.models:
+            version = self._configuration.named_versions.get(model)
+            if version is not None:
+                self._load_model(service, model, version, now)
+
+    def _load_model(self, service, model, version: int, now: float) -> None:
+        replicas = self._directory.list_ready(service.name)
         room = count_at_once(len(replicas)) - sum(
             target in self._tasks for target in replicas
         )
-        behind = [
-            target
-            for target in replicas
-            if target not in self._tasks
-            and target.versions.get(model, 0) < version
-            and self._directory.is_ready(target)
-        ]
-        behind.sort(key=lambda target: target.count_load(now))
-        for target in behind[: max(0, room)]:
+        named_at = self._named_at.setdefault((model, version), now)
+        for target in sorted(
+            replicas, key=lambda target: target.count_load(now)
+        ):
+            if room <= 0:
+                return
+            if target in self._tasks or not is_behind(target, model, version):
+                continue
+            if not self._may_load(
+                target, replicas, model, version, now, named_at
+            ):
+                continue
+            room -= 1
             self._tasks[target] = asyncio.ensure_future(
-                self._load(target, model, version)
+                self._load(target, service.name, model, version)
             )
 
-    async def _load(self, target, model: str, version: int) -> None:
+    def _may_load(
+        self, target, replicas, model, version, now, named_at
+    ) -> bool:
+        """Tell whether the work that there is can do without a replica."""
+        too_old = target.versions.get(model, 0) < version - 1
+        if too_old or now - named_at > FORCE_SECONDS:
+            return True
+        if self._owner.waiting:
+            return False
+        free = sum(
+            max(0, other.count_free(now))
+            for other in replicas
+            if other is not target and not other.is_loading(now)
+        )
+        return target.count_load(now) <= free
+
+    async def _load(self, target, service, model, version: int) -> None:
+        target.vacating = True
         try:
-            await self._order(target, model, version)
+            await self._vacate(target)
+            await self._order(target, service, model, version)
         except (client.HttpError, adapters.InvalidMessageError) as error:
             events.write(
                 'order_failed',
@@ -112,12 +150,21 @@
                 error=str(error),
             )
             await asyncio.sleep(RETRY_SECONDS)
+        finally:
+            target.vacating = False
+
+    async def _vacate(self, target) -> None:
+        """Give the runs of this gateway time to go on elsewhere."""
+        until = time.monotonic() + VACATE_SECONDS
+        self._owner.look()
+        while target.in_flight and time.monotonic() < until:
+            await asyncio.sleep(VACATE_CHECK_SECONDS)
 
-    async def _order(self, target, model: str, version: int) -> None:
+    async def _order(self, target, service, model, version: int) -> None:
         report = await self._read_report(target)
         if self._is_done(target, report, model, version):
             return
-        if report.busy or not self._duty.may_act(time.monotonic()):
+        if report.busy or not self._duties.may_act(service, time.monotonic()):
             await asyncio.sleep(POLL_SECONDS)
             return
         order = call.VersionOrder(
@@ -125,7 +172,7 @@
             version,
             False,
             self._settings.name,
-            self._duty.fence,
+            self._duties.find_fence(service),
             report.order_count,
         )
         target.loading_until = time.monotonic() + LOAD_SECONDS
@@ -174,6 +221,11 @@
         return self._adapter.decode_report(response.body)
 
 
+def is_behind(target: replica.Replica, model: str, version: int) -> bool:
+    """Tell whether a replica has older weights than the named ones."""
+    return target.versions.get(model, 0) < version
+
+
 def count_at_once(replicas: int) -> int:
     """Count how many of a model's replicas may load at once."""
     return max(1, int(replicas * LOADING_SHARE))
