Keep detours near, and claim only once members are known

Change: peers of the own failure domain go first; reads get a companion later; nobody claims before others can have been seen.

--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -186,12 +186,13 @@
     def _adopt(self) -> None:
         """Begin batches that are ours, and claim those of dead owners."""
         own = self._membership.incarnation
+        settled = self._membership.settled
         for state in self._journal.fold.batches.values():
             if not state.open or state.id in self._owned:
                 continue
             if state.owner == own:
                 self._begin(state)
-            elif not self._membership.is_alive(state.owner):
+            elif settled and not self._membership.is_alive(state.owner):
                 self._claim(state)
 
     def _begin(self, state: fold.Batch) -> None:
--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import itertools
 import time
 
 from auburnroad_gateway.log import service
@@ -16,8 +15,10 @@
 # How long the detour goes first before the direct way is tried again.
 DETOUR_SECONDS = 3.0
 # A way that is silent for so long is given a companion: 60 times the log
-# service's usual 4 ms, beyond what a read was asked to wait.
+# service's usual 4 ms, beyond what a read was asked to wait. Reads of many
+# records share the log service's bandwidth and take longer.
 SILENCE_SECONDS = 0.25
+READ_SILENCE_SECONDS = 0.5
 
 
 class DetourLog:
@@ -41,7 +42,7 @@
         self._find_peers = find_peers
         self._open_peer = open_peer
         self._until = 0.0
-        self._turn = itertools.count()
+        self._turn = 0
 
     async def append(
         self, topic, partition, records, producer=None, expected_end=None
@@ -83,7 +84,9 @@
         ways = self._list_ways()
         if not repeatable:
             ways = ways[:1]
-        patience = SILENCE_SECONDS + wait_ms / 1000
+        patience = SILENCE_SECONDS
+        if verb != 'append':
+            patience = READ_SILENCE_SECONDS + wait_ms / 1000
         running: dict[asyncio.Task, object] = {}
         failure = None
         try:
@@ -128,7 +131,7 @@
         peers = self._find_peers()
         if not peers:
             return [self.direct]
-        peer = self._open_peer(peers[next(self._turn) % len(peers)])
+        peer = self._open_peer(peers[self._turn % len(peers)])
         if time.monotonic() < self._until:
             return [peer, self.direct]
         return [self.direct, peer]
@@ -136,6 +139,8 @@
     def _note(self, way, error: str) -> None:
         now = time.monotonic()
         if way is not self.direct:
+            # Another peer helps next time.
+            self._turn += 1
             self._until = 0.0
         elif now >= self._until:
             self._until = now + DETOUR_SECONDS
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -23,6 +23,8 @@
 # A longer pause between two looks says nothing of who lived meanwhile.
 GAP_SECONDS = 1.2
 CHECK_SECONDS = 0.2
+# Others have been seen after so long, if they live.
+SETTLE_SECONDS = 1.0
 # Detours are asked of members whose heartbeat is at most so old.
 PEER_AGE_SECONDS = 5.0
 
@@ -34,11 +36,13 @@
       incarnation: Names one start of its process.
       address: 'IP number:port' for other gateways.
       leaving: Whether it hands its work over before it stops.
+      failure_domain: Failure domain of its host.
     """
 
     incarnation: str
     address: str
     leaving: bool
+    failure_domain: str = ''
 
 
 class Member:
@@ -78,6 +82,7 @@
         '_log',
         '_members',
         '_checked_at',
+        '_seeing_from',
         '_beat_now',
         '_listeners',
     )
@@ -90,9 +95,18 @@
         self._log = log
         self._members: dict[str, Member] = {}
         self._checked_at = 0.0
+        self._seeing_from = 0.0
         self._beat_now = asyncio.Event()
         self._listeners = []
 
+    @property
+    def settled(self) -> bool:
+        """Whether every member that lives has been seen by now."""
+        return (
+            self._seeing_from > 0
+            and self._checked_at - self._seeing_from > SETTLE_SECONDS
+        )
+
     @property
     def alive(self) -> list[str]:
         """Incarnations that live and stay, this one among them."""
@@ -110,7 +124,7 @@
         return incarnation in self.alive
 
     def list_peers(self) -> list[str]:
-        """List addresses of other gateways, the freshest ones first."""
+        """List addresses of other gateways, near and fresh ones first."""
         now = time.monotonic()
         own = self._settings.name
         peers = [
@@ -119,19 +133,28 @@
             if member.name != own
             and (member.alive or now - member.seen_at < PEER_AGE_SECONDS)
         ]
-        peers.sort(key=lambda member: -member.seen_at)
+        domain = self._settings.failure_domain
+        peers.sort(
+            key=lambda member: (
+                member.beat.failure_domain != domain,
+                -member.seen_at,
+            )
+        )
         return [member.beat.address for member in peers]
 
     def choose(self, key: str) -> str:
-        """Choose the live member that takes over a piece of work.
+        """Choose the live member that does a piece of work.
 
         Args:
           key: Names the work. Every gateway that sees the same members
             chooses the same one.
 
         Returns:
-          An incarnation; empty if nobody is left.
+          An incarnation; empty if nobody is left, or while this gateway
+          can't tell who lives.
         """
+        if not self.settled:
+            return ''
         return max(
             self.alive,
             key=lambda name: xxhash.xxh64_intdigest(f'{key}/{name}'.encode()),
@@ -179,6 +202,7 @@
                 self.incarnation,
                 f'{self._settings.host}:{self._settings.peer_port}',
                 self.leaving,
+                self._settings.failure_domain,
             )
             record = service.encode_keyed(
                 self._settings.name, msgspec.msgpack.encode(beat)
@@ -215,9 +239,12 @@
         paused = now - self._checked_at > GAP_SECONDS
         self._checked_at = now
         if blind or paused:
+            self._seeing_from = 0.0
             for member in self._members.values():
                 member.seen_at = now
             return
+        if not self._seeing_from:
+            self._seeing_from = now
         for member in self._members.values():
             silent = now - member.seen_at
             if member.alive and silent > DEAD_SECONDS:
