Answer 'no result yet' only from a fresh fold; keep runs through stops

Planned stops cancelled all runs of the coordinator although nobody could take them while the log was down, and duties wandered to the host that was stopped next. A fault in one look of the owner ended its task for good.

Ruled out: waiting for the whole fold before ready (refuses service).

Change: a read without results needs a fold that is complete to within 0.6 s; runs go on during a stop until the claim is seen; the youngest process takes over; a released duty says how long it was quiet; work that fails begins again and is logged with its trace.

--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -56,17 +56,25 @@
         """Whether nothing waits to be appended."""
         return all(entry.idle for entry in self._appenders)
 
-    def run(self) -> list:
-        """List the coroutines that keep the journal going."""
+    def list_work(self) -> list:
+        """List what has to run for as long as the process lives."""
         return [
-            *(entry.run() for entry in self._tails),
-            *(entry.run() for entry in self._appenders),
+            *(entry.run for entry in self._tails),
+            *(entry.run for entry in self._appenders),
         ]
 
     def is_failing(self, batch_id: str) -> bool:
         """Tell whether appends of a batch's records fail at the moment."""
         return self._appenders[records.find_partition(batch_id)].failing
 
+    def find_complete_at(self, batch_id: str) -> float:
+        """Find up to when all records of a batch are folded.
+
+        Returns:
+          Monotonic seconds, minus infinity if that isn't known.
+        """
+        return self._tails[records.find_partition(batch_id)].complete_at
+
     def add(self, record: records.Record) -> asyncio.Future:
         """Queue a record.
 
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -29,6 +29,14 @@
 # A run that moves for speed stays so long where it is, so that runs don't
 # chase each other.
 SETTLE_SECONDS = 0.4
+# A run moves to a replica that is faster by this factor: any run away from a
+# slow replica, a long one already to a somewhat faster one. Below it,
+# measuring errors and the moves themselves outweigh the gain.
+SLOW_RATIO = 1.6
+FAST_RATIO = 1.15
+# Runs that have made so many events are mostly long ones, for which a small
+# gain of pace pays for the move.
+LONG_EVENTS = 30
 # The text of a run that lasts longer is saved, and again after as long.
 SAVE_SECONDS = 0.8
 # Room that a run needs in memory until it is counted again and can move.
@@ -140,13 +148,15 @@
             self._watch(owned, now)
 
     def hand_over(self) -> None:
-        """Save every text and stop, so that others go on with it."""
+        """Save every text, so that the next owner goes on with it.
+
+        Runs go on here until the log shows that somebody else has taken
+        their batch: while the log is away nobody can.
+        """
         self.stopping = True
         for owned in self._owned.values():
-            for index in list(owned.running):
+            for index in owned.running:
                 self._save(owned, owned.runs[index])
-            owned.stop()
-        self._owned.clear()
 
     def _handle_change(self, changed: fold.Batch) -> None:
         owned = self._owned.get(changed.id)
@@ -168,9 +178,8 @@
             task.cancel()
 
     def _tick(self) -> None:
-        if self.stopping or not self._journal.loaded:
+        if not self._journal.loaded:
             return
-        self._adopt()
         now_ms = clock.time_now_ms()
         for owned in list(self._owned.values()):
             self._give_up(owned, now_ms)
@@ -261,9 +270,8 @@
 
     def _start_runs(self) -> None:
         """Give free slots to waiting items, in order."""
-        if self.stopping:
-            return
-        self._adopt()
+        if not self.stopping:
+            self._adopt()
         queue = []
         for owned in self._owned.values():
             owned.route = self._find_route(owned.state) or owned.route
@@ -478,9 +486,9 @@
             return 'vacating'
         if not run.texts or self.waiting:
             return ''
-        return (
-            'slow' if placement.is_faster(better, current, ready, now) else ''
-        )
+        ratio = SLOW_RATIO if len(run.texts) < LONG_EVENTS else FAST_RATIO
+        faster = placement.is_faster(better, current, ready, ratio, now)
+        return 'slow' if faster else ''
 
     def _move(self, owned, run: runs.ItemRun, reason: str) -> None:
         events.write(
--- a/packages/gateway/auburnroad_gateway/batches/reading.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 
 from auburnroad_core.http import messages
 from auburnroad_gateway import adapter as adapters
@@ -24,6 +25,10 @@
 # How long the end of a batch waits for a log service that is away.
 END_SECONDS = 1.5
 SYNC_SECONDS = 1.0
+# "No result yet" is said only if all that was there so long ago is folded:
+# below the second after which readers rely on what others were shown.
+FRESH_SECONDS = 0.6
+RETRY_SECONDS = 0.5
 
 
 class Reader:
@@ -55,12 +60,12 @@
         found = await self._find(request.batch_id)
         if isinstance(found, messages.Response):
             return found
-        if request.position > len(found.results):
-            # Another gateway has shown more than is folded here.
-            if not await self._sync(request.batch_id):
-                return refusals.refuse('log_away', 0.5)
         if request.position >= len(found.results):
             await self._wait(found, request)
+        if request.position >= len(found.results):
+            # Another gateway may have shown what isn't folded here yet.
+            if not await self._make_fresh(request.batch_id):
+                return refusals.refuse('log_away', RETRY_SECONDS)
         return self._build_page(found, request.position)
 
     async def read_body(self, request: call.BatchCall) -> messages.Response:
@@ -91,11 +96,18 @@
         batches = self._journal.fold.batches
         if batch_id not in batches:
             if not await self._sync(batch_id):
-                return refusals.refuse('log_away', 0.5)
+                return refusals.refuse('log_away', RETRY_SECONDS)
         if batch_id not in batches:
             return refusals.build_error(404, 'no_such_batch')
         return batches[batch_id]
 
+    async def _make_fresh(self, batch_id: str) -> bool:
+        """Fold what others may have shown; tell whether that is done."""
+        known = self._journal.find_complete_at(batch_id)
+        if time.monotonic() - known <= FRESH_SECONDS:
+            return True
+        return await self._sync(batch_id)
+
     async def _sync(self, batch_id: str) -> bool:
         """Read the log to its end; tell whether that was possible."""
         try:
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -17,10 +17,6 @@
 NEAR_BONUS = 0.1
 # The same for items, relative to the pace: most of their bytes are few.
 NEAR_PACE_BONUS = 0.03
-# A run moves to a replica that is faster by this factor; below it, measuring
-# errors and the moves themselves outweigh the gain.
-MOVE_RATIO = 1.15
-
 # Share of a replica's memory that expected tokens may fill: when it runs
 # out, the newest run loses what it has.
 MEMORY_SHARE = 0.95
@@ -108,6 +104,7 @@
     better: replica.Replica,
     current: replica.Replica,
     candidates: list[replica.Replica],
+    ratio: float,
     now: float,
 ) -> bool:
     """Tell whether a run gains by moving from one replica to another.
@@ -116,14 +113,15 @@
       better: Where it would go.
       current: Where it runs.
       candidates: All replicas of the service that take new work.
+      ratio: How much faster it has to be.
       now: Monotonic time in seconds.
 
     Returns:
-      Whether the pace there is better by MOVE_RATIO at least.
+      Whether the pace there is better by that ratio.
     """
     median = find_median_pace(candidates, now)
     there = better.find_pace(now) or median
-    return there > 0 and current.find_pace(now) > MOVE_RATIO * there
+    return there > 0 and current.find_pace(now) > ratio * there
 
 
 def has_memory(entry: replica.Replica, need: Need) -> bool:
--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -24,12 +24,15 @@
       next_offset: Offset of the next record.
       failing: Whether the last read failed.
       read_at: When the last good read was answered, in monotonic seconds.
+      complete_at: Everything that was there at this time has been handed
+        on, in the same; minus infinity before that is known.
     """
 
     __slots__ = (
         'next_offset',
         'failing',
         'read_at',
+        'complete_at',
         '_log',
         '_topic',
         '_partition',
@@ -43,6 +46,7 @@
         self.next_offset = 0
         self.failing = False
         self.read_at = 0.0
+        self.complete_at = float('-inf')
         self._log = log
         self._topic = topic
         self._partition = partition
@@ -94,6 +98,7 @@
 
     async def _read(self, wait_ms: int) -> int:
         start = self.next_offset
+        asked_at = time.monotonic()
         try:
             part = await self._log.read(
                 self._topic, self._partition, start, wait_ms
@@ -108,6 +113,8 @@
             offset = self.next_offset
             self.next_offset += 1
             self._apply(offset, record)
+        if self.next_offset >= part.end:
+            self.complete_at = max(self.complete_at, asked_at)
         return part.end
 
     async def _handle_trimmed(self, error) -> None:
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -12,6 +12,7 @@
 import msgspec
 import xxhash
 
+from auburnroad_core import clock
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import events
@@ -25,6 +26,9 @@
 CHECK_SECONDS = 0.2
 # Others have been seen after so long, if they live.
 SETTLE_SECONDS = 1.0
+# Processes that started within this time count as equally old. The youngest
+# goes first: in a rolling restart it isn't the next to be stopped.
+GENERATION_MS = 5000
 # Detours are asked of members whose heartbeat is at most so old.
 PEER_AGE_SECONDS = 5.0
 
@@ -37,12 +41,14 @@
       address: 'IP number:port' for other gateways.
       leaving: Whether it hands its work over before it stops.
       failure_domain: Failure domain of its host.
+      started_ms: Unix milliseconds of its start.
     """
 
     incarnation: str
     address: str
     leaving: bool
     failure_domain: str = ''
+    started_ms: int = 0
 
 
 class Member:
@@ -83,6 +89,7 @@
         '_members',
         '_checked_at',
         '_seeing_from',
+        '_started_ms',
         '_beat_now',
         '_listeners',
     )
@@ -96,6 +103,7 @@
         self._members: dict[str, Member] = {}
         self._checked_at = 0.0
         self._seeing_from = 0.0
+        self._started_ms = clock.time_now_ms()
         self._beat_now = asyncio.Event()
         self._listeners = []
 
@@ -155,11 +163,17 @@
         """
         if not self.settled:
             return ''
-        return max(
-            self.alive,
-            key=lambda name: xxhash.xxh64_intdigest(f'{key}/{name}'.encode()),
-            default='',
-        )
+        started = {
+            member.beat.incarnation: member.beat.started_ms
+            for member in self._members.values()
+        }
+        started[self.incarnation] = self._started_ms
+
+        def rate(name: str) -> tuple:
+            digest = xxhash.xxh64_intdigest(f'{key}/{name}'.encode())
+            return started.get(name, 0) // GENERATION_MS, digest
+
+        return max(self.alive, key=rate, default='')
 
     def on_change(self, listener) -> None:
         """Call a function after a member came, left or died."""
@@ -203,6 +217,7 @@
                 f'{self._settings.host}:{self._settings.peer_port}',
                 self.leaving,
                 self._settings.failure_domain,
+                self._started_ms,
             )
             record = service.encode_keyed(
                 self._settings.name, msgspec.msgpack.encode(beat)
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -1,7 +1,10 @@
 """The role gateway: wires its parts to each other, starts and stops them."""
 
 import asyncio
+import functools
 import time
+import traceback
+import typing
 
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
@@ -41,6 +44,12 @@
 # What is left of the time to stop, for the way out.
 STOP_MARGIN_SECONDS = 1.0
 STOP_CHECK_SECONDS = 0.05
+# Pause before work that has failed begins again.
+RESTART_SECONDS = 0.2
+# Innermost frames of a failure that are logged.
+TRACE_DEPTH = 4
+
+Work = typing.Callable[[], typing.Awaitable[None]]
 
 
 class Gateway:
@@ -94,17 +103,15 @@
             host, _, port = address.rpartition(':')
             await listener.start(host, int(port))
         for work in (
-            *(entry.run() for entry in self._tails),
-            *self._journal.run(),
-            self._members.run_beats(),
-            self._members.run_checks(self._member_tail),
-            self._owner.run(),
-            self._rollout.run(self._duty_tail),
-            self._expire(),
+            *(entry.run for entry in self._tails),
+            *self._journal.list_work(),
+            self._members.run_beats,
+            functools.partial(self._members.run_checks, self._member_tail),
+            self._owner.run,
+            functools.partial(self._rollout.run, self._duty_tail),
+            self._expire,
         ):
-            task = asyncio.create_task(work)
-            task.add_done_callback(_report_failure)
-            self._tasks.append(task)
+            self._tasks.append(asyncio.create_task(supervise(work)))
 
     def stop(self) -> None:
         """Begin a planned stop; calling it again changes nothing."""
@@ -261,6 +268,14 @@
             if not failing:
                 self._directory.expire(now)
 
+    def _is_done(self) -> bool:
+        """Tell whether nobody would miss this process any more."""
+        return (
+            self._journal.idle
+            and not self._owner.busy
+            and not self._caller_server.connections
+        )
+
     async def _stop(self) -> None:
         """Hand batches over, answer what is in flight, and leave."""
         stop_at = (
@@ -272,13 +287,14 @@
         self._caller_server.draining = True
         self._members.leave()
         self._owner.hand_over()
-        await self._duties.release(self._duty_tail)
+        release = asyncio.create_task(self._duties.release(self._duty_tail))
         while time.monotonic() < stop_at:
             await asyncio.sleep(STOP_CHECK_SECONDS)
             if time.monotonic() < unready_until:
                 continue
-            if self._journal.idle and not self._caller_server.connections:
+            if self._is_done():
                 break
+        release.cancel()
         events.write(
             'stopped',
             connections_open=self._caller_server.connections,
@@ -287,6 +303,23 @@
         self._closed.set()
 
 
-def _report_failure(task: asyncio.Task) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        events.write('task_failed', error=repr(task.exception()))
+async def supervise(work: Work) -> None:
+    """Run work that must go on for as long as the process lives.
+
+    A fault of ours in one decision must not end all later ones: it is
+    reported, and the work begins again.
+
+    Args:
+      work: Builds the coroutine.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            events.write(
+                'work_failed',
+                work=repr(work),
+                error=repr(error),
+                trace=traceback.format_exc(limit=-TRACE_DEPTH),
+            )
+        await asyncio.sleep(RESTART_SECONDS)
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -25,9 +25,11 @@
 
     Attributes:
       incarnation: Who holds the duty; empty after a planned stop.
+      quiet_ms: How long before a planned stop the last order was given.
     """
 
     incarnation: str
+    quiet_ms: int = 0
 
 
 class Duty:
@@ -37,14 +39,16 @@
       holder: Incarnation of the holder; empty if nobody holds it.
       fence: Its fencing number.
       act_from: It must not act before, in monotonic seconds.
+      acted_at: When this gateway last acted, in the same.
     """
 
-    __slots__ = ('holder', 'fence', 'act_from')
+    __slots__ = ('holder', 'fence', 'act_from', 'acted_at')
 
     def __init__(self, holder: str, fence: int, act_from: float):
         self.holder = holder
         self.fence = fence
         self.act_from = act_from
+        self.acted_at = 0.0
 
 
 class Duties:
@@ -65,10 +69,7 @@
             holder = msgspec.msgpack.decode(record.value, type=Holder)
         except msgspec.DecodeError:
             return
-        act_from = 0.0
-        if record.key in self._duties:
-            # The holder before may have ordered until a moment ago.
-            act_from = time.monotonic() + self._lease_seconds
+        act_from = self._find_start(record.key, holder, time.monotonic())
         # Offsets begin at zero, fencing numbers at one.
         self._duties[record.key] = Duty(
             holder.incarnation, record.offset + 1, act_from
@@ -80,6 +81,10 @@
             fence=record.offset + 1,
         )
 
+    def note_action(self, service: str, now: float) -> None:
+        """This gateway gives an order now."""
+        self._duties[service].acted_at = now
+
     def find_holder(self, service: str) -> str:
         """Find the live holder of a service's duty; empty for none."""
         duty = self._duties.get(service)
@@ -127,18 +132,38 @@
         if self._membership.choose(service) != own:
             return
         self._retry[service] = now + RETRY_SECONDS
-        await self._append(service, own, tail.next_offset)
+        await self._append(service, Holder(own), tail.next_offset)
 
     async def release(self, tail) -> None:
         """Give all duties back before a planned stop."""
         own = self._membership.incarnation
+        now = time.monotonic()
         for service, duty in list(self._duties.items()):
             if duty.holder == own:
-                await self._append(service, '', tail.next_offset)
+                quiet_ms = int((now - duty.acted_at) * 1000)
+                await self._append(
+                    service, Holder('', quiet_ms), tail.next_offset
+                )
 
-    async def _append(self, service, holder: str, expected_end: int) -> None:
+    def _find_start(self, service: str, holder: Holder, now: float) -> float:
+        """Find when a new holder may act: the one before may have just now.
+
+        A released duty says how long ago that was. A holder that was taken
+        for dead had been silent for a while, less one heartbeat.
+        """
+        before = self._duties.get(service)
+        if before is None:
+            return 0.0
+        if not holder.incarnation:
+            return now + self._lease_seconds - holder.quiet_ms / 1000
+        if not before.holder:
+            return before.act_from
+        quiet = membership.DEAD_SECONDS - membership.BEAT_SECONDS
+        return now + self._lease_seconds - quiet
+
+    async def _append(self, service, holder: Holder, expected_end) -> None:
         record = log_service.encode_keyed(
-            service, msgspec.msgpack.encode(Holder(holder))
+            service, msgspec.msgpack.encode(holder)
         )
         try:
             await self._log.append(
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -34,6 +34,8 @@
 # Replicas that are never idle load so long after the version was named; the
 # next one may follow four seconds after it.
 FORCE_SECONDS = 2.4
+# A replica with more runs isn't vacated: each move costs a connection.
+VACATE_RUNS = 3
 # Time for the runs of a replica to go on elsewhere before it loads.
 VACATE_SECONDS = 0.3
 VACATE_CHECK_SECONDS = 0.02
@@ -134,7 +136,7 @@
             for other in replicas
             if other is not target and not other.is_loading(now)
         )
-        return target.count_load(now) <= free
+        return target.count_load(now) <= min(free, VACATE_RUNS)
 
     async def _load(self, target, service, model, version: int) -> None:
         target.vacating = True
@@ -176,6 +178,7 @@
             report.order_count,
         )
         target.loading_until = time.monotonic() + LOAD_SECONDS
+        self._duties.note_action(service, time.monotonic())
         status = await self._send(target, order)
         events.write(
             'order_sent',
