Serve metrics, catalogue log lines, and tell a failure from logs alone

Cause: on-call engineers have logs and metrics only, and neither had a page, a reader or a bound that was tested.

--- a/packages/client/auburnroad_client/exit_codes.py
+++ b/packages/client/auburnroad_client/exit_codes.py
@@ -10,7 +10,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """What became of a command; docs/OPERATING.md says what to do."""
+    """What became of a command; docs/OPERATIONS.md says what to do."""
 
     OK = 0
     FAILED = 1
--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -17,6 +17,7 @@
 from auburnroad_client import arguments
 from auburnroad_client.commands import answering
 from auburnroad_client.commands import hosts
+from auburnroad_client.commands import logs as log_commands
 from auburnroad_client.commands import looking
 from auburnroad_client.commands import publishing
 from auburnroad_client.commands import waiting
@@ -196,15 +197,41 @@
         """
         return self._order(host, False, author, timeout_seconds)
 
-    def explain(self, id: str):
+    def explain(self, id: str, logs: str = ''):
         """Show where one sample or request went.
 
         Args:
           id: Request id: from the auburnroad-request-id header of an answer,
-            or the request_id of a sample that a trainer took.
+            or the request_id of a sample that a trainer took. With --logs
+            also the id of a batch, item or replica, or a host's name.
+          logs: Log files or directories of gateways, several with commas.
+            They are read instead of asking daemons.
         """
+        if logs:
+            return plan.Plan(
+                log_commands.explain,
+                self._options,
+                str(id),
+                log_commands.split_paths(logs),
+            )
         return plan.Plan(looking.explain, self._options, id)
 
+    def summarize(self, logs: str, from_ms=0, until_ms=0):
+        """Count failures in the logs of gateways by cause.
+
+        Args:
+          logs: Log files or directories, several with commas.
+          from_ms: Unix milliseconds; earlier lines don't count.
+          until_ms: Unix milliseconds; later lines don't count, 0 for all.
+        """
+        return plan.Plan(
+            log_commands.summarize,
+            self._options,
+            log_commands.split_paths(logs),
+            arguments.parse_number('from_ms', from_ms, int),
+            arguments.parse_number('until_ms', until_ms, int),
+        )
+
     def _order(self, host, draining, author, timeout_seconds):
         return plan.Plan(
             hosts.order,
--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -102,9 +102,10 @@
     def _answer_timeout(
         self, submission: batch.Submission, error, started: float
     ) -> messages.Response:
-        self._write(f'batch_{error.fate.value}', submission, started)
         if error.fate is appender.Fate.WITHDRAWN:
+            self._write('batch_refused', submission, started)
             return refusals.refuse('log_away', RETRY_SECONDS)
+        self._write('batch_in_doubt', submission, started)
         return refusals.build_error(504, 'log_silent')
 
     def _write(self, event: str, submission, started: float) -> None:
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -18,6 +18,7 @@
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.telemetry import metrics
 
 # How often stalled runs, expired items and orphaned batches are looked for.
 TICK_SECONDS = 0.1
@@ -180,6 +181,7 @@
     def _tick(self) -> None:
         if not self._journal.loaded:
             return
+        metrics.ITEMS_WAITING.set(self.waiting)
         now_ms = clock.time_now_ms()
         for owned in list(self._owned.values()):
             self._give_up(owned, now_ms)
@@ -371,7 +373,9 @@
             self._finish_attempt(owned, run, target, end)
 
     def _finish_attempt(self, owned, run, target, end: runs.RunEnd) -> None:
+        metrics.RUNS.labels(end.value).inc()
         if end is runs.RunEnd.DONE:
+            metrics.RUN_SECONDS.observe(time.monotonic() - run.started_at)
             events.write(
                 'item_done',
                 batch=owned.state.id,
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -20,6 +20,7 @@
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.telemetry import metrics
 
 # A second attempt begins after this share of the caller's aim: late enough
 # for most answers, early enough to be in time itself.
@@ -166,6 +167,7 @@
                 self._launch(pending, running)
             for task in done:
                 last = task.result()
+                metrics.ATTEMPTS.labels(last.end.value).inc()
                 if last.succeeded:
                     return last.response
                 self._retry(pending, running, last)
--- a/packages/gateway/auburnroad_gateway/log/appender.py
+++ b/packages/gateway/auburnroad_gateway/log/appender.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import enum
+import time
 
 from auburnroad_gateway.log import service
 from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.telemetry import metrics
 
 # Within this time records share a call; a partition takes some 3 ms a call.
 GROUP_SECONDS = 0.015
@@ -130,6 +132,7 @@
 
     async def _append_group(self) -> None:
         pause = RETRY_SECONDS
+        started = time.monotonic()
         group = self._take_group()
         while group:
             try:
@@ -144,6 +147,7 @@
                     group = self._take_group()
                 continue
             self._finish(group)
+            metrics.APPEND_SECONDS.observe(time.monotonic() - started)
             return
 
     def _take_group(self) -> list[_Pending]:
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -27,6 +27,7 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.telemetry import metrics
 from auburnroad_gateway.weights import duty
 from auburnroad_gateway.weights import rollout
 
@@ -44,6 +45,7 @@
 # What is left of the time to stop, for the way out.
 STOP_MARGIN_SECONDS = 1.0
 STOP_CHECK_SECONDS = 0.05
+METRICS_PATH = '/metrics'
 # Pause before work that has failed begins again.
 RESTART_SECONDS = 0.2
 # Innermost frames of a failure that are logged.
@@ -99,6 +101,7 @@
             (self._caller_server, settings.caller_address),
             (self._ready_server, settings.ready_address),
             (self._peer_server, f'{settings.host}:{settings.peer_port}'),
+            (self._metrics_server, f'{settings.host}:{settings.metrics_port}'),
         ):
             host, _, port = address.rpartition(':')
             await listener.start(host, int(port))
@@ -172,6 +175,13 @@
             self._member_tail,
             self._duty_tail,
         ]
+        for topic, followed in (
+            ('operators', self._operator_tail),
+            ('replicas', self._replica_tail),
+            ('members', self._member_tail),
+            ('duties', self._duty_tail),
+        ):
+            metrics.watch_tail(topic, followed)
 
     def _build_path(self) -> None:
         settings, adapter = self._settings, self._adapter
@@ -210,6 +220,7 @@
         self._caller_server = server.HttpServer(self._handle_caller)
         self._ready_server = server.HttpServer(self._handle_ready)
         self._peer_server = server.HttpServer(self._handle_peer)
+        self._metrics_server = server.HttpServer(self._handle_metrics)
         self._configuration.on_change(self._apply_limits)
 
     def _apply_limits(self) -> None:
@@ -224,27 +235,50 @@
     async def _handle_ready(self, request) -> messages.Response:
         return messages.Response(200 if self.ready else 503)
 
+    async def _handle_metrics(self, request) -> messages.Response:
+        if request.path != METRICS_PATH:
+            return messages.Response(404)
+        return metrics.build_page()
+
     async def _handle_peer(self, request) -> messages.Response:
         if request.path == relay.PATH:
             return await relay.serve(self._log.direct, request)
         return messages.Response(404)
 
     async def _handle_caller(self, request) -> messages.Response:
-        """Find what a request asks for, and have it done."""
+        """Answer a caller, and count how."""
+        started = time.monotonic()
+        kind, work = self._dispatch(request)
+        response = await work
+        metrics.REQUEST_SECONDS.labels(kind).observe(
+            time.monotonic() - started
+        )
+        metrics.REQUESTS.labels(kind, f'{response.status // 100}xx').inc()
+        return response
+
+    def _dispatch(self, request):
+        """Find what a request asks for.
+
+        Returns:
+          What kind of request it is, for metrics, and the coroutine that
+          answers it.
+        """
         current = self._configuration.current
         if current is None:
-            return refusals.refuse(
-                'not_configured', refusals.RETRY_OUTAGE_SECONDS
+            return 'none', _answer(
+                refusals.refuse(
+                    'not_configured', refusals.RETRY_OUTAGE_SECONDS
+                )
             )
         batch_call = self._adapter.decode_batch_call(request)
         if batch_call is not None:
-            return await self._reader.handle(batch_call)
+            return batch_call.verb.value, self._reader.handle(batch_call)
         host = request.headers.get('host', '')
         route = configuration.match_route(current, host, request.path)
         if route is None:
-            return refusals.build_error(404, 'no_route')
+            return 'none', _answer(refusals.build_error(404, 'no_route'))
         if route.kind is configuration.RouteKind.BATCH:
-            return await self._intake.submit(route, request)
+            return 'submit', self._intake.submit(route, request)
         pending = requests.Call(
             request,
             self._adapter.decode_call(request.headers),
@@ -252,8 +286,8 @@
             time.monotonic(),
         )
         if route.kind is configuration.RouteKind.STREAM:
-            return await self._streams.forward(pending)
-        return await self._forwarder.forward(pending)
+            return route.kind.value, self._streams.forward(pending)
+        return route.kind.value, self._forwarder.forward(pending)
 
     async def _expire(self) -> None:
         """Follow outages of the log, and drop what has lapsed in one."""
@@ -303,6 +337,10 @@
         self._closed.set()
 
 
+async def _answer(response: messages.Response) -> messages.Response:
+    return response
+
+
 async def supervise(work: Work) -> None:
     """Run work that must go on for as long as the process lives.
 
--- a/packages/gateway/auburnroad_gateway/telemetry/events.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/events.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from auburnroad_gateway.telemetry import metrics
+
 # Bounds the cost of logging under load, in lines a second and at once.
 LINES_PER_SECOND = 40.0
 BURST_LINES = 200.0
@@ -58,8 +60,9 @@
           event: Name of the event, from the catalogue in docs/OPERATIONS.md.
           fields: What decided, and the outcome.
         """
+        metrics.EVENTS.labels(event).inc()
         if not self._take_token():
-            self.dropped += 1
+            self._drop()
             return
         if self.dropped > self._reported:
             fields['lines_dropped'] = self.dropped - self._reported
@@ -72,6 +75,10 @@
         }
         self._put(msgspec.json.encode(line, enc_hook=repr) + b'\n')
 
+    def _drop(self) -> None:
+        self.dropped += 1
+        metrics.LINES_DROPPED.inc()
+
     def _take_token(self) -> bool:
         now = time.monotonic()
         gained = (now - self._filled_at) * LINES_PER_SECOND
@@ -84,7 +91,7 @@
 
     def _put(self, data: bytes) -> None:
         if len(self._backlog) >= BACKLOG_LINES:
-            self.dropped += 1
+            self._drop()
             return
         self._backlog.append(data)
         while self._backlog:
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -0,0 +1,105 @@
+"""Counters, gauges and histograms of a gateway.
+
+Label sets are bounded: kinds, outcomes and reasons that the code names, and
+never an id or a route of a configuration.
+"""
+
+import time
+
+import prometheus_client
+
+from auburnroad_core.http import client
+from auburnroad_core.http import messages
+
+REGISTRY = prometheus_client.CollectorRegistry()
+REGISTRY.register(client.BYTES)
+
+# From a fast answer of a plain service to the longest run of a batch.
+SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16)
+
+EVENTS = prometheus_client.Counter(
+    'auburnroad_events',
+    'Log lines by event, written or dropped.',
+    ['event'],
+    registry=REGISTRY,
+)
+LINES_DROPPED = prometheus_client.Counter(
+    'auburnroad_log_lines_dropped',
+    'Log lines that were not written, to bound their volume.',
+    registry=REGISTRY,
+)
+REQUESTS = prometheus_client.Counter(
+    'auburnroad_requests',
+    'Requests of callers answered, by kind of route and class of status.',
+    ['kind', 'status'],
+    registry=REGISTRY,
+)
+REQUEST_SECONDS = prometheus_client.Histogram(
+    'auburnroad_request_seconds',
+    'Time from the whole request to the head of its answer.',
+    ['kind'],
+    buckets=SECONDS_BUCKETS,
+    registry=REGISTRY,
+)
+ATTEMPTS = prometheus_client.Counter(
+    'auburnroad_attempts',
+    'Attempts of single requests at replicas, by how they ended.',
+    ['end'],
+    registry=REGISTRY,
+)
+RUNS = prometheus_client.Counter(
+    'auburnroad_item_runs',
+    'Attempts of batch items at replicas, by how they ended.',
+    ['end'],
+    registry=REGISTRY,
+)
+RUN_SECONDS = prometheus_client.Histogram(
+    'auburnroad_item_run_seconds',
+    'Time of attempts that finished their item.',
+    buckets=SECONDS_BUCKETS,
+    registry=REGISTRY,
+)
+ITEMS_WAITING = prometheus_client.Gauge(
+    'auburnroad_items_waiting',
+    'Items of own batches that wait for a slot.',
+    registry=REGISTRY,
+)
+APPEND_SECONDS = prometheus_client.Histogram(
+    'auburnroad_log_append_seconds',
+    'Time until a group of records was in the log.',
+    buckets=SECONDS_BUCKETS,
+    registry=REGISTRY,
+)
+TAIL_AGE = prometheus_client.Gauge(
+    'auburnroad_log_tail_age_seconds',
+    'Time since all records of a topic were known to be read.',
+    ['topic'],
+    registry=REGISTRY,
+)
+
+
+def watch_tail(topic: str, tail) -> None:
+    """Show the age of a topic's tail whenever metrics are read.
+
+    Args:
+      topic: Topic's name.
+      tail: Its tail.
+    """
+
+    def find_age() -> float:
+        return time.monotonic() - tail.complete_at
+
+    TAIL_AGE.labels(topic).set_function(find_age)
+
+
+def build_page() -> messages.Response:
+    """Build the page that Prometheus reads.
+
+    Returns:
+      All metrics as text.
+    """
+    return messages.Response(
+        200,
+        {'content-type': prometheus_client.CONTENT_TYPE_LATEST},
+        prometheus_client.generate_latest(REGISTRY),
+    )
