--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -24,8 +24,9 @@
 # A longer pause between two looks says nothing of who lived meanwhile.
 GAP_SECONDS = 1.2
 CHECK_SECONDS = 0.2
-# Others have been seen after so long, if they live.
-SETTLE_SECONDS = 1.0
+# Others have been seen after so long, if they live: one heartbeat and the
+# time that it needs.
+SETTLE_SECONDS = 0.7
 # Processes that started within this time count as equally old. The youngest
 # goes first: in a rolling restart it isn't the next to be stopped.
 GENERATION_MS = 5000
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -45,6 +45,10 @@
 # What is left of the time to stop, for the way out.
 STOP_MARGIN_SECONDS = 1.0
 STOP_CHECK_SECONDS = 0.05
+# How long a request waits for what a process that has just started reads
+# first; that takes some 50 ms.
+LOAD_SECONDS = 0.4
+LOAD_CHECK_SECONDS = 0.01
 METRICS_PATH = '/metrics'
 # Pause before work that has failed begins again.
 RESTART_SECONDS = 0.2
@@ -65,6 +69,7 @@
         self._settings = settings
         self._adapter = adapter
         self._tasks: list[asyncio.Task] = []
+        self._addresses: dict[str, str] = {}
         self._stopping = False
         self._closed = asyncio.Event()
         self._client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
@@ -84,9 +89,18 @@
     @property
     def ready(self) -> bool:
         """Whether new connections are welcome."""
+        return not self._stopping and self._loaded
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """'IP number:port' by what is served there."""
+        return dict(self._addresses)
+
+    @property
+    def _loaded(self) -> bool:
+        """Whether requests can be routed."""
         return (
-            not self._stopping
-            and self._configuration.current is not None
+            self._configuration.current is not None
             and self._replica_tail.loaded
         )
 
@@ -97,14 +111,23 @@
           OSError: If an address of the settings can't be had.
         """
         settings = self._settings
-        for listener, address in (
-            (self._caller_server, settings.caller_address),
-            (self._ready_server, settings.ready_address),
-            (self._peer_server, f'{settings.host}:{settings.peer_port}'),
-            (self._metrics_server, f'{settings.host}:{settings.metrics_port}'),
+        for name, listener, address in (
+            ('callers', self._caller_server, settings.caller_address),
+            ('ready', self._ready_server, settings.ready_address),
+            (
+                'peers',
+                self._peer_server,
+                f'{settings.host}:{settings.peer_port}',
+            ),
+            (
+                'metrics',
+                self._metrics_server,
+                f'{settings.host}:{settings.metrics_port}',
+            ),
         ):
             host, _, port = address.rpartition(':')
-            await listener.start(host, int(port))
+            bound = await listener.start(host, int(port))
+            self._addresses[name] = f'{bound[0]}:{bound[1]}'
         for work in (
             *(entry.run for entry in self._tails),
             *self._journal.list_work(),
@@ -123,6 +146,21 @@
             events.write('stopping', busy=self._caller_server.busy_connections)
             self._tasks.append(asyncio.create_task(self._stop()))
 
+    async def close(self) -> None:
+        """Stop at once; requests in flight are cut off."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for listener in (
+            self._caller_server,
+            self._ready_server,
+            self._peer_server,
+            self._metrics_server,
+        ):
+            await listener.close()
+        self._client.close()
+        self._peer_client.close()
+
     async def wait_closed(self) -> None:
         """Wait until a planned stop is complete."""
         await self._closed.wait()
@@ -248,6 +286,8 @@
     async def _handle_caller(self, request) -> messages.Response:
         """Answer a caller, and count how."""
         started = time.monotonic()
+        if not self._loaded:
+            await self._wait_loaded()
         kind, work = self._dispatch(request)
         response = await work
         metrics.REQUEST_SECONDS.labels(kind).observe(
@@ -256,6 +296,17 @@
         metrics.REQUESTS.labels(kind, f'{response.status // 100}xx').inc()
         return response
 
+    async def _wait_loaded(self) -> None:
+        """Wait a moment for what has to be read first after a start.
+
+        While the log fails nobody knows for how long: then there is no wait.
+        """
+        until = time.monotonic() + LOAD_SECONDS
+        while time.monotonic() < until and not self._loaded:
+            if self._operator_tail.failing or self._replica_tail.failing:
+                return
+            await asyncio.sleep(LOAD_CHECK_SECONDS)
+
     def _dispatch(self, request):
         """Find what a request asks for.
 
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/process/gateway_test.py
@@ -0,0 +1,206 @@
+"""Tests of whole gateways on loopback, over one log and one replica."""
+
+import asyncio
+import contextlib
+import json
+import unittest
+
+import msgspec
+
+from auburnroad_core.http import client
+from auburnroad_core.http import messages
+from auburnroad_core.http import server
+from auburnroad_gateway.batches import fold_test
+from auburnroad_gateway.model import call
+from auburnroad_gateway.model import configuration
+from auburnroad_gateway.model import settings
+from auburnroad_gateway.process import gateway
+from auburnroad_standins import partition_log
+from auburnroad_standins import plain_adapter
+from auburnroad_standins import scripted_replicas
+
+LIMIT_SECONDS = 20
+CONFIGURATION = configuration.Configuration(
+    1,
+    (
+        configuration.Route(
+            'plain',
+            'h',
+            '/q/',
+            configuration.RouteKind.IDEMPOTENT,
+            (configuration.Backend('s'),),
+            max_attempts=2,
+        ),
+        configuration.Route(
+            'batch',
+            'h',
+            '/p/',
+            configuration.RouteKind.BATCH,
+            (configuration.Backend('s'),),
+            max_attempts=2,
+        ),
+    ),
+    {'s': configuration.Service('s', models=('m',))},
+)
+
+
+class Adapter(plain_adapter.PlainAdapter):
+    """A plain adapter over a given log, with batch calls by header."""
+
+    def __init__(self, log):
+        self._log = log
+
+    def open_log(self):
+        return self._log
+
+    def decode_batch_call(self, request):
+        if 'batch' not in request.headers:
+            return None
+        return call.BatchCall(
+            call.BatchVerb(request.headers['verb']),
+            request.headers['batch'],
+            wait_ms=1000,
+        )
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    """Two gateways before one replica."""
+
+    async def asyncSetUp(self):
+        self.log = partition_log.PartitionLog()
+        self.replica = server.HttpServer(self.answer)
+        host, port = await self.replica.start('127.0.0.1', 0)
+        self.address = f'{host}:{port}'
+        self.addAsyncCleanup(self.replica.close)
+        self.client = client.HttpClient()
+        self.addCleanup(self.client.close)
+
+    async def answer(self, request):
+        headers = {'signed': '1', 'id': request.headers.get('id', '')}
+        if not request.path.startswith('/p/'):
+            return messages.Response(200, headers, b'ok')
+        events = [scripted_replicas.build_event(n) for n in range(3)]
+        return messages.Response(
+            200, headers, chunks=scripted_replicas.iterate(events)
+        )
+
+    def publish(self):
+        self.log.put(
+            plain_adapter.PlainAdapter.operator_topic,
+            'configuration',
+            msgspec.json.encode(CONFIGURATION),
+        )
+        entry = {
+            'id': 'r',
+            'service': 's',
+            'address': self.address,
+            'failure_domain': 'a',
+            'slots': 4,
+            'state': 'ready',
+            'versions': {'m': 1},
+        }
+        self.log.put(
+            plain_adapter.PlainAdapter.replica_topic,
+            'r',
+            json.dumps(entry).encode(),
+        )
+
+    async def start(self, name):
+        subject = gateway.Gateway(
+            settings.Settings(
+                name,
+                '127.0.0.1',
+                'a',
+                '127.0.0.1:0',
+                '127.0.0.1:0',
+                0,
+                0,
+                'unused',
+                bounds=settings.Bounds(grace_s=4.0),
+            ),
+            Adapter(self.log),
+        )
+        await subject.start()
+        self.addAsyncCleanup(subject.close)
+        return subject
+
+    async def send(
+        self, subject, target, body=b'', where='callers', **headers
+    ):
+        request = messages.Request(
+            'POST', target, {'host': 'h', **headers}, body
+        )
+        return await self.client.fetch(
+            subject.addresses[where], request, LIMIT_SECONDS
+        )
+
+    async def test_a_request_right_after_the_start_is_served(self):
+        self.publish()
+        subject = await self.start('one')
+        response = await self.send(subject, '/q/x', id='q')
+        self.assertEqual((200, b'ok'), (response.status, response.body))
+
+    async def test_without_a_configuration_nothing_is_denied(self):
+        subject = await self.start('one')
+        response = await self.send(subject, '/q/x')
+        self.assertEqual(503, response.status)
+        self.assertIn('retry-after', response.headers)
+        ready = await self.send(subject, '/', where='ready')
+        self.assertEqual(503, ready.status)
+
+    async def test_an_unknown_route_is_not_found(self):
+        self.publish()
+        subject = await self.start('one')
+        self.assertEqual(404, (await self.send(subject, '/no/')).status)
+
+    async def test_a_batch_is_read_at_any_gateway(self):
+        self.publish()
+        one, two = await self.start('one'), await self.start('two')
+        body = msgspec.msgpack.encode(fold_test.build_submission(items=3))
+        response = await self.send(one, '/p/', body)
+        self.assertEqual(202, response.status)
+        results = []
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while len(results) < 3:
+                page = await self.send(two, '/', batch='b', verb='read')
+                _, _, results = json.loads(page.body)
+        self.assertEqual(['0\n1\n2'] * 3, [entry[2] for entry in results])
+        again = await self.send(one, '/', batch='b', verb='read')
+        self.assertEqual(results, json.loads(again.body)[2])
+
+    async def test_metrics_are_served(self):
+        subject = await self.start('one')
+        page = await self.send(subject, '/metrics', where='metrics')
+        self.assertIn(b'auburnroad_requests_total', page.body)
+
+    async def test_a_planned_stop_answers_what_is_in_flight(self):
+        self.publish()
+        subject = await self.start('one')
+        await self.send(subject, '/q/x', id='q')
+        subject.stop()
+        ready = await self.send(subject, '/', where='ready')
+        self.assertEqual(503, ready.status)
+        response = await self.send(subject, '/q/x', id='q')
+        self.assertEqual(200, response.status)
+        self.assertEqual('close', response.headers['connection'])
+        async with asyncio.timeout(LIMIT_SECONDS):
+            await subject.wait_closed()
+
+
+class SuperviseTest(unittest.IsolatedAsyncioTestCase):
+    """Work that fails goes on."""
+
+    async def test_failed_work_begins_again(self):
+        runs = []
+
+        async def fail():
+            runs.append(1)
+            raise KeyError('x')
+
+        task = asyncio.create_task(gateway.supervise(fail))
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while len(runs) < 2:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
--- a/packages/gateway/auburnroad_gateway/telemetry/events.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/events.py
@@ -23,11 +23,15 @@
 
 
 class EventLog:
-    """Writes lines to a file descriptor that must not block."""
+    """Writes lines to a file descriptor that must not block.
+
+    Before open(), lines are only counted.
+    """
 
     __slots__ = (
         'dropped',
         '_descriptor',
+        '_opened',
         '_backlog',
         '_tokens',
         '_filled_at',
@@ -38,6 +42,7 @@
     def __init__(self, descriptor: int = STDOUT):
         self.dropped = 0
         self._descriptor = descriptor
+        self._opened = False
         self._backlog = collections.deque()
         self._tokens = BURST_LINES
         self._filled_at = time.monotonic()
@@ -51,6 +56,7 @@
           fields: Fields that each line has.
         """
         os.set_blocking(self._descriptor, False)
+        self._opened = True
         self._fields = fields
 
     def write(self, event: str, **fields) -> None:
@@ -61,6 +67,8 @@
           fields: What decided, and the outcome.
         """
         metrics.EVENTS.labels(event).inc()
+        if not self._opened:
+            return
         if not self._take_token():
             self._drop()
             return
