--- a/packages/core/auburnroad_core/clock.py
+++ b/packages/core/auburnroad_core/clock.py
@@ -28,3 +28,15 @@
       Seconds, zero when the deadline has passed.
     """
     return max(0.0, (deadline_ms - time_now_ms()) / MS_PER_SECOND)
+
+
+def time_boot_seconds() -> float:
+    """Read the clock that also counts while the host is suspended.
+
+    What others decide meanwhile has to be judged by it: the monotonic clock
+    stands still in a suspended host.
+
+    Returns:
+      Seconds since some point in the past.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -71,7 +71,7 @@
         """Find up to when all records of a batch are folded.
 
         Returns:
-          Monotonic seconds, minus infinity if that isn't known.
+          Seconds of the boot clock, minus infinity if that isn't known.
         """
         return self._tails[records.find_partition(batch_id)].complete_at
 
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -276,7 +276,10 @@
             self._adopt()
         queue = []
         for owned in self._owned.values():
-            owned.route = self._find_route(owned.state) or owned.route
+            route = self._find_route(owned.state)
+            if route is None:
+                continue
+            owned.route = route
             queue.extend(self._list_waiting(owned))
         queue.sort(key=lambda entry: entry[0])
         full = set()
@@ -444,11 +447,15 @@
         run.saved_texts = len(run.texts)
 
     def _give_up(self, owned: OwnedBatch, now_ms: int) -> None:
-        """Terminate what is too old to be wanted."""
-        if now_ms < owned.state.submitted_ms + owned.route.give_up_ms:
-            return
-        for run in list(owned.runs.values()):
-            self._terminate(owned, run, 'too old')
+        """Terminate what may not be run any more, or is too old."""
+        reason = ''
+        if self._find_route(owned.state) is None:
+            reason = 'route removed'
+        elif now_ms >= owned.state.submitted_ms + owned.route.give_up_ms:
+            reason = 'too old'
+        if reason:
+            for run in list(owned.runs.values()):
+                self._terminate(owned, run, reason)
 
     def _watch(self, owned: OwnedBatch, now: float) -> None:
         """Move runs that stall or crawl, and save long ones."""
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -254,6 +254,18 @@
         self.assertIs(batch.Outcome.TERMINATED, result.outcome)
         self.assertEqual(2, len(self.client.requests))
 
+    async def test_items_of_a_removed_route_are_terminated(self):
+        self.add('one', pause_seconds=60)
+        self.submit(build_submission(2))
+        await self.wait(lambda: self.subject.busy)
+        self.holder.current = configuration.Configuration(2, (), {})
+        results = await self.wait_results(2)
+        self.assertEqual(
+            [batch.Outcome.TERMINATED] * 2,
+            [entry.outcome for entry in results],
+        )
+        self.assertEqual(1, len(self.client.requests))
+
     async def test_an_end_stops_all_runs(self):
         self.add('one', pause_seconds=60)
         self.submit()
--- a/packages/gateway/auburnroad_gateway/batches/reading.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading.py
@@ -6,8 +6,8 @@
 """
 
 import asyncio
-import time
 
+from auburnroad_core import clock
 from auburnroad_core.http import messages
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.batches import fold
@@ -104,7 +104,7 @@
     async def _make_fresh(self, batch_id: str) -> bool:
         """Fold what others may have shown; tell whether that is done."""
         known = self._journal.find_complete_at(batch_id)
-        if time.monotonic() - known <= FRESH_SECONDS:
+        if clock.time_boot_seconds() - known <= FRESH_SECONDS:
             return True
         return await self._sync(batch_id)
 
--- a/packages/gateway/auburnroad_gateway/log/service.py
+++ b/packages/gateway/auburnroad_gateway/log/service.py
@@ -95,6 +95,9 @@
 class LogService(typing.Protocol):
     """Calls of the log service; each has an upper time limit of its own."""
 
+    def set_address(self, address: str) -> None:
+        """Use another 'IP number:port' from the next call on."""
+
     async def append(
         self,
         topic: str,
--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-import time
 
+from auburnroad_core import clock
 from auburnroad_gateway.log import service
 from auburnroad_gateway.telemetry import events
 
@@ -23,7 +23,8 @@
     Attributes:
       next_offset: Offset of the next record.
       failing: Whether the last read failed.
-      read_at: When the last good read was answered, in monotonic seconds.
+      read_at: When the last good read was answered, in seconds of
+        the boot clock.
       complete_at: Everything that was there at this time has been handed
         on, in the same; minus infinity before that is known.
     """
@@ -98,7 +99,7 @@
 
     async def _read(self, wait_ms: int) -> int:
         start = self.next_offset
-        asked_at = time.monotonic()
+        asked_at = clock.time_boot_seconds()
         try:
             part = await self._log.read(
                 self._topic, self._partition, start, wait_ms
@@ -128,7 +129,7 @@
         self.next_offset = max(self.next_offset, error.first_offset)
 
     def _note_success(self) -> None:
-        self.read_at = time.monotonic()
+        self.read_at = clock.time_boot_seconds()
         if self.failing:
             self.failing = False
             events.write(
@@ -141,7 +142,7 @@
     def _note_failure(self, error) -> None:
         if not self.failing:
             self.failing = True
-            self._failed_at = time.monotonic()
+            self._failed_at = clock.time_boot_seconds()
             events.write(
                 'log_read_failing',
                 topic=self._topic,
--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-import time
 import unittest
 
+from auburnroad_core import clock
 from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_standins import partition_log
@@ -51,7 +51,7 @@
 
     async def test_knows_up_to_when_it_is_complete(self):
         self.assertEqual(float('-inf'), self.subject.complete_at)
-        before = time.monotonic()
+        before = clock.time_boot_seconds()
         await self.subject.catch_up()
         self.assertGreaterEqual(self.subject.complete_at, before)
         complete_at = self.subject.complete_at
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 import uuid
 
 import msgspec
@@ -58,7 +57,8 @@
     Attributes:
       name: Its host's name.
       beat: Its newest heartbeat.
-      seen_at: When that was seen, in monotonic seconds.
+      seen_at: When that was seen, in seconds of the
+        boot clock.
       alive: Whether it is taken to live.
     """
 
@@ -78,7 +78,8 @@
       incarnation: Names this start of the process.
       leaving: Whether a planned stop has begun.
       confirmed_at: When the last heartbeat of ours was known to be in the
-        log, in monotonic seconds; zero before.
+        log, in seconds of the
+        boot clock; zero before.
     """
 
     __slots__ = (
@@ -134,7 +135,7 @@
 
     def list_peers(self) -> list[str]:
         """List addresses of other gateways, near and fresh ones first."""
-        now = time.monotonic()
+        now = clock.time_boot_seconds()
         own = self._settings.name
         peers = [
             member
@@ -192,7 +193,7 @@
         except msgspec.DecodeError:
             self._members.pop(record.key, None)
             return
-        now = time.monotonic()
+        now = clock.time_boot_seconds()
         before = self._members.get(record.key)
         if before is not None and before.beat == beat and before.alive:
             before.seen_at = now
@@ -212,7 +213,7 @@
         """Send heartbeats for as long as the process lives."""
         while True:
             self._beat_now.clear()
-            sent_at = time.monotonic()
+            sent_at = clock.time_boot_seconds()
             beat = Beat(
                 self.incarnation,
                 f'{self._settings.host}:{self._settings.peer_port}',
@@ -242,7 +243,7 @@
         """
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            self.check(time.monotonic(), tail.read_at)
+            self.check(clock.time_boot_seconds(), tail.read_at)
 
     def check(self, now: float, read_at: float) -> None:
         """Give members up that have been silent while the log was read.
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -139,6 +139,15 @@
         ):
             self._tasks.append(asyncio.create_task(supervise(work)))
 
+    def apply_settings(self, new: gateway_settings.Settings) -> None:
+        """Take changed settings; addresses to listen on need a restart."""
+        if new == self._settings:
+            return
+        events.write('settings_changed', log_address=new.log_address)
+        if new.log_address != self._settings.log_address:
+            self._log.direct.set_address(new.log_address)
+        self._settings = new
+
     def stop(self) -> None:
         """Begin a planned stop; calling it again changes nothing."""
         if not self._stopping:
--- a/packages/gateway/auburnroad_gateway/process/gateway_test.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway_test.py
@@ -15,6 +15,7 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings
 from auburnroad_gateway.process import gateway
+from auburnroad_gateway.process import run
 from auburnroad_standins import partition_log
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
@@ -168,6 +169,21 @@
         again = await self.send(one, '/', batch='b', verb='read')
         self.assertEqual(results, json.loads(again.body)[2])
 
+    async def test_changed_settings_move_the_log(self):
+        subject = await self.start('one')
+        changed = msgspec.structs.replace(
+            subject._settings, log_address='127.0.0.1:9'
+        )
+        asked = asyncio.Event()
+        asked.set()
+        task = asyncio.create_task(
+            run.follow_settings(subject, lambda: changed, asked)
+        )
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while 'address 127.0.0.1:9' not in self.log.calls:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
     async def test_metrics_are_served(self):
         subject = await self.start('one')
         page = await self.send(subject, '/metrics', where='metrics')
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -4,10 +4,9 @@
 never an id or a route of a configuration.
 """
 
-import time
-
 import prometheus_client
 
+from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
 
@@ -87,7 +86,7 @@
     """
 
     def find_age() -> float:
-        return time.monotonic() - tail.complete_at
+        return clock.time_boot_seconds() - tail.complete_at
 
     TAIL_AGE.labels(topic).set_function(find_age)
 
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -5,10 +5,9 @@
 so that of two takers one fails; the record's offset is the fencing number.
 """
 
-import time
-
 import msgspec
 
+from auburnroad_core import clock
 from auburnroad_gateway.log import service as log_service
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.telemetry import events
@@ -38,7 +37,8 @@
     Attributes:
       holder: Incarnation of the holder; empty if nobody holds it.
       fence: Its fencing number.
-      act_from: It must not act before, in monotonic seconds.
+      act_from: It must not act before, in seconds of the boot
+        clock.
       acted_at: When this gateway last acted, in the same.
     """
 
@@ -69,7 +69,9 @@
             holder = msgspec.msgpack.decode(record.value, type=Holder)
         except msgspec.DecodeError:
             return
-        act_from = self._find_start(record.key, holder, time.monotonic())
+        act_from = self._find_start(
+            record.key, holder, clock.time_boot_seconds()
+        )
         # Offsets begin at zero, fencing numbers at one.
         self._duties[record.key] = Duty(
             holder.incarnation, record.offset + 1, act_from
@@ -101,7 +103,7 @@
 
         Args:
           service: Service whose replicas are ordered.
-          now: Monotonic time in seconds.
+          now: Seconds of the boot clock.
 
         Returns:
           Whether it holds the duty, nobody before it can still order, and
@@ -123,7 +125,7 @@
           service: Service whose duty it is.
           tail: The tail that hands records to apply().
         """
-        now = time.monotonic()
+        now = clock.time_boot_seconds()
         if not tail.loaded or tail.failing:
             return
         if now < self._retry.get(service, 0.0) or self.find_holder(service):
@@ -137,7 +139,7 @@
     async def release(self, tail) -> None:
         """Give all duties back before a planned stop."""
         own = self._membership.incarnation
-        now = time.monotonic()
+        now = clock.time_boot_seconds()
         for service, duty in list(self._duties.items()):
             if duty.holder == own:
                 quiet_ms = int((now - duty.acted_at) * 1000)
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -1,11 +1,11 @@
 """Tests that one gateway at a time gives the orders."""
 
 import contextlib
-import time
 import unittest
 
 import msgspec
 
+from auburnroad_core import clock
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import membership_test
@@ -42,7 +42,7 @@
             await self.tail.catch_up()
 
     def may_act(self, seconds_later=0.0):
-        now = time.monotonic() + seconds_later
+        now = clock.time_boot_seconds() + seconds_later
         self.members.confirmed_at = now
         return self.subject.may_act('s', now)
 
@@ -88,7 +88,7 @@
 
     async def test_a_holder_whose_heartbeats_fail_gives_no_orders(self):
         await self.check()
-        now = time.monotonic()
+        now = clock.time_boot_seconds()
         self.members.confirmed_at = now - duty.CONFIRMED_SECONDS - 0.1
         self.assertFalse(self.subject.may_act('s', now))
         self.assertLess(duty.CONFIRMED_SECONDS, membership.DEAD_SECONDS)
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -15,6 +15,7 @@
 import asyncio
 import time
 
+from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.directory import replica
@@ -90,10 +91,13 @@
                     await self._duties.check(service.name, tail)
                     self._load_service(service, time.monotonic())
 
+    def _may_act(self, service_name: str) -> bool:
+        return self._duties.may_act(service_name, clock.time_boot_seconds())
+
     def _load_service(
         self, service: configuration.Service, now: float
     ) -> None:
-        if not self._duties.may_act(service.name, now):
+        if not self._may_act(service.name):
             return
         for model in service.models:
             version = self._configuration.named_versions.get(model)
@@ -166,7 +170,7 @@
         report = await self._read_report(target)
         if self._is_done(target, report, model, version):
             return
-        if report.busy or not self._duties.may_act(service, time.monotonic()):
+        if report.busy or not self._may_act(service):
             await asyncio.sleep(POLL_SECONDS)
             return
         order = call.VersionOrder(
@@ -178,7 +182,7 @@
             report.order_count,
         )
         target.loading_until = time.monotonic() + LOAD_SECONDS
-        self._duties.note_action(service, time.monotonic())
+        self._duties.note_action(service, clock.time_boot_seconds())
         status = await self._send(target, order)
         events.write(
             'order_sent',
--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -42,6 +42,10 @@
         self._producers: dict[tuple, tuple[int, int, int]] = {}
         self._changed = asyncio.Event()
 
+    def set_address(self, address: str) -> None:
+        """Note a changed address."""
+        self.calls.append(f'address {address}')
+
     def list_records(self, topic: str, partition: int = 0) -> list[bytes]:
         """List all records of a partition, deleted ones too."""
         return list(self._records[topic, partition])
