Judge life by what the log allows: slow is not dead

Ruled out: the detour of the cut host itself, which worked from 2 to 18 s.

Change: heartbeats are rarer while they take long and say when the next one comes; others wait three of them, and longer while their own are on their way; a holder acts exactly as long as nobody can take it for dead; companions wait twice the usual time of appends; detours try two peers, first those that reach the log themselves.

--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -14,6 +14,12 @@
 
 # How long the detour goes first before the direct way is tried again.
 DETOUR_SECONDS = 3.0
+# Beyond this multiple of the time that appends take lately.
+SLOW_RATIO = 2.0
+# Weight of the newest append in that time.
+TIME_WEIGHT = 0.3
+# Peers that one call tries; they may be turned away as well.
+PEERS_TRIED = 2
 # A way that is silent for so long is given a companion: 60 times the log
 # service's usual 4 ms, beyond what a read was asked to wait. Reads of many
 # records share the log service's bandwidth and take longer.
@@ -28,7 +34,14 @@
       direct: The log service as this host reaches it.
     """
 
-    __slots__ = ('direct', '_find_peers', '_open_peer', '_until', '_turn')
+    __slots__ = (
+        'direct',
+        '_find_peers',
+        '_open_peer',
+        '_until',
+        '_turn',
+        '_append_seconds',
+    )
 
     def __init__(self, direct, find_peers, open_peer):
         """Wire the ways.
@@ -43,6 +56,7 @@
         self._open_peer = open_peer
         self._until = 0.0
         self._turn = 0
+        self._append_seconds = 0.0
 
     async def append(
         self, topic, partition, records, producer=None, expected_end=None
@@ -82,12 +96,9 @@
 
     async def _call(self, repeatable, wait_ms, verb, *arguments):
         ways = self._list_ways()
-        patience = None
-        if repeatable:
-            patience = SILENCE_SECONDS
-            if verb != 'append':
-                patience = READ_SILENCE_SECONDS + wait_ms / 1000
+        patience = self._find_patience(verb, wait_ms) if repeatable else None
         running: dict[asyncio.Task, object] = {}
+        started: dict[asyncio.Task, float] = {}
         failure = None
         try:
             while ways or running:
@@ -97,6 +108,7 @@
                         getattr(way, verb)(*arguments)
                     )
                     running[task] = way
+                    started[task] = time.monotonic()
                 done, _ = await asyncio.wait(
                     running,
                     timeout=patience if ways else None,
@@ -108,6 +120,7 @@
                     way = running.pop(task)
                     error = task.exception()
                     if error is None:
+                        self._note_time(verb, started[task])
                         return task.result()
                     failure = self._note_error(way, error, failure)
                     if isinstance(failure, service.LogLostError):
@@ -118,6 +131,22 @@
                 task.cancel()
         raise failure
 
+    def _find_patience(self, verb: str, wait_ms: int) -> float:
+        """Find how long a way may be silent before it gets a companion.
+
+        When the log service is slow on every way, companions only make it
+        slower.
+        """
+        usual = SILENCE_SECONDS
+        if verb != 'append':
+            usual = READ_SILENCE_SECONDS
+        return max(usual, SLOW_RATIO * self._append_seconds) + wait_ms / 1000
+
+    def _note_time(self, verb: str, started: float) -> None:
+        if verb == 'append':
+            gained = time.monotonic() - started - self._append_seconds
+            self._append_seconds += TIME_WEIGHT * gained
+
     def _note_error(self, way, error, failure):
         """Note a failed try; return the error that tells most."""
         if not isinstance(
@@ -130,21 +159,28 @@
             return failure
         return error
 
+    @property
+    def on_detour(self) -> bool:
+        """Whether the direct way has failed a short while ago."""
+        return time.monotonic() < self._until
+
     def _list_ways(self) -> list:
+        """List the ways in the order in which they are tried."""
         peers = self._find_peers()
         if not peers:
             return [self.direct]
-        peer = self._open_peer(peers[self._turn % len(peers)])
-        if time.monotonic() < self._until:
-            return [peer, self.direct]
-        return [self.direct, peer]
+        first = self._turn % len(peers)
+        chosen = [*peers[first:], *peers[:first]][:PEERS_TRIED]
+        ways = [self._open_peer(address) for address in chosen]
+        if self.on_detour:
+            return [ways[0], self.direct, *ways[1:]]
+        return [self.direct, *ways]
 
     def _note(self, way, error: str) -> None:
         now = time.monotonic()
         if way is not self.direct:
             # Another peer helps next time.
             self._turn += 1
-            self._until = 0.0
         elif now >= self._until:
             self._until = now + DETOUR_SECONDS
             events.write('log_detour', error=error)
--- a/packages/gateway/auburnroad_gateway/log/detour_test.py
+++ b/packages/gateway/auburnroad_gateway/log/detour_test.py
@@ -55,6 +55,19 @@
         with self.assertRaises(service.LogRefusedError):
             await self.append(service.Producer('me', 1, 0))
 
+    async def test_a_peer_that_is_turned_away_too_is_passed_over(self):
+        second = partition_log.PartitionLog()
+        self.peers = ['peer', 'second']
+        ways = {'peer': self.peer, 'second': second}
+        subject = detour.DetourLog(
+            self.direct, lambda: self.peers, ways.__getitem__
+        )
+        self.direct.down = self.peer.down = True
+        producer = service.Producer('me', 1, 0)
+        await subject.append('t', 0, [b'a'], producer)
+        self.assertEqual([b'a'], second.list_records('t'))
+        self.assertTrue(subject.on_detour)
+
     async def test_without_peers_only_the_direct_way_is_left(self):
         self.peers = []
         self.direct.down = True
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -18,8 +18,19 @@
 
 TOPIC = service.KEYED_PREFIX + 'members'
 BEAT_SECONDS = 0.5
+# A heartbeat that failed is sent again sooner, by another way.
+RETRY_SECONDS = 0.2
 # Three heartbeats, less the time that one needs on a detour.
 DEAD_SECONDS = 1.6
+DEAD_BEATS = 3
+# Heartbeats are rarer while an append takes long: all members append to one
+# partition, one after the other.
+LATENCY_RATIO = 2.0
+BEAT_MOST_SECONDS = 1.5
+# Clocks of two hosts run a little apart within one heartbeat.
+MARGIN_SECONDS = 0.2
+# Share of our own heartbeat's time that is allowed for others' on top.
+DELAY_RATIO = 2.0
 # A longer pause between two looks says nothing of who lived meanwhile.
 GAP_SECONDS = 1.2
 CHECK_SECONDS = 0.2
@@ -42,6 +53,8 @@
       leaving: Whether it hands its work over before it stops.
       failure_domain: Failure domain of its host.
       started_ms: Unix milliseconds of its start.
+      on_detour: Whether it reaches the log service only through others.
+      pause_ms: Time until its next heartbeat is sent.
     """
 
     incarnation: str
@@ -49,6 +62,8 @@
     leaving: bool
     failure_domain: str = ''
     started_ms: int = 0
+    on_detour: bool = False
+    pause_ms: int = 500
 
 
 class Member:
@@ -70,6 +85,14 @@
         self.seen_at = seen_at
         self.alive = True
 
+    def is_same(self, beat: Beat) -> bool:
+        """Tell whether a heartbeat changes nothing that others decide by."""
+        return (
+            self.alive
+            and self.beat.incarnation == beat.incarnation
+            and self.beat.leaving == beat.leaving
+        )
+
 
 class Membership:
     """Sends this gateway's heartbeats and watches the others'.
@@ -77,21 +100,22 @@
     Attributes:
       incarnation: Names this start of the process.
       leaving: Whether a planned stop has begun.
-      confirmed_at: When the last heartbeat of ours was known to be in the
-        log, in seconds of the
-        boot clock; zero before.
+      confirmed_until: Nobody takes this gateway for dead before, in seconds
+        of the boot clock; zero before the first heartbeat.
     """
 
     __slots__ = (
         'incarnation',
         'leaving',
-        'confirmed_at',
+        'confirmed_until',
         '_settings',
         '_log',
         '_members',
         '_checked_at',
         '_seeing_from',
         '_started_ms',
+        '_latency',
+        '_sent_at',
         '_beat_now',
         '_listeners',
     )
@@ -99,12 +123,14 @@
     def __init__(self, settings: gateway_settings.Settings, log):
         self.incarnation = uuid.uuid4().hex
         self.leaving = False
-        self.confirmed_at = 0.0
+        self.confirmed_until = 0.0
         self._settings = settings
         self._log = log
         self._members: dict[str, Member] = {}
         self._checked_at = 0.0
         self._seeing_from = 0.0
+        self._latency = 0.0
+        self._sent_at: float | None = None
         self._started_ms = clock.time_now_ms()
         self._beat_now = asyncio.Event()
         self._listeners = []
@@ -134,7 +160,10 @@
         return incarnation in self.alive
 
     def list_peers(self) -> list[str]:
-        """List addresses of other gateways, near and fresh ones first."""
+        """List addresses of other gateways that may help with the log.
+
+        Those that reach it themselves go first, then near and fresh ones.
+        """
         now = clock.time_boot_seconds()
         own = self._settings.name
         peers = [
@@ -146,6 +175,7 @@
         domain = self._settings.failure_domain
         peers.sort(
             key=lambda member: (
+                member.beat.on_detour,
                 member.beat.failure_domain != domain,
                 -member.seen_at,
             )
@@ -195,7 +225,8 @@
             return
         now = clock.time_boot_seconds()
         before = self._members.get(record.key)
-        if before is not None and before.beat == beat and before.alive:
+        if before is not None and before.is_same(beat):
+            before.beat = beat
             before.seen_at = now
             return
         self._members[record.key] = Member(record.key, beat, now)
@@ -213,24 +244,36 @@
         """Send heartbeats for as long as the process lives."""
         while True:
             self._beat_now.clear()
-            sent_at = clock.time_boot_seconds()
+            sent_at = self._sent_at = clock.time_boot_seconds()
+            # A slow log service must not be kept busy by heartbeats alone.
+            pause = min(
+                BEAT_MOST_SECONDS,
+                max(BEAT_SECONDS, LATENCY_RATIO * self._latency),
+            )
             beat = Beat(
                 self.incarnation,
                 f'{self._settings.host}:{self._settings.peer_port}',
                 self.leaving,
                 self._settings.failure_domain,
                 self._started_ms,
+                self._log.on_detour,
+                int(pause * 1000),
             )
             record = service.encode_keyed(
                 self._settings.name, msgspec.msgpack.encode(beat)
             )
             try:
                 await self._log.append(TOPIC, 0, [record])
-                self.confirmed_at = sent_at
+                self.confirmed_until = (
+                    sent_at + find_patience(pause) - MARGIN_SECONDS
+                )
             except service.LogError as error:
+                pause = RETRY_SECONDS
                 events.write('heartbeat_not_sent', error=str(error))
+            self._latency = clock.time_boot_seconds() - sent_at
+            self._sent_at = None
             try:
-                async with asyncio.timeout(BEAT_SECONDS):
+                async with asyncio.timeout(pause):
                     await self._beat_now.wait()
             except TimeoutError:
                 pass
@@ -262,9 +305,15 @@
             return
         if not self._seeing_from:
             self._seeing_from = now
+        # What our own heartbeat takes, those of others may take as well.
+        delay = self._latency
+        if self._sent_at is not None:
+            delay = max(delay, now - self._sent_at)
         for member in self._members.values():
             silent = now - member.seen_at
-            if member.alive and silent > DEAD_SECONDS:
+            limit = find_patience(member.beat.pause_ms / 1000)
+            limit += DELAY_RATIO * delay
+            if member.alive and silent > limit:
                 member.alive = False
                 events.write(
                     'member_dead',
@@ -277,3 +326,15 @@
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
+
+
+def find_patience(pause_seconds: float) -> float:
+    """Find how long a member may be silent.
+
+    Args:
+      pause_seconds: The time between its heartbeats, as it tells.
+
+    Returns:
+      Seconds; others wait longer while the log is slow, never less.
+    """
+    return max(DEAD_SECONDS, DEAD_BEATS * pause_seconds)
--- a/packages/gateway/auburnroad_gateway/members/membership_test.py
+++ b/packages/gateway/auburnroad_gateway/members/membership_test.py
@@ -1,9 +1,11 @@
 """Tests who is taken to live, and who takes work over."""
 
+import asyncio
 import unittest
 
 import msgspec
 
+from auburnroad_core import clock
 from auburnroad_gateway.log import service
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.model import settings
@@ -17,6 +19,40 @@
     )
 
 
+class Log:
+    """A log that takes each heartbeat after a while."""
+
+    on_detour = False
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+
+    async def append(self, topic, partition, records):
+        await asyncio.sleep(self._seconds)
+
+
+class RunBeatsTest(unittest.IsolatedAsyncioTestCase):
+    """A gateway acts only while nobody can take it for dead."""
+
+    async def test_it_is_confirmed_for_less_than_others_wait(self):
+        for seconds in (0.0, 0.2):
+            subject = membership.Membership(build_settings(), Log(seconds))
+            before = clock.time_boot_seconds()
+            task = asyncio.create_task(subject.run_beats())
+            while not subject.confirmed_until:
+                await asyncio.sleep(0.01)
+            task.cancel()
+            left = subject.confirmed_until - before
+            self.assertLess(left, membership.DEAD_SECONDS)
+            self.assertGreater(left, membership.BEAT_SECONDS)
+
+    async def test_a_slow_log_gets_rarer_heartbeats(self):
+        fast = membership.find_patience(membership.BEAT_SECONDS)
+        slow = membership.find_patience(membership.BEAT_MOST_SECONDS)
+        self.assertEqual(membership.DEAD_SECONDS, fast)
+        self.assertEqual(3 * membership.BEAT_MOST_SECONDS, slow)
+
+
 class MembershipTest(unittest.TestCase):
     """One gateway that watches another one."""
 
@@ -61,6 +97,13 @@
         self.subject.check(self.now, self.now)
         self.assertTrue(self.subject.is_alive('o1'))
 
+    def test_a_slow_log_makes_nobody_look_dead(self):
+        """Our own heartbeat is on its way for long, so theirs may be too."""
+        self.see('other', 'o1')
+        self.subject._sent_at = self.now
+        self.pass_time(membership.DEAD_SECONDS + 2 * STEP_SECONDS)
+        self.assertTrue(self.subject.is_alive('o1'))
+
     def test_a_restarted_member_is_another_one(self):
         self.see('other', 'o1')
         self.see('other', 'o2')
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -13,9 +13,6 @@
 from auburnroad_gateway.telemetry import events
 
 TOPIC = log_service.KEYED_PREFIX + 'duties'
-# A holder whose heartbeats don't reach the log gives no orders: it is before
-# anybody takes it for dead.
-CONFIRMED_SECONDS = 1.4
 RETRY_SECONDS = 0.5
 
 
@@ -115,7 +112,7 @@
             and duty.holder == self._membership.incarnation
             and not self._membership.leaving
             and now >= duty.act_from
-            and now - self._membership.confirmed_at < CONFIRMED_SECONDS
+            and now < self._membership.confirmed_until
         )
 
     async def check(self, service: str, tail) -> None:
