Read the log in shorter pieces, and texts apart in large deployments

Ruled out: memory and processor (35 to 46 MB, 0.12 of a core at most).

Change: reads begin at 128 KB, double while they succeed and halve when they are lost; reads that catch up get no early companion; with more than 12 gateways texts of results lie in a topic of their own, are read when asked for and cached; batches carry their number of items, so that most gateways never unpack them.

--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -19,6 +19,7 @@
       id: Its id.
       owner: Incarnation that runs it.
       submitted_ms: Unix milliseconds of its submission.
+      items: Number of its items.
       ended: Whether nothing more of it is wanted.
       results: Results in the order of the log; the index is the position.
       finished: Indexes of the items that have a result.
@@ -30,6 +31,7 @@
         'id',
         'owner',
         'submitted_ms',
+        'items',
         'ended',
         'results',
         'finished',
@@ -38,7 +40,7 @@
         '_submission',
     )
 
-    def __init__(self, batch_id, owner, submitted_ms, data):
+    def __init__(self, batch_id, owner, submitted_ms, data, items):
         self.id = batch_id
         self.owner = owner
         self.submitted_ms = submitted_ms
@@ -46,6 +48,7 @@
         self.results: list[batch.ItemResult] = []
         self.finished: set[int] = set()
         self.progress: dict[int, list[records.Progress]] = {}
+        self.items = items
         self._data = data
         self._submission: batch.Submission | None = None
 
@@ -59,7 +62,7 @@
     @property
     def complete(self) -> bool:
         """Whether every item has a result."""
-        return len(self.finished) == len(self.submission.items)
+        return len(self.finished) == self.items
 
     @property
     def open(self) -> bool:
@@ -137,7 +140,11 @@
         del self._parts[key]
         data = b''.join(part.data for part in parts)
         created = Batch(
-            record.batch_id, record.owner, record.submitted_ms, data
+            record.batch_id,
+            record.owner,
+            record.submitted_ms,
+            data,
+            record.items,
         )
         self.batches[record.batch_id] = created
         return created
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -40,6 +40,8 @@
 LONG_EVENTS = 30
 # The text of a run that lasts longer is saved, and again after as long.
 SAVE_SECONDS = 0.8
+# The same where many gateways read every saved text.
+LARGE_SAVE_SECONDS = 3.0
 # Room that a run needs in memory until it is counted again and can move.
 GROWTH_EVENTS = 8
 # Batches stay readable a little longer than promised.
@@ -130,6 +132,12 @@
         """How many items wait for a slot."""
         return sum(len(owned.waiting) for owned in self._owned.values())
 
+    @property
+    def _save_seconds(self) -> float:
+        if self._journal.by_reference:
+            return LARGE_SAVE_SECONDS
+        return SAVE_SECONDS
+
     async def run(self) -> None:
         """Work for as long as the process lives."""
         while True:
@@ -426,7 +434,7 @@
 
     def _append_result(self, owned, result: batch.ItemResult) -> None:
         self._drop_run(owned, result.index)
-        self._journal.add(records.Results(owned.state.id, [result]))
+        self._journal.add_result(owned.state.id, result)
 
     def _save(self, owned: OwnedBatch, run: runs.ItemRun) -> None:
         """Save what a run has gained since it was last saved."""
@@ -468,7 +476,7 @@
             reason = self._find_reason_to_move(owned, run, now)
             if reason:
                 self._move(owned, run, reason)
-            elif run.texts and now - run.saved_at > SAVE_SECONDS:
+            elif run.texts and now - run.saved_at > self._save_seconds:
                 self._save(owned, run)
 
     def _is_stalled(self, run: runs.ItemRun, now: float) -> bool:
@@ -574,5 +582,5 @@
 
 def _move_result(result: batch.ItemResult, index: int):
     return batch.ItemResult(
-        index, result.outcome, result.text, result.versions
+        index, result.outcome, result.text, result.versions, result.place
     )
--- a/packages/gateway/auburnroad_gateway/batches/reading.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading.py
@@ -66,7 +66,11 @@
             # Another gateway may have shown what isn't folded here yet.
             if not await self._make_fresh(request.batch_id):
                 return refusals.refuse('log_away', RETRY_SECONDS)
-        return self._build_page(found, request.position)
+        try:
+            async with asyncio.timeout(SYNC_SECONDS):
+                return await self._build_page(found, request.position)
+        except (service.LogError, TimeoutError):
+            return refusals.refuse('log_away', RETRY_SECONDS)
 
     async def read_body(self, request: call.BatchCall) -> messages.Response:
         """Answer a read of an item's body."""
@@ -137,14 +141,14 @@
         if waiter is not None:
             waiter.set()
 
-    def _build_page(
+    async def _build_page(
         self, found: fold.Batch, position: int
     ) -> messages.Response:
         items = found.submission.items
         page = []
         size = 0
         for result in found.results[position:]:
-            text = records.unpack_text(result.text)
+            text = await self._journal.read_text(result)
             size += len(text)
             if page and size > PAGE_BYTES:
                 break
--- a/packages/gateway/auburnroad_gateway/batches/reading_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading_test.py
@@ -8,6 +8,7 @@
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import reading
 from auburnroad_gateway.batches import records
+from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import settings
 from auburnroad_standins import partition_log
@@ -72,6 +73,38 @@
         self.log.down = True
         self.assertEqual(200, (await self.read()).status)
 
+    async def test_texts_of_large_deployments_are_read_when_asked_for(self):
+        """Pattern: more gateways than can read everything."""
+        self.submit()
+        writer = journal.Journal(
+            self.log,
+            'other',
+            settings.LogLimits(),
+            lambda: journal.INLINE_MEMBERS + 1,
+        )
+        tasks = [asyncio.create_task(work()) for work in writer.list_work()]
+        for index in range(3):
+            writer.add_result('b', fold_test.build_result(index, f't{index}'))
+        async with asyncio.timeout(10):
+            while not writer.idle:
+                await asyncio.sleep(0.001)
+        page = json.loads((await self.read()).body)
+        self.assertEqual(['t0', 't1', 't2'], [row[2] for row in page[2]])
+        plain = self.log.list_records(records.TOPIC, PARTITION)
+        self.assertNotIn(records.pack_text('t1'), b''.join(plain))
+        self.log.down = True
+        self.assertEqual(200, (await self.read()).status)
+        for task in tasks:
+            task.cancel()
+
+    async def test_a_text_that_cannot_be_read_is_asked_for_again(self):
+        self.submit()
+        place = batch.Place(PARTITION, 0, 10)
+        result = batch.ItemResult(0, batch.Outcome.SUCCEEDED, b'', [1], place)
+        record = records.Results('b', [result])
+        self.log.write(records.TOPIC, PARTITION, [records.encode(record)])
+        self.assertEqual(503, (await self.read()).status)
+
     async def test_bodies_come_back_as_they_were(self):
         self.submit()
         response = await self.call(call.BatchVerb.READ_BODY, item_id='i2')
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -12,6 +12,9 @@
 from auburnroad_gateway.model import batch
 
 TOPIC = 'batches'
+# Texts of results in large deployments, where not every gateway can read
+# everything; partitions are numbered as those of TOPIC.
+TEXTS_TOPIC = 'texts'
 # Enough that appends of 3 ms carry the largest deployment's batches, few
 # enough that following all of them costs little.
 PARTITIONS = 4
@@ -32,6 +35,7 @@
       owner: Incarnation that runs the batch.
       submitted_ms: Unix milliseconds of the submission.
       data: Compressed msgpack of the batch.Submission, or a piece of it.
+      items: Number of its items.
     """
 
     batch_id: str
@@ -41,6 +45,7 @@
     owner: str
     submitted_ms: int
     data: bytes
+    items: int
 
 
 class Results(msgspec.Struct, frozen=True, array_like=True, tag='r'):
@@ -173,6 +178,7 @@
                 owner,
                 submitted_ms,
                 piece,
+                len(submission.items),
             )
         )
         for number, piece in enumerate(pieces)
--- a/packages/gateway/auburnroad_gateway/log/appender.py
+++ b/packages/gateway/auburnroad_gateway/log/appender.py
@@ -91,7 +91,7 @@
           records: At most as many bytes as one call takes.
 
         Returns:
-          A future that is done once they are in the log.
+          A future of the first one's offset, done once they are in the log.
         """
         done = asyncio.get_running_loop().create_future()
         self._queue.append(_Pending(records, done))
@@ -100,13 +100,16 @@
 
     async def append(
         self, records: list[bytes], timeout_seconds: float
-    ) -> None:
+    ) -> int:
         """Append records and wait until they are in the log.
 
         Args:
           records: At most as many bytes as one call takes.
           timeout_seconds: How long to wait.
 
+        Returns:
+          Offset of the first one.
+
         Raises:
           AppendTimeoutError: If that took too long; it tells whether the
             records may still get into the log.
@@ -136,7 +139,7 @@
         group = self._take_group()
         while group:
             try:
-                await self._send(group)
+                offset = await self._send(group)
             except service.LogError as error:
                 self._note_failure(error)
                 if isinstance(error, service.LogConflictError):
@@ -146,7 +149,7 @@
                 if not any(entry.sent for entry in group):
                     group = self._take_group()
                 continue
-            self._finish(group)
+            self._finish(group, offset)
             metrics.APPEND_SECONDS.observe(time.monotonic() - started)
             return
 
@@ -160,7 +163,7 @@
             size += entry.size
         return group
 
-    async def _send(self, group) -> None:
+    async def _send(self, group) -> int:
         records = [record for entry in group for record in entry.records]
         producer = service.Producer(
             self._producer, self._epoch, self._sequence
@@ -169,7 +172,7 @@
         for entry in group:
             entry.sent = True
         try:
-            await self._log.append(
+            return await self._log.append(
                 self._topic, self._partition, records, producer
             )
         except service.LogRefusedError:
@@ -187,7 +190,7 @@
         self._epoch += 1
         self._sequence = 0
 
-    def _finish(self, group) -> None:
+    def _finish(self, group, offset: int) -> None:
         self._sequence += 1
         if self.failing:
             self.failing = False
@@ -199,7 +202,8 @@
         for entry in group:
             self._queue.remove(entry)
             if not entry.done.done():
-                entry.done.set_result(None)
+                entry.done.set_result(offset)
+            offset += len(entry.records)
 
     def _note_failure(self, error) -> None:
         if not self.failing:
--- a/packages/gateway/auburnroad_gateway/log/appender_test.py
+++ b/packages/gateway/auburnroad_gateway/log/appender_test.py
@@ -41,6 +41,15 @@
             self.log.list_records('t'),
         )
 
+    async def test_each_writer_learns_its_offset(self):
+        self.log.write('t', 0, [b'before'])
+        async with self.running():
+            offsets = await asyncio.gather(
+                self.subject.append([b'a', b'b'], LONG_SECONDS),
+                self.subject.append([b'c'], LONG_SECONDS),
+            )
+        self.assertEqual([1, 3], offsets)
+
     async def test_a_call_holds_no_more_than_it_may(self):
         async with self.running():
             await asyncio.gather(
--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -25,6 +25,9 @@
 # records share the log service's bandwidth and take longer.
 SILENCE_SECONDS = 0.25
 READ_SILENCE_SECONDS = 0.5
+# Reads that don't wait catch up with many records, often at many gateways at
+# once: companions would take the bandwidth that is missing.
+CATCH_UP_SILENCE_SECONDS = 1.2
 
 
 class DetourLog:
@@ -80,10 +83,24 @@
             expected_end,
         )
 
-    async def read(self, topic, partition, from_offset, wait_ms):
+    async def read(
+        self,
+        topic,
+        partition,
+        from_offset,
+        wait_ms,
+        most_bytes=service.READ_BYTES,
+    ) -> service.Slice:
         """Read records; see service.LogService."""
         return await self._call(
-            True, wait_ms, 'read', topic, partition, from_offset, wait_ms
+            True,
+            wait_ms,
+            'read',
+            topic,
+            partition,
+            from_offset,
+            wait_ms,
+            most_bytes,
         )
 
     async def read_newest(self, topic) -> service.Snapshot:
@@ -139,7 +156,9 @@
         """
         usual = SILENCE_SECONDS
         if verb != 'append':
-            usual = READ_SILENCE_SECONDS
+            usual = (
+                READ_SILENCE_SECONDS if wait_ms else (CATCH_UP_SILENCE_SECONDS)
+            )
         return max(usual, SLOW_RATIO * self._append_seconds) + wait_ms / 1000
 
     def _note_time(self, verb: str, started: float) -> None:
--- a/packages/gateway/auburnroad_gateway/log/service.py
+++ b/packages/gateway/auburnroad_gateway/log/service.py
@@ -14,6 +14,8 @@
 # Topics with this prefix keep the newest record of each key for good; their
 # records are built by encode_keyed.
 KEYED_PREFIX = 'keyed.'
+# Most bytes of one read: a megabyte, as the log service gives at most.
+READ_BYTES = 1 << 20
 
 
 class LogError(errors.AuburnroadError):
@@ -119,10 +121,18 @@
         """
 
     async def read(
-        self, topic: str, partition: int, from_offset: int, wait_ms: int
+        self,
+        topic: str,
+        partition: int,
+        from_offset: int,
+        wait_ms: int,
+        most_bytes: int = READ_BYTES,
     ) -> Slice:
         """Read records, waiting for one if there is none.
 
+        At least one record is returned if there is one, and no further ones
+        beyond most_bytes.
+
         Raises:
           LogError: If the service can't be read.
           LogTrimmedError: If the records have been deleted.
--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -13,6 +13,10 @@
 # How long the log service holds a read that has nothing to return. Silent
 # connections are noticed only when a read is overdue, so it is short.
 WAIT_MS = 1000
+# A first read is short, since all gateways may have started at once and share
+# the log service's bandwidth; a read that is lost is repeated with less.
+FIRST_BYTES = 1 << 17
+LEAST_BYTES = 1 << 15
 RETRY_SECONDS = 0.15
 RETRY_MOST_SECONDS = 0.6
 
@@ -40,6 +44,7 @@
         '_apply',
         '_pace_seconds',
         '_caught_up',
+        '_most_bytes',
         '_failed_at',
     )
 
@@ -54,6 +59,7 @@
         self._apply = apply
         self._pace_seconds = pace_seconds
         self._caught_up = asyncio.Event()
+        self._most_bytes = FIRST_BYTES
         self._failed_at = 0.0
 
     @property
@@ -102,12 +108,17 @@
         asked_at = clock.time_boot_seconds()
         try:
             part = await self._log.read(
-                self._topic, self._partition, start, wait_ms
+                self._topic, self._partition, start, wait_ms, self._most_bytes
             )
+        except service.LogLostError:
+            # Perhaps too many gateways read too much at once.
+            self._most_bytes = max(LEAST_BYTES, self._most_bytes // 2)
+            raise
         except service.LogTrimmedError as error:
             await self._handle_trimmed(error)
             return self.next_offset + 1
         self._note_success()
+        self._most_bytes = min(service.READ_BYTES, self._most_bytes * 2)
         # Two reads may overlap; what one has handed on, the other skips.
         skip = self.next_offset - start
         for record in part.records[skip:]:
--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -49,6 +49,18 @@
         await self.subject.catch_up()
         self.assertEqual([(2, b'c')], self.seen)
 
+    async def test_a_crowd_of_readers_gets_on_with_shorter_reads(self):
+        """Pattern: all gateways start at once and read everything."""
+        self.log.write('t', 0, [bytes(1000)] * 200)
+        self.log.bytes_in_time = tail.LEAST_BYTES
+        for _ in range(100):
+            try:
+                await self.subject.catch_up()
+                break
+            except service.LogError:
+                continue
+        self.assertEqual(200, len(self.seen))
+
     async def test_knows_up_to_when_it_is_complete(self):
         self.assertEqual(float('-inf'), self.subject.complete_at)
         before = clock.time_boot_seconds()
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -113,6 +113,7 @@
         '_members',
         '_checked_at',
         '_seeing_from',
+        '_alive',
         '_started_ms',
         '_latency',
         '_sent_at',
@@ -129,6 +130,7 @@
         self._members: dict[str, Member] = {}
         self._checked_at = 0.0
         self._seeing_from = 0.0
+        self._alive: frozenset[str] | None = None
         self._latency = 0.0
         self._sent_at: float | None = None
         self._started_ms = clock.time_now_ms()
@@ -144,16 +146,19 @@
         )
 
     @property
-    def alive(self) -> list[str]:
+    def alive(self) -> frozenset[str]:
         """Incarnations that live and stay, this one among them."""
-        others = [
-            member.beat.incarnation
-            for member in self._members.values()
-            if member.alive and not member.beat.leaving
-        ]
-        if self.leaving or self.incarnation in others:
-            return others
-        return [*others, self.incarnation]
+        if self._alive is None:
+            found = {
+                member.beat.incarnation
+                for member in self._members.values()
+                if member.alive and not member.beat.leaving
+            }
+            found.add(self.incarnation)
+            if self.leaving:
+                found.remove(self.incarnation)
+            self._alive = frozenset(found)
+        return self._alive
 
     def is_alive(self, incarnation: str) -> bool:
         """Tell whether an incarnation lives and stays."""
@@ -214,6 +219,7 @@
     def leave(self) -> None:
         """Tell the others that this gateway is about to stop."""
         self.leaving = True
+        self._alive = None
         self._beat_now.set()
 
     def apply(self, record: service.KeyedRecord) -> None:
@@ -222,6 +228,7 @@
             beat = msgspec.msgpack.decode(record.value, type=Beat)
         except msgspec.DecodeError:
             self._members.pop(record.key, None)
+            self._alive = None
             return
         now = clock.time_boot_seconds()
         before = self._members.get(record.key)
@@ -324,6 +331,7 @@
                 self._notify()
 
     def _notify(self) -> None:
+        self._alive = None
         for listener in self._listeners:
             listener()
 
--- a/packages/gateway/auburnroad_gateway/members/relay.py
+++ b/packages/gateway/auburnroad_gateway/members/relay.py
@@ -47,7 +47,7 @@
     'append': tuple[
         str, int, list[bytes], service.Producer | None, int | None
     ],
-    'read': tuple[str, int, int, int],
+    'read': tuple[str, int, int, int, int],
     'read_newest': tuple[str],
     'trim': tuple[str, int, int],
 }
@@ -112,10 +112,23 @@
             'append', 0, topic, partition, records, producer, expected_end
         )
 
-    async def read(self, topic, partition, from_offset, wait_ms):
+    async def read(
+        self,
+        topic,
+        partition,
+        from_offset,
+        wait_ms,
+        most_bytes=service.READ_BYTES,
+    ) -> service.Slice:
         """Read records; see service.LogService."""
         return await self._call(
-            'read', wait_ms, topic, partition, from_offset, wait_ms
+            'read',
+            wait_ms,
+            topic,
+            partition,
+            from_offset,
+            wait_ms,
+            most_bytes,
         )
 
     async def read_newest(self, topic) -> service.Snapshot:
--- a/packages/gateway/auburnroad_gateway/model/batch.py
+++ b/packages/gateway/auburnroad_gateway/model/batch.py
@@ -60,6 +60,20 @@
     TERMINATED = 'terminated'
 
 
+class Place(msgspec.Struct, frozen=True, array_like=True):
+    """Where a text lies in the log.
+
+    Attributes:
+      partition: Partition of the topic of texts.
+      offset: Offset of its record.
+      size: Bytes of the record.
+    """
+
+    partition: int
+    offset: int
+    size: int
+
+
 class ItemResult(msgspec.Struct, frozen=True, array_like=True):
     """The final result of an item.
 
@@ -68,9 +82,11 @@
       outcome: How it ended.
       text: Data of all events, in order, as compressed by pack_text.
       versions: Weight versions that generated the events, ascending.
+      place: Where the text lies if it isn't here.
     """
 
     index: int
     outcome: Outcome
     text: bytes
     versions: list[int]
+    place: Place | None = None
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -234,7 +234,10 @@
         settings, adapter = self._settings, self._adapter
         incarnation = self._members.incarnation
         self._journal = journal.Journal(
-            self._log, incarnation, settings.log_limits
+            self._log,
+            incarnation,
+            settings.log_limits,
+            lambda: len(self._members.alive),
         )
         self._intake = intake.Intake(
             adapter, self._journal, self._choose_owner
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -22,6 +22,7 @@
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.weights import homes
 
 TICK_SECONDS = 0.1
 # Share of a model's replicas that load at once; more would slow each other.
@@ -55,6 +56,7 @@
         '_owner',
         '_tasks',
         '_named_at',
+        '_homes',
     )
 
     def __init__(
@@ -69,6 +71,7 @@
         self._owner = owner
         self._tasks: dict[replica.Replica, asyncio.Task] = {}
         self._named_at: dict[tuple[str, int], float] = {}
+        self._homes: dict[str, dict[str, str]] = {}
 
     async def run(self, tail) -> None:
         """Work for as long as the process lives.
@@ -99,23 +102,32 @@
     ) -> None:
         if not self._may_act(service.name):
             return
+        named = self._configuration.named_versions
+        self._homes[service.name] = homes.assign_homes(
+            self._directory.list_ready(service.name),
+            service.models,
+            named,
+            self._homes.get(service.name, {}),
+        )
         for model in service.models:
-            version = self._configuration.named_versions.get(model)
-            if version is not None:
-                self._load_model(service, model, version, now)
+            if model in named:
+                self._load_model(service, model, named[model], now)
 
     def _load_model(self, service, model, version: int, now: float) -> None:
         replicas = self._directory.list_ready(service.name)
         room = count_at_once(len(replicas)) - sum(
             target in self._tasks for target in replicas
         )
+        at_home = self._homes[service.name]
         named_at = self._named_at.setdefault((model, version), now)
         for target in sorted(
             replicas, key=lambda target: target.count_load(now)
         ):
             if room <= 0:
                 return
-            if target in self._tasks or not is_behind(target, model, version):
+            if target in self._tasks or at_home.get(target.id) != model:
+                continue
+            if not is_behind(target, model, version):
                 continue
             if not self._may_load(
                 target, replicas, model, version, now, named_at
--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -17,6 +17,8 @@
     Attributes:
       down: Whether every call is refused.
       silent: Whether no call is answered.
+      bytes_in_time: Reads of more bytes aren't answered in time; None for
+        no limit.
       lose_answers: How many further appends are carried out unanswered.
       calls: Names of the calls that came, in order.
     """
@@ -24,6 +26,7 @@
     __slots__ = (
         'down',
         'silent',
+        'bytes_in_time',
         'lose_answers',
         'calls',
         '_records',
@@ -35,6 +38,7 @@
     def __init__(self):
         self.down = False
         self.silent = False
+        self.bytes_in_time: int | None = None
         self.lose_answers = 0
         self.calls: list[str] = []
         self._records = collections.defaultdict(list)
@@ -88,10 +92,17 @@
         return offset
 
     async def read(
-        self, topic, partition, from_offset, wait_ms
+        self,
+        topic,
+        partition,
+        from_offset,
+        wait_ms,
+        most_bytes=service.READ_BYTES,
     ) -> service.Slice:
         """Read records; see service.LogService."""
         await self._check('read')
+        if self.bytes_in_time is not None and most_bytes > self.bytes_in_time:
+            raise service.LogLostError('timed out')
         stored = self._records[topic, partition]
         if from_offset < self._first[topic, partition]:
             raise service.LogTrimmedError(self._first[topic, partition])
@@ -102,7 +113,9 @@
             except TimeoutError:
                 pass
             await self._check('answer')
-        return service.Slice(len(stored), stored[from_offset:])
+        return service.Slice(
+            len(stored), _cut(stored[from_offset:], most_bytes)
+        )
 
     async def read_newest(self, topic) -> service.Snapshot:
         """Read the newest record of each key; see service.LogService."""
@@ -143,3 +156,14 @@
         if self.down:
             raise service.LogRefusedError('down')
         await asyncio.sleep(0)
+
+
+def _cut(records: list[bytes], most_bytes: int) -> list[bytes]:
+    """Keep the records that fit, one at least."""
+    kept = []
+    for record in records:
+        most_bytes -= len(record)
+        if kept and most_bytes < 0:
+            break
+        kept.append(record)
+    return kept
