Share replicas out among models by their work

Ruled out: placement (slots were free at replicas whose versions were old).

Change: each replica follows one model, by the expected tokens of the newest batch of each; a replica keeps its home up to one beyond the share.

--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -149,6 +149,29 @@
             self._wake.clear()
             self._start_runs()
 
+    def estimate_work(self, models: tuple[str, ...]) -> dict[str, float]:
+        """Estimate the work of models by the newest batch of each.
+
+        Args:
+          models: Models of one service.
+
+        Returns:
+          Expected tokens by model; the mean for a model without a batch.
+        """
+        if len(models) <= 1:
+            return dict.fromkeys(models, 1.0)
+        known: dict[str, float] = {}
+        for state in reversed(self._journal.fold.batches.values()):
+            submission = state.submission
+            if submission.model in models and submission.model not in known:
+                known[submission.model] = float(
+                    sum(item.length_hint or 1 for item in submission.items)
+                )
+            if len(known) == len(models):
+                break
+        mean = sum(known.values()) / len(known) if known else 1.0
+        return {model: known.get(model, mean) for model in models}
+
     def look(self) -> None:
         """Look for runs that are better off elsewhere, now."""
         self._count_memory()
--- a/packages/gateway/auburnroad_gateway/weights/homes.py
+++ b/packages/gateway/auburnroad_gateway/weights/homes.py
@@ -6,14 +6,16 @@
 the others serves as long as it is new enough.
 """
 
-import math
-
 from auburnroad_gateway.directory import replica
 
+# A model keeps so many replicas beyond its share, as work varies by step and
+# each move costs a load.
+KEEP_BEYOND = 1
+
 
 def assign_homes(
     replicas: list[replica.Replica],
-    models: tuple[str, ...],
+    work: dict[str, float],
     named: dict[str, int],
     known: dict[str, str],
 ) -> dict[str, str]:
@@ -21,48 +23,61 @@
 
     Args:
       replicas: Those that take new work.
-      models: Models of the service.
+      work: Expected work by model, in any unit; of every model one knows.
       named: Version by model that its trainer named last.
       known: Homes as they were, by replica id.
 
     Returns:
-      Model by replica id. Shares differ by one at most; replicas keep their
-      homes as far as that allows, and others go where they lag least.
+      Model by replica id, shared out by work. Replicas keep their homes as
+      far as that allows, and others go where they lag least.
     """
-    if not models:
+    if not work:
         return {}
-    counts = dict.fromkeys(models, 0)
-    most = math.ceil(len(replicas) / len(models))
+    room = share_out(len(replicas), work)
     homes = {}
     strangers = []
     for target in sorted(replicas, key=lambda entry: entry.id):
-        home = known.get(target.id)
-        if home in counts and counts[home] < most:
+        home = known.get(target.id, '')
+        if home in room and room[home] > -KEEP_BEYOND:
             homes[target.id] = home
-            counts[home] += 1
+            room[home] -= 1
         else:
             strangers.append(target)
     for target in strangers:
         home = min(
-            models,
+            room,
             key=lambda model: (
-                counts[model] >= most,
+                room[model] <= 0,
                 named.get(model, 0) - target.versions.get(model, 0),
-                counts[model],
+                -room[model],
             ),
         )
         homes[target.id] = home
-        counts[home] += 1
-    return _level(homes, counts)
+        room[home] -= 1
+    return homes
 
 
-def _level(homes: dict[str, str], counts: dict[str, int]) -> dict[str, str]:
-    """Move replicas from the largest share until shares are equal."""
-    while max(counts.values()) - min(counts.values()) > 1:
-        largest = max(counts, key=counts.__getitem__)
-        smallest = min(counts, key=counts.__getitem__)
-        moved = max(key for key, home in homes.items() if home == largest)
-        homes[moved] = smallest
-        counts[largest] -= 1
-        counts[smallest] += 1
-    return homes
+def share_out(count: int, work: dict[str, float]) -> dict[str, int]:
+    """Divide a number by weights.
+
+    Args:
+      count: What is divided.
+      work: Weight by name.
+
+    Returns:
+      Shares by name whose sum is the number. Each is one at least, if the
+      number allows, and a small difference of the weights makes none.
+    """
+    total = sum(work.values()) or 1.0
+    shares = dict.fromkeys(work, 0)
+    exact = {name: count * weight / total for name, weight in work.items()}
+    for _ in range(count):
+        neediest = max(
+            shares,
+            key=lambda name: (shares[name] == 0, exact[name] - shares[name]),
+            default=None,
+        )
+        if neediest is None:
+            break
+        shares[neediest] += 1
+    return shares
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -105,7 +105,7 @@
         named = self._configuration.named_versions
         self._homes[service.name] = homes.assign_homes(
             self._directory.list_ready(service.name),
-            service.models,
+            self._owner.estimate_work(service.models),
             named,
             self._homes.get(service.name, {}),
         )
--- a/packages/gateway/auburnroad_gateway/weights/rollout_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout_test.py
@@ -82,6 +82,9 @@
     def look(self):
         pass
 
+    def estimate_work(self, models):
+        return dict.fromkeys(models, 1.0)
+
 
 class WeightRolloutTest(unittest.IsolatedAsyncioTestCase):
     """Five replicas of two slots."""
