--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -0,0 +1,118 @@
+"""A batch that this gateway runs, as data: its runs and their results."""
+
+import asyncio
+
+from auburnroad_gateway.batches import fold
+from auburnroad_gateway.batches import records
+from auburnroad_gateway.batches import run as runs
+from auburnroad_gateway.model import batch
+
+# Room that a run needs in memory until it is counted again and can move.
+GROWTH_EVENTS = 8
+
+
+class OwnedBatch:
+    """A batch that this gateway runs.
+
+    Attributes:
+      state: What the log tells of it.
+      route: Its route, when last looked up.
+      waiting: Runs that wait for a slot, by item index.
+      running: Task by item index.
+      runs: All runs without a result, by item index.
+    """
+
+    __slots__ = ('state', 'route', 'waiting', 'running', 'runs', 'carried')
+
+    def __init__(self, state: fold.Batch, route, carried: set[str]):
+        self.state = state
+        self.route = route
+        self.carried = carried
+        self.running: dict[int, asyncio.Task] = {}
+        self.runs: dict[int, runs.ItemRun] = {}
+        for index, item in enumerate(state.submission.items):
+            if index not in state.finished:
+                self.runs[index] = build_run(state, item, index)
+        self.waiting = dict(self.runs)
+
+    def stop(self) -> None:
+        """Cancel all runs."""
+        for task in self.running.values():
+            task.cancel()
+        self.running.clear()
+        self.waiting.clear()
+
+
+def count_tokens(run: runs.ItemRun, tokens_per_event: int) -> int:
+    """Count the tokens that a run is expected to hold in memory.
+
+    Args:
+      run: The run.
+      tokens_per_event: Tokens that one of its events stands for.
+
+    Returns:
+      Its prompt, and the larger of what was predicted and what there is with
+      some room to grow.
+    """
+    events = (run.last_event or 0) + GROWTH_EVENTS
+    generated = events * tokens_per_event
+    return run.item.prompt_tokens + max(run.item.length_hint, generated)
+
+
+def build_run(state: fold.Batch, item, index: int) -> runs.ItemRun:
+    """Build a run that goes on with what the log has of its text."""
+    run = runs.ItemRun(item, index)
+    saved = state.progress.get(index)
+    if not saved:
+        return run
+    run.failures = saved[-1].failures
+    if saved[-1].last_event >= 0:
+        # One text stands for several events; they join the same way.
+        run.texts = [
+            records.unpack_text(part.text)
+            for part in saved
+            if part.last_event != part.after
+        ]
+        run.last_event = run.saved_event = saved[-1].last_event
+        run.saved_texts = len(run.texts)
+        run.versions = set(saved[-1].versions)
+    return run
+
+
+def build_result(run: runs.ItemRun, outcome) -> batch.ItemResult:
+    """Build the result of a run that has ended."""
+    return batch.ItemResult(
+        run.index,
+        outcome,
+        records.pack_text(run.text),
+        sorted(run.versions),
+    )
+
+
+def fits_earlier(run, item, result, terms, single_version) -> bool:
+    """Tell whether an earlier result may stand for a run.
+
+    Args:
+      run: The run.
+      item: The item that the result is of.
+      result: A result of another batch.
+      terms: The run's batch.
+      single_version: Whether a text may have only one weight version.
+
+    Returns:
+      Whether it is the same item and its versions are new enough.
+    """
+    if result.outcome is not batch.Outcome.SUCCEEDED:
+        return False
+    if (item.path, item.body) != (run.item.path, run.item.body):
+        return False
+    if single_version and len(result.versions) != 1:
+        return False
+    return all(version >= terms.minimum_version for version in result.versions)
+
+
+def move_result(result: batch.ItemResult, index: int) -> batch.ItemResult:
+    """Build a result that stands for an item of another batch."""
+    return batch.ItemResult(
+        index, result.outcome, result.text, result.versions, result.place
+    )
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -10,7 +10,9 @@
 from auburnroad_core import clock
 from auburnroad_gateway.batches import fold
 from auburnroad_gateway.batches import journal
+from auburnroad_gateway.batches import moves
 from auburnroad_gateway.batches import ordering
+from auburnroad_gateway.batches import owned as owned_batches
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.directory import placement
@@ -22,64 +24,14 @@
 
 # How often stalled runs, expired items and orphaned batches are looked for.
 TICK_SECONDS = 0.1
-# Events come every 40 to 120 ms; a run that is silent for so long, at a
-# replica that isn't loading, goes on elsewhere.
-STALL_SECONDS = 0.6
-# Until its first event a run may wait in the replica's queue.
-FIRST_EVENT_SECONDS = 1.2
-# A run that moves for speed stays so long where it is, so that runs don't
-# chase each other.
-SETTLE_SECONDS = 0.4
-# A run moves to a replica that is faster by this factor: any run away from a
-# slow replica, a long one already to a somewhat faster one. Below it,
-# measuring errors and the moves themselves outweigh the gain.
-SLOW_RATIO = 1.6
-FAST_RATIO = 1.15
-# Runs that have made so many events are mostly long ones, for which a small
-# gain of pace pays for the move.
-LONG_EVENTS = 30
 # The text of a run that lasts longer is saved, and again after as long.
 SAVE_SECONDS = 0.8
 # The same where many gateways read every saved text.
 LARGE_SAVE_SECONDS = 3.0
-# Room that a run needs in memory until it is counted again and can move.
-GROWTH_EVENTS = 8
 # Batches stay readable a little longer than promised.
 FORGET_SLACK_MS = 10_000
 
 
-class OwnedBatch:
-    """A batch that this gateway runs.
-
-    Attributes:
-      state: What the log tells of it.
-      route: Its route, when last looked up.
-      waiting: Runs that wait for a slot, by item index.
-      running: Task by item index.
-      runs: All runs without a result, by item index.
-    """
-
-    __slots__ = ('state', 'route', 'waiting', 'running', 'runs', 'carried')
-
-    def __init__(self, state: fold.Batch, route, carried: set[str]):
-        self.state = state
-        self.route = route
-        self.carried = carried
-        self.running: dict[int, asyncio.Task] = {}
-        self.runs: dict[int, runs.ItemRun] = {}
-        for index, item in enumerate(state.submission.items):
-            if index not in state.finished:
-                self.runs[index] = _build_run(state, item, index)
-        self.waiting = dict(self.runs)
-
-    def stop(self) -> None:
-        """Cancel all runs."""
-        for task in self.running.values():
-            task.cancel()
-        self.running.clear()
-        self.waiting.clear()
-
-
 class Owner:
     """Starts, watches and finishes the runs of owned batches."""
 
@@ -114,7 +66,7 @@
         self._membership = membership
         self._configuration = holder
         self._directory = replicas
-        self._owned: dict[str, OwnedBatch] = {}
+        self._owned: dict[str, owned_batches.OwnedBatch] = {}
         self._claimed: dict[str, str] = {}
         self._wake = asyncio.Event()
         self.stopping = False
@@ -202,7 +154,7 @@
         for index in changed.finished & owned.runs.keys():
             self._drop_run(owned, index)
 
-    def _drop_run(self, owned: OwnedBatch, index: int) -> None:
+    def _drop_run(self, owned: owned_batches.OwnedBatch, index: int) -> None:
         owned.runs.pop(index, None)
         owned.waiting.pop(index, None)
         task = owned.running.pop(index, None)
@@ -240,7 +192,7 @@
     def _begin(self, state: fold.Batch) -> None:
         route = self._find_route(state)
         if route is not None:
-            self._owned[state.id] = OwnedBatch(
+            self._owned[state.id] = owned_batches.OwnedBatch(
                 state, route, self._find_carried(state)
             )
             self._reuse(self._owned[state.id])
@@ -274,7 +226,7 @@
             if item.group in groups
         }
 
-    def _reuse(self, owned: OwnedBatch) -> None:
+    def _reuse(self, owned: owned_batches.OwnedBatch) -> None:
         """Take results over that an earlier batch has of the same items."""
         terms = owned.state.submission
         wanted = {
@@ -288,9 +240,13 @@
             for result in other.results:
                 item = other.submission.items[result.index]
                 run = wanted.get(item.id)
-                if run is not None and _fits(run, item, result, terms, owned):
+                if run is not None and owned_batches.fits_earlier(
+                    run, item, result, terms, owned.route.single_version
+                ):
                     del wanted[item.id]
-                    self._append_result(owned, _move_result(result, run.index))
+                    self._append_result(
+                        owned, owned_batches.move_result(result, run.index)
+                    )
 
     def _find_route(self, state: fold.Batch):
         current = self._configuration.current
@@ -338,7 +294,7 @@
         return placement.Need(
             submission.model,
             submission.minimum_version,
-            count_tokens(run, service.tokens_per_event),
+            owned_batches.count_tokens(run, service.tokens_per_event),
             service.memory_tokens,
         )
 
@@ -354,11 +310,11 @@
             per_event = self._find_service(owned).tokens_per_event
             for index in owned.running:
                 run = owned.runs[index]
-                tokens = count_tokens(run, per_event)
+                tokens = owned_batches.count_tokens(run, per_event)
                 held[run.replica] = held.get(run.replica, 0) + tokens
                 run.replica.tokens = held[run.replica]
 
-    def _list_waiting(self, owned: OwnedBatch):
+    def _list_waiting(self, owned: owned_batches.OwnedBatch):
         due_ms = owned.state.submitted_ms + owned.route.due_ms
         left: dict[str, int] = {}
         for run in owned.runs.values():
@@ -373,19 +329,23 @@
             )
             yield ordering.build_sort_key(entry), owned, run
 
-    def _start(self, owned: OwnedBatch, run: runs.ItemRun, target) -> None:
+    def _start(
+        self, owned: owned_batches.OwnedBatch, run: runs.ItemRun, target
+    ) -> None:
         del owned.waiting[run.index]
         run.replica = target
         run.progress_at = time.monotonic()
         run.started_at = run.saved_at = run.progress_at
         target.in_flight += 1
         per_event = self._find_service(owned).tokens_per_event
-        target.tokens += count_tokens(run, per_event)
+        target.tokens += owned_batches.count_tokens(run, per_event)
         owned.running[run.index] = asyncio.ensure_future(
             self._attempt(owned, run)
         )
 
-    async def _attempt(self, owned: OwnedBatch, run: runs.ItemRun) -> None:
+    async def _attempt(
+        self, owned: owned_batches.OwnedBatch, run: runs.ItemRun
+    ) -> None:
         submission = owned.state.submission
         terms = runs.Terms(
             submission.host,
@@ -420,7 +380,7 @@
                 took_ms=int((time.monotonic() - run.started_at) * 1000),
             )
             self._append_result(
-                owned, _build_result(run, batch.Outcome.SUCCEEDED)
+                owned, owned_batches.build_result(run, batch.Outcome.SUCCEEDED)
             )
             return
         if end is runs.RunEnd.FAILED:
@@ -452,14 +412,16 @@
             failures=run.failures,
         )
         self._append_result(
-            owned, _build_result(run, batch.Outcome.TERMINATED)
+            owned, owned_batches.build_result(run, batch.Outcome.TERMINATED)
         )
 
     def _append_result(self, owned, result: batch.ItemResult) -> None:
         self._drop_run(owned, result.index)
         self._journal.add_result(owned.state.id, result)
 
-    def _save(self, owned: OwnedBatch, run: runs.ItemRun) -> None:
+    def _save(
+        self, owned: owned_batches.OwnedBatch, run: runs.ItemRun
+    ) -> None:
         """Save what a run has gained since it was last saved."""
         run.saved_at = time.monotonic()
         last = -1 if run.last_event is None else run.last_event
@@ -477,7 +439,7 @@
         run.saved_event = last
         run.saved_texts = len(run.texts)
 
-    def _give_up(self, owned: OwnedBatch, now_ms: int) -> None:
+    def _give_up(self, owned: owned_batches.OwnedBatch, now_ms: int) -> None:
         """Terminate what may not be run any more, or is too old."""
         reason = ''
         if self._find_route(owned.state) is None:
@@ -488,50 +450,27 @@
             for run in list(owned.runs.values()):
                 self._terminate(owned, run, reason)
 
-    def _watch(self, owned: OwnedBatch, now: float) -> None:
+    def _watch(self, owned: owned_batches.OwnedBatch, now: float) -> None:
         """Move runs that stall or crawl, and save long ones."""
         for index in list(owned.running):
             run = owned.runs[index]
-            if self._is_stalled(run, now):
+            if moves.is_stalled(run, now):
                 run.replica.note_failure(now)
                 self._move(owned, run, 'stalled')
                 continue
-            reason = self._find_reason_to_move(owned, run, now)
+            reason = moves.find_reason(
+                run,
+                self._build_need(owned, run),
+                self._directory,
+                self._settings.failure_domain,
+                bool(self.waiting),
+                now,
+            )
             if reason:
                 self._move(owned, run, reason)
             elif run.texts and now - run.saved_at > self._save_seconds:
                 self._save(owned, run)
 
-    def _is_stalled(self, run: runs.ItemRun, now: float) -> bool:
-        if run.replica.is_loading(now):
-            run.progress_at = max(run.progress_at, now - STALL_SECONDS / 2)
-            return False
-        limit = STALL_SECONDS if run.texts else FIRST_EVENT_SECONDS
-        return now - run.progress_at > limit
-
-    def _find_reason_to_move(self, owned, run, now: float) -> str:
-        """Find why a run is better off elsewhere; empty if it isn't."""
-        current = run.replica
-        vacate = current.vacating or not self._directory.is_ready(current)
-        if not vacate and now - run.started_at < SETTLE_SECONDS:
-            return ''
-        ready = self._directory.list_ready(current.registration.service)
-        better = placement.choose_for_item(
-            ready,
-            self._settings.failure_domain,
-            self._build_need(owned, run),
-            now,
-        )
-        if better is None or better is current:
-            return ''
-        if vacate:
-            return 'vacating'
-        if not run.texts or self.waiting:
-            return ''
-        ratio = SLOW_RATIO if len(run.texts) < LONG_EVENTS else FAST_RATIO
-        faster = placement.is_faster(better, current, ready, ratio, now)
-        return 'slow' if faster else ''
-
     def _move(self, owned, run: runs.ItemRun, reason: str) -> None:
         events.write(
             'item_moved',
@@ -545,65 +484,3 @@
         owned.running.pop(run.index).cancel()
         owned.waiting[run.index] = run
         self._start_runs()
-
-
-def count_tokens(run: runs.ItemRun, tokens_per_event: int) -> int:
-    """Count the tokens that a run is expected to hold in memory.
-
-    Args:
-      run: The run.
-      tokens_per_event: Tokens that one of its events stands for.
-
-    Returns:
-      Its prompt, and the larger of what was predicted and what there is with
-      some room to grow.
-    """
-    events = (run.last_event or 0) + GROWTH_EVENTS
-    generated = events * tokens_per_event
-    return run.item.prompt_tokens + max(run.item.length_hint, generated)
-
-
-def _build_run(state: fold.Batch, item, index: int) -> runs.ItemRun:
-    """Build a run that goes on with what the log has of its text."""
-    run = runs.ItemRun(item, index)
-    saved = state.progress.get(index)
-    if not saved:
-        return run
-    run.failures = saved[-1].failures
-    if saved[-1].last_event >= 0:
-        # One text stands for several events; they join the same way.
-        run.texts = [
-            records.unpack_text(part.text)
-            for part in saved
-            if part.last_event != part.after
-        ]
-        run.last_event = run.saved_event = saved[-1].last_event
-        run.saved_texts = len(run.texts)
-        run.versions = set(saved[-1].versions)
-    return run
-
-
-def _build_result(run: runs.ItemRun, outcome) -> batch.ItemResult:
-    return batch.ItemResult(
-        run.index,
-        outcome,
-        records.pack_text(run.text),
-        sorted(run.versions),
-    )
-
-
-def _fits(run, item, result, terms, owned) -> bool:
-    """Tell whether an earlier result may stand for a run."""
-    if result.outcome is not batch.Outcome.SUCCEEDED:
-        return False
-    if (item.path, item.body) != (run.item.path, run.item.body):
-        return False
-    if owned.route.single_version and len(result.versions) != 1:
-        return False
-    return all(version >= terms.minimum_version for version in result.versions)
-
-
-def _move_result(result: batch.ItemResult, index: int):
-    return batch.ItemResult(
-        index, result.outcome, result.text, result.versions, result.place
-    )
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -12,6 +12,7 @@
 
 from auburnroad_core.http import client
 from auburnroad_gateway.batches import journal
+from auburnroad_gateway.batches import moves
 from auburnroad_gateway.batches import owner
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.configuration import holder
@@ -91,13 +92,13 @@
     """One gateway that owns a batch, and two replicas of one slot each."""
 
     async def asyncSetUp(self):
-        for name, value in (
-            ('TICK_SECONDS', TICK_SECONDS),
-            ('STALL_SECONDS', STALL_SECONDS),
-            ('FIRST_EVENT_SECONDS', STALL_SECONDS),
-            ('SETTLE_SECONDS', TICK_SECONDS),
+        for module, name, value in (
+            (owner, 'TICK_SECONDS', TICK_SECONDS),
+            (moves, 'STALL_SECONDS', STALL_SECONDS),
+            (moves, 'FIRST_EVENT_SECONDS', STALL_SECONDS),
+            (moves, 'SETTLE_SECONDS', TICK_SECONDS),
         ):
-            self.enterContext(mock.patch.object(owner, name, value))
+            self.enterContext(mock.patch.object(module, name, value))
         self.log = partition_log.PartitionLog()
         self.client = scripted_replicas.ScriptedClient()
         self.adapter = plain_adapter.PlainAdapter()
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -3,8 +3,6 @@
 import asyncio
 import functools
 import time
-import traceback
-import typing
 
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
@@ -26,6 +24,7 @@
 from auburnroad_gateway.members import relay
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
+from auburnroad_gateway.process import supervision
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 from auburnroad_gateway.weights import duty
@@ -50,12 +49,6 @@
 LOAD_SECONDS = 0.4
 LOAD_CHECK_SECONDS = 0.01
 METRICS_PATH = '/metrics'
-# Pause before work that has failed begins again.
-RESTART_SECONDS = 0.2
-# Innermost frames of a failure that are logged.
-TRACE_DEPTH = 4
-
-Work = typing.Callable[[], typing.Awaitable[None]]
 
 
 class Gateway:
@@ -137,7 +130,9 @@
             functools.partial(self._rollout.run, self._duty_tail),
             self._expire,
         ):
-            self._tasks.append(asyncio.create_task(supervise(work)))
+            self._tasks.append(
+                asyncio.create_task(supervision.supervise(work))
+            )
 
     def apply_settings(self, new: gateway_settings.Settings) -> None:
         """Take changed settings; addresses to listen on need a restart."""
@@ -402,25 +397,3 @@
 
 async def _answer(response: messages.Response) -> messages.Response:
     return response
-
-
-async def supervise(work: Work) -> None:
-    """Run work that must go on for as long as the process lives.
-
-    A fault of ours in one decision must not end all later ones: it is
-    reported, and the work begins again.
-
-    Args:
-      work: Builds the coroutine.
-    """
-    while True:
-        try:
-            await work()
-        except Exception as error:
-            events.write(
-                'work_failed',
-                work=repr(work),
-                error=repr(error),
-                trace=traceback.format_exc(limit=-TRACE_DEPTH),
-            )
-        await asyncio.sleep(RESTART_SECONDS)
--- a/packages/gateway/auburnroad_gateway/process/gateway_test.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway_test.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.model import settings
 from auburnroad_gateway.process import gateway
 from auburnroad_gateway.process import run
+from auburnroad_gateway.process import supervision
 from auburnroad_standins import partition_log
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
@@ -213,7 +214,7 @@
             runs.append(1)
             raise KeyError('x')
 
-        task = asyncio.create_task(gateway.supervise(fail))
+        task = asyncio.create_task(supervision.supervise(fail))
         async with asyncio.timeout(LIMIT_SECONDS):
             while len(runs) < 2:
                 await asyncio.sleep(0.01)
