Refuse during a stop what would outlast the process

Ruled out: the replica; the ready answer (the gateway was not ready, but some callers reach it all the same).

The test failed before and passes now.

--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -42,7 +42,12 @@
 # missed the gateway twice.
 UNREADY_SECONDS = 2.6
 # What is left of the time to stop, for the way out.
-STOP_MARGIN_SECONDS = 1.0
+STOP_MARGIN_SECONDS = 0.5
+# Before that, requests in flight are answered while no new ones come in.
+LAST_ANSWERS_SECONDS = 0.5
+# A call on a batch is answered within this time: a batch that waits for the
+# log takes longest.
+BATCH_CALL_SECONDS = intake.APPEND_SECONDS + 0.5
 STOP_CHECK_SECONDS = 0.05
 # How long a request waits for what a process that has just started reads
 # first; that takes some 50 ms.
@@ -64,6 +69,7 @@
         self._tasks: list[asyncio.Task] = []
         self._addresses: dict[str, str] = {}
         self._stopping = False
+        self._last_answer_at = float('inf')
         self._closed = asyncio.Event()
         self._client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
         self._peer_client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
@@ -314,6 +320,13 @@
                 return
             await asyncio.sleep(LOAD_CHECK_SECONDS)
 
+    def _is_too_late(self, limit_seconds: float) -> bool:
+        """Tell whether this process may be gone before it has answered."""
+        return time.monotonic() + limit_seconds > self._last_answer_at
+
+    def _refuse_leaving(self) -> messages.Response:
+        return refusals.refuse('leaving', refusals.RETRY_SOON_SECONDS)
+
     def _dispatch(self, request):
         """Find what a request asks for.
 
@@ -329,12 +342,19 @@
                 )
             )
         batch_call = self._adapter.decode_batch_call(request)
+        if batch_call is not None and self._is_too_late(BATCH_CALL_SECONDS):
+            return 'leaving', _answer(self._refuse_leaving())
         if batch_call is not None:
             return batch_call.verb.value, self._reader.handle(batch_call)
         host = request.headers.get('host', '')
         route = configuration.match_route(current, host, request.path)
         if route is None:
             return 'none', _answer(refusals.build_error(404, 'no_route'))
+        limit_seconds = route.timeout_ms / 1000
+        if route.kind is configuration.RouteKind.BATCH:
+            limit_seconds = BATCH_CALL_SECONDS
+        if self._is_too_late(limit_seconds):
+            return 'leaving', _answer(self._refuse_leaving())
         if route.kind is configuration.RouteKind.BATCH:
             return 'submit', self._intake.submit(route, request)
         pending = requests.Call(
@@ -370,23 +390,25 @@
 
     async def _stop(self) -> None:
         """Hand batches over, answer what is in flight, and leave."""
-        stop_at = (
+        self._last_answer_at = (
             time.monotonic()
             + self._settings.bounds.grace_s
             - STOP_MARGIN_SECONDS
+            - LAST_ANSWERS_SECONDS
         )
         unready_until = time.monotonic() + UNREADY_SECONDS
         self._caller_server.draining = True
         self._members.leave()
         self._owner.hand_over()
         release = asyncio.create_task(self._duties.release(self._duty_tail))
-        while time.monotonic() < stop_at:
+        while time.monotonic() < self._last_answer_at:
             await asyncio.sleep(STOP_CHECK_SECONDS)
             if time.monotonic() < unready_until:
                 continue
             if self._is_done():
                 break
         release.cancel()
+        await self._caller_server.drain(LAST_ANSWERS_SECONDS)
         events.write(
             'stopped',
             connections_open=self._caller_server.connections,
--- a/packages/gateway/auburnroad_gateway/process/gateway_test.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 import unittest
 
 import msgspec
@@ -31,6 +32,7 @@
             '/q/',
             configuration.RouteKind.IDEMPOTENT,
             (configuration.Backend('s'),),
+            timeout_ms=1000,
             max_attempts=2,
         ),
         configuration.Route(
@@ -69,6 +71,7 @@
     """Two gateways before one replica."""
 
     async def asyncSetUp(self):
+        self.runs = 0
         self.log = partition_log.PartitionLog()
         self.replica = server.HttpServer(self.answer)
         host, port = await self.replica.start('127.0.0.1', 0)
@@ -79,6 +82,7 @@
 
     async def answer(self, request):
         headers = {'signed': '1', 'id': request.headers.get('id', '')}
+        self.runs += 1
         if not request.path.startswith('/p/'):
             return messages.Response(200, headers, b'ok')
         events = [scripted_replicas.build_event(n) for n in range(3)]
@@ -190,6 +194,20 @@
         page = await self.send(subject, '/metrics', where='metrics')
         self.assertIn(b'auburnroad_requests_total', page.body)
 
+    async def test_what_would_outlast_a_stop_is_refused_as_not_run(self):
+        """Pattern: requests still come long after the signal to stop."""
+        self.publish()
+        subject = await self.start('one')
+        await self.send(subject, '/q/x', id='q')
+        runs = self.runs
+        subject.stop()
+        await asyncio.sleep(0)
+        subject._last_answer_at = time.monotonic() + 0.1
+        response = await self.send(subject, '/q/x', id='q')
+        self.assertEqual(503, response.status)
+        self.assertIn('retry-after', response.headers)
+        self.assertEqual(runs, self.runs)
+
     async def test_a_planned_stop_answers_what_is_in_flight(self):
         self.publish()
         subject = await self.start('one')
