--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -20,8 +20,8 @@
 
 # Bounds how often results of other gateways wake this one.
 PACE_SECONDS = 0.03
-# Up to so many gateways read all texts: 12 of them read some 3 MB/s of the
-# 80 MB/s that the log service gives.
+# Up to so many gateways read all texts; every further one takes bandwidth
+# that all of them share.
 INLINE_MEMBERS = 12
 # Texts that are kept in memory after they were read or written.
 CACHE_BYTES = 2_000_000
--- a/packages/gateway/auburnroad_gateway/weights/homes_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/homes_test.py
@@ -70,7 +70,11 @@
         for model, share in shares.items():
             self.assertLessEqual(counts[model], share + homes.KEEP_BEYOND)
         self.assertEqual(len(left), sum(counts.values()))
-        self.assertGreater(counts['a'], 0)
+        # What two others keep beyond their shares is all that 'a' lacks.
+        others = len(WORK) - 1
+        self.assertGreaterEqual(
+            counts['a'], shares['a'] - others * homes.KEEP_BEYOND
+        )
         moved = [key for key in after if after[key] != before[key]]
         self.assertEqual(
             set(moved), {key for key in after if after[key] == 'a'}
