Refuse a body whose caller falls silent

Cause: a body had no time limit.

Ruled out: reading a chunk's declared size before its bytes; h11 doesn't show it, and a silent caller with a small chunk held the connection just as well.

Change: between two pieces of a body at most the idle limit may pass; then the answer is 408, which is true, since the request was not handed on.

Before: test_half_a_body_is_not_waited_for_forever timed out in both cases. After: python -m auburnroad_e2e.unit http.server, 12 passed, 0 failed.

Conclusion: every wait for a caller's bytes is bounded now.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -33,7 +33,8 @@
       header_bytes: Request line and headers together.
       body_bytes: Body.
       header_seconds: Time for a head to arrive, from its first byte.
-      idle_seconds: Time that a connection may be idle.
+      idle_seconds: Time that a connection may be idle, and that may pass
+        without a further byte of a body.
     """
 
     header_bytes: int = 32768
@@ -145,7 +146,7 @@
             if head is None:
                 event = await self._next_head()
             else:
-                event = await self._next_event()
+                event = await self._next_of_body()
             if isinstance(event, h11.Request):
                 head = event
                 self._check_header_size(head)
@@ -212,6 +213,16 @@
                 408, 'head_too_slow', 'the head took too long'
             ) from None
 
+    async def _next_of_body(self):
+        """Read more of a body; a caller that falls silent is refused."""
+        try:
+            async with asyncio.timeout(self._server.limits.idle_seconds):
+                return await self._next_event()
+        except TimeoutError:
+            raise _RefusedError(
+                408, 'body_too_slow', 'the body took too long'
+            ) from None
+
     async def _next_event(self):
         while True:
             event = self._h11.next_event()
--- a/packages/core/auburnroad_core/http/server_test.py
+++ b/packages/core/auburnroad_core/http/server_test.py
@@ -87,6 +87,17 @@
         answer = await self.send_raw(b'GET / HTTP/1.1\r\nhost: a\r\n')
         self.assertTrue(answer.startswith(b'HTTP/1.1 408'))
 
+    async def test_half_a_body_is_not_waited_for_forever(self):
+        self.server.limits = server.HttpLimits(idle_seconds=0.05)
+        head = b'POST / HTTP/1.1\r\nhost: a\r\n'
+        for rest in (
+            b'content-length: 5\r\n\r\nab',
+            b'transfer-encoding: chunked\r\n\r\nffffffff\r\nab',
+        ):
+            with self.subTest(rest=rest):
+                answer = await self.send_raw(head + rest)
+                self.assertTrue(answer.startswith(b'HTTP/1.1 408'))
+
     async def test_an_idle_connection_is_closed(self):
         self.server.limits = server.HttpLimits(idle_seconds=0.05)
         self.assertEqual(b'', await self.send_raw(b''))
