Let the holder of a service's duty run all its batches

Cause: with several models, batches were spread by hash over gateways that don't see each other's runs.

Change: the duty's holder runs all batches of its service, also those it takes over; a duty goes to a host with a core or more if there is one, the youngest first. Settings tell the host's processor share and speed.

--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -35,9 +35,7 @@
         self,
         adapter: adapters.Adapter,
         batch_journal: journal.Journal,
-        choose_owner: typing.Callable[
-            [configuration.Route, batch.Submission], str
-        ],
+        choose_owner: typing.Callable[[configuration.Route], str],
     ):
         """Wire the intake.
 
@@ -73,7 +71,7 @@
         encoded = records.build_submission_records(
             submission,
             uuid.uuid4().hex,
-            self._choose_owner(route, submission),
+            self._choose_owner(route),
             clock.time_now_ms(),
             self._journal.record_bytes,
         )
--- a/packages/gateway/auburnroad_gateway/batches/intake_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake_test.py
@@ -29,7 +29,7 @@
         self.subject = intake.Intake(
             plain_adapter.PlainAdapter(),
             self.journal,
-            lambda route, submission: 'owner',
+            lambda route: 'owner',
         )
         self.tasks = [
             asyncio.create_task(work()) for work in self.journal.list_work()
--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -35,6 +35,17 @@
                 self.runs[index] = build_run(state, item, index)
         self.waiting = dict(self.runs)
 
+    @property
+    def terms(self) -> runs.Terms:
+        """What the generation of its items has to keep to."""
+        submission = self.state.submission
+        return runs.Terms(
+            submission.host,
+            submission.model,
+            submission.minimum_version,
+            self.route.single_version,
+        )
+
     def stop(self) -> None:
         """Cancel all runs."""
         for task in self.running.values():
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -21,6 +21,7 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
+from auburnroad_gateway.weights import duty
 
 # How often stalled runs, expired items and orphaned batches are looked for.
 TICK_SECONDS = 0.1
@@ -41,6 +42,7 @@
         '_client',
         '_journal',
         '_membership',
+        '_duties',
         '_configuration',
         '_directory',
         '_owned',
@@ -56,6 +58,7 @@
         http_client,
         batch_journal: journal.Journal,
         membership,
+        duties: duty.Duties,
         holder,
         replicas,
     ):
@@ -64,6 +67,7 @@
         self._client = http_client
         self._journal = batch_journal
         self._membership = membership
+        self._duties = duties
         self._configuration = holder
         self._directory = replicas
         self._owned: dict[str, owned_batches.OwnedBatch] = {}
@@ -199,7 +203,11 @@
             self._wake.set()
 
     def _claim(self, state: fold.Batch) -> None:
-        if self._membership.choose(state.id) != self._membership.incarnation:
+        route = self._find_route(state)
+        if route is None:
+            return
+        runner = self._duties.choose_runner(route.backends[0].service)
+        if runner != self._membership.incarnation:
             return
         if self._claimed.get(state.id) == state.owner:
             return
@@ -346,17 +354,10 @@
     async def _attempt(
         self, owned: owned_batches.OwnedBatch, run: runs.ItemRun
     ) -> None:
-        submission = owned.state.submission
-        terms = runs.Terms(
-            submission.host,
-            submission.model,
-            submission.minimum_version,
-            owned.route.single_version,
-        )
         target = run.replica
         try:
             end = await runs.run_attempt(
-                self._client, self._adapter, run, terms
+                self._client, self._adapter, run, owned.terms
             )
         finally:
             target.in_flight -= 1
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -23,6 +23,7 @@
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings
+from auburnroad_gateway.weights import duty
 from auburnroad_standins import partition_log
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
@@ -33,6 +34,7 @@
 BATCH_ID = 'b'
 PARTITION = records.find_partition(BATCH_ID)
 LIMIT_SECONDS = 10
+LEASE_MS = 3000
 
 
 class Replica:
@@ -130,6 +132,7 @@
             self.client,
             self.journal,
             self.members,
+            duty.Duties(self.members, self.log, LEASE_MS),
             self.holder,
             self.replicas,
         )
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -40,6 +40,9 @@
 # Processes that started within this time count as equally old. The youngest
 # goes first: in a rolling restart it isn't the next to be stopped.
 GENERATION_MS = 5000
+# A host with less runs batches only if there is no other: the runs of a
+# service with hundreds of slots take about half a core.
+STRONG_CORES = 1.0
 # Detours are asked of members whose heartbeat is at most so old.
 PEER_AGE_SECONDS = 5.0
 
@@ -55,6 +58,7 @@
       started_ms: Unix milliseconds of its start.
       on_detour: Whether it reaches the log service only through others.
       pause_ms: Time until its next heartbeat is sent.
+      cores: Processor time that its host gives.
     """
 
     incarnation: str
@@ -64,6 +68,7 @@
     started_ms: int = 0
     on_detour: bool = False
     pause_ms: int = 500
+    cores: float = 1.0
 
 
 class Member:
@@ -200,15 +205,19 @@
         """
         if not self.settled:
             return ''
-        started = {
-            member.beat.incarnation: member.beat.started_ms
+        ranks = {
+            member.beat.incarnation: build_rank(
+                member.beat.cores, member.beat.started_ms
+            )
             for member in self._members.values()
         }
-        started[self.incarnation] = self._started_ms
+        ranks[self.incarnation] = build_rank(
+            self._settings.cores, self._started_ms
+        )
 
         def rate(name: str) -> tuple:
             digest = xxhash.xxh64_intdigest(f'{key}/{name}'.encode())
-            return started.get(name, 0) // GENERATION_MS, digest
+            return ranks.get(name, ()), digest
 
         return max(self.alive, key=rate, default='')
 
@@ -265,6 +274,7 @@
                 self._started_ms,
                 self._log.on_detour,
                 int(pause * 1000),
+                self._settings.cores,
             )
             record = service.encode_keyed(
                 self._settings.name, msgspec.msgpack.encode(beat)
@@ -336,6 +346,20 @@
             listener()
 
 
+def build_rank(cores: float, started_ms: int) -> tuple[bool, int]:
+    """Build the rank by which members are chosen for work.
+
+    Args:
+      cores: Processor time that the member's host gives.
+      started_ms: Unix milliseconds of its start.
+
+    Returns:
+      A rank that is higher for a member that goes first: strong hosts before
+      weak ones, and among them those that started last.
+    """
+    return cores >= STRONG_CORES, started_ms // GENERATION_MS
+
+
 def find_patience(pause_seconds: float) -> float:
     """Find how long a member may be silent.
 
--- a/packages/gateway/auburnroad_gateway/members/membership_test.py
+++ b/packages/gateway/auburnroad_gateway/members/membership_test.py
@@ -60,9 +60,14 @@
         self.subject = membership.Membership(build_settings(), None)
         self.now = 100.0
 
-    def see(self, name, incarnation, started_ms=0, leaving=False):
+    def see(self, name, incarnation, started_ms=0, leaving=False, cores=1.0):
         beat = membership.Beat(
-            incarnation, f'{name}:1', leaving, 'a', started_ms
+            incarnation,
+            f'{name}:1',
+            leaving,
+            'a',
+            started_ms,
+            cores=cores,
         )
         self.subject.apply(
             service.KeyedRecord(name, msgspec.msgpack.encode(beat), 0)
@@ -122,6 +127,15 @@
         self.see('third', 'o2', future * 2, leaving=True)
         self.assertEqual('o1', self.subject.choose('work'))
 
+    def test_work_goes_to_a_weak_host_only_if_there_is_no_other(self):
+        self.pass_time(membership.SETTLE_SECONDS + 2 * STEP_SECONDS)
+        future = 10**13
+        self.see('weak', 'o1', future * 2, cores=0.4)
+        self.see('strong', 'o2', future, cores=2.15)
+        self.assertEqual('o2', self.subject.choose('work'))
+        self.see('strong', 'o2', future, leaving=True, cores=2.15)
+        self.assertEqual(self.subject.incarnation, self.subject.choose('work'))
+
     def test_bytes_of_another_writer_are_no_member(self):
         self.subject.apply(service.KeyedRecord('x', b'{"a": 1}', 0))
         self.assertEqual([], self.subject.list_peers())
--- a/packages/gateway/auburnroad_gateway/model/settings.py
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -42,6 +42,8 @@
       peer_port: Port for other gateways.
       metrics_port: Port of the metrics.
       log_address: 'IP number:port' of the log service.
+      cpu_share: Share of its processor that the host gives to this process.
+      cpu_speed: How many times as fast as a usual core that processor is.
       heartbeat_ms: How often replicas renew their registration.
       log_limits: Sizes that the log service takes.
       bounds: Times that the deployment expects.
@@ -55,6 +57,13 @@
     peer_port: int
     metrics_port: int
     log_address: str
+    cpu_share: float = 1.0
+    cpu_speed: float = 1.0
     heartbeat_ms: int = 1200
     log_limits: LogLimits = LogLimits()
     bounds: Bounds = Bounds()
+
+    @property
+    def cores(self) -> float:
+        """Processor time that the host gives, in usual cores."""
+        return self.cpu_share * self.cpu_speed
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -181,20 +181,9 @@
     def _open_peer(self, address: str) -> relay.PeerLog:
         return relay.PeerLog(address, self._peer_client)
 
-    def _choose_owner(self, route, submission) -> str:
-        """Choose who runs a batch.
-
-        Whoever orders the weights of a service knows best where to run; with
-        several models the work is spread instead.
-        """
-        service = self._configuration.current.services.get(
-            route.backends[0].service
-        )
-        if service is not None and len(service.models) <= 1:
-            holder = self._duties.find_holder(service.name)
-            if holder:
-                return holder
-        chosen = self._members.choose(f'{route.name}/{submission.model}')
+    def _choose_owner(self, route) -> str:
+        """Choose who runs a batch; this gateway if nobody else is known."""
+        chosen = self._duties.choose_runner(route.backends[0].service)
         return chosen or self._members.incarnation
 
     def _build_tails(self) -> None:
@@ -250,6 +239,7 @@
             self._client,
             self._journal,
             self._members,
+            self._duties,
             self._configuration,
             self._directory,
         )
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -91,6 +91,21 @@
             return ''
         return duty.holder
 
+    def choose_runner(self, service: str) -> str:
+        """Choose who runs a service's batches.
+
+        Whoever orders the weights knows best where to run: it sees every
+        run, and makes room at a replica before that loads.
+
+        Args:
+          service: The service.
+
+        Returns:
+          The live holder of its duty, or who is to take it; empty if that
+          can't be told.
+        """
+        return self.find_holder(service) or self._membership.choose(service)
+
     def find_fence(self, service: str) -> int:
         """Find the fencing number of a service's duty."""
         return self._duties[service].fence
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import membership_test
@@ -46,6 +47,22 @@
         self.members.confirmed_until = now + 1
         return self.subject.may_act('s', now)
 
+    async def test_batches_go_to_the_holder_and_else_to_the_next_one(self):
+        self.assertEqual(
+            self.members.incarnation, self.subject.choose_runner('s')
+        )
+        beat = membership.Beat('other', 'b:1', False)
+        self.members.apply(
+            service.KeyedRecord('b', msgspec.msgpack.encode(beat), 0)
+        )
+        for holder, runner in (('other', 'other'), ('dead', None)):
+            self.log.put(duty.TOPIC, 's', build_holder(holder))
+            await self.tail.catch_up()
+            self.assertEqual(
+                runner or self.members.choose('s'),
+                self.subject.choose_runner('s'),
+            )
+
     async def test_a_duty_that_nobody_ever_held_is_taken_at_once(self):
         await self.check()
         self.assertEqual(
