Keep bodies and saved texts out of the records that all gateways read

Cause: after a loss of all processes 34 gateways read the whole log at once. Texts were also saved only each 3 s there, so that a takeover lost as much of each long run.

Ruled out: the partition of heartbeats itself (34 appends take 0.1 s); the time to settle (the claims came after everybody had been seen).

Change: in large deployments bodies and saved texts go to the topic of contents, as texts of results did, and are read by whoever needs them: the owner when it begins a batch, a reader who asks for a body. Texts are saved each 0.8 s everywhere, those of one batch by one append.

Conclusion: what every gateway reads must not grow with contents.

--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -20,6 +20,7 @@
       owner: Incarnation that runs it.
       submitted_ms: Unix milliseconds of its submission.
       items: Number of its items.
+      bodies: Where the items' bodies lie; empty if the submission has them.
       ended: Whether nothing more of it is wanted.
       results: Results in the order of the log; the index is the position.
       finished: Indexes of the items that have a result.
@@ -36,11 +37,12 @@
         'results',
         'finished',
         'progress',
+        'bodies',
         '_data',
         '_submission',
     )
 
-    def __init__(self, batch_id, owner, submitted_ms, data, items):
+    def __init__(self, batch_id, owner, submitted_ms, data, items, bodies):
         self.id = batch_id
         self.owner = owner
         self.submitted_ms = submitted_ms
@@ -49,16 +51,22 @@
         self.finished: set[int] = set()
         self.progress: dict[int, list[records.Progress]] = {}
         self.items = items
+        self.bodies: list[batch.Place] = bodies
         self._data = data
         self._submission: batch.Submission | None = None
 
     @property
     def submission(self) -> batch.Submission:
-        """What the trainer submitted."""
+        """What the trainer submitted, perhaps without the bodies."""
         if self._submission is None:
             self._submission = records.unpack_submission(self._data)
         return self._submission
 
+    def fill_bodies(self, bodies: list[bytes]) -> None:
+        """Take the items' bodies in, which were read from where they lie."""
+        self._submission = records.fill_bodies(self.submission, bodies)
+        self.bodies = []
+
     @property
     def complete(self) -> bool:
         """Whether every item has a result."""
@@ -145,6 +153,7 @@
             record.submitted_ms,
             data,
             record.items,
+            record.bodies,
         )
         self.batches[record.batch_id] = created
         return created
--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -68,22 +68,42 @@
             return refusals.build_error(400, 'not_a_batch')
         if submission.batch_id in self._journal.fold.batches:
             return messages.Response(202)
-        encoded = records.build_submission_records(
-            submission,
-            uuid.uuid4().hex,
-            self._choose_owner(route),
-            clock.time_now_ms(),
-            self._journal.record_bytes,
-        )
         started = time.monotonic()
         try:
-            await self._append(submission.batch_id, encoded)
+            await self._write_batch(route, submission, started)
         except appender.AppendTimeoutError as error:
             return self._answer_timeout(submission, error, started)
         self._write('batch_accepted', submission, started)
         return messages.Response(202)
 
-    async def _append(self, batch_id: str, encoded: list[bytes]) -> None:
+    async def _write_batch(self, route, submission, started: float) -> None:
+        """Append the bodies, where they lie apart, and then the batch.
+
+        A batch of which only the bodies were written was not accepted.
+        """
+        submitted_ms = clock.time_now_ms()
+        try:
+            bodies = await self._journal.write_bodies(
+                submission, APPEND_SECONDS
+            )
+        except appender.AppendTimeoutError as error:
+            raise appender.AppendTimeoutError(
+                appender.Fate.WITHDRAWN
+            ) from error
+        encoded = records.build_submission_records(
+            submission,
+            uuid.uuid4().hex,
+            self._choose_owner(route),
+            submitted_ms,
+            self._journal.record_bytes,
+            bodies,
+        )
+        left_seconds = started + APPEND_SECONDS - time.monotonic()
+        await self._append(submission.batch_id, encoded, left_seconds)
+
+    async def _append(
+        self, batch_id: str, encoded: list[bytes], timeout_seconds: float
+    ) -> None:
         """Append in calls as large as allowed; the last one completes it."""
         calls = [[]]
         room = self._journal.call_bytes
@@ -95,7 +115,7 @@
             # Each record is framed by its length.
             room -= len(record) + 4
         for call in calls:
-            await self._journal.append(batch_id, call, APPEND_SECONDS)
+            await self._journal.append(batch_id, call, timeout_seconds)
 
     def _answer_timeout(
         self, submission: batch.Submission, error, started: float
--- a/packages/gateway/auburnroad_gateway/batches/intake_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake_test.py
@@ -21,10 +21,15 @@
 class IntakeTest(unittest.IsolatedAsyncioTestCase):
     """One gateway that is handed the same batch."""
 
+    gateways = 1
+
     async def asyncSetUp(self):
         self.log = partition_log.PartitionLog()
         self.journal = journal.Journal(
-            self.log, 'me', settings.LogLimits(call_bytes=4000)
+            self.log,
+            'me',
+            settings.LogLimits(call_bytes=4000),
+            lambda: self.gateways,
         )
         self.subject = intake.Intake(
             plain_adapter.PlainAdapter(),
@@ -81,3 +86,36 @@
             None, messages.Request('POST', '/p/', {}, b'{')
         )
         self.assertEqual(400, response.status)
+
+    async def test_the_bodies_can_be_read_by_any_gateway(self):
+        await self.submit()
+        other = journal.Journal(self.log, 'other', settings.LogLimits())
+        await other.catch_up('b')
+        bodies = await other.read_bodies(other.fold.batches['b'])
+        self.assertEqual([b'body'] * 3, bodies)
+
+
+class LargeDeploymentTest(IntakeTest):
+    """The same with so many gateways that bodies lie apart."""
+
+    gateways = journal.INLINE_MEMBERS + 1
+
+    async def test_an_unknown_outcome_promises_nothing(self):
+        """It is unknown only once the bodies are in the log."""
+        with mock.patch.object(
+            journal.Journal, 'write_bodies', mock.AsyncMock(return_value=[])
+        ):
+            await super().test_an_unknown_outcome_promises_nothing()
+
+    async def test_a_batch_whose_bodies_are_in_doubt_was_not_accepted(self):
+        self.log.silent = True
+        self.assertEqual(503, (await self.submit()).status)
+        self.log.silent = False
+        await self.journal.append('b', [b'later'], 10)
+        self.assertEqual([b'later'], self.list_batches())
+
+    async def test_bodies_are_not_in_the_records_that_all_read(self):
+        await self.submit()
+        (record,) = map(records.decode, self.list_batches())
+        stripped = records.unpack_submission(record.data)
+        self.assertEqual({b''}, {item.body for item in stripped.items})
--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -1,34 +1,28 @@
 """The batches' records: one tail, one appender a partition, one fold.
 
-In a small deployment every gateway reads the texts of all results with the
-results. In a large one that would take more bandwidth than the log service
-has, so texts lie in a topic of their own and are read when somebody asks.
+In a small deployment every gateway reads all contents with the records. In a
+large one that would take more bandwidth than the log service has, so texts
+and bodies lie in a topic of their own (contents.py).
 """
 
 import asyncio
-import collections
+import time
 import typing
 
 import msgspec
 
+from auburnroad_gateway.batches import contents
 from auburnroad_gateway.batches import fold
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.log import appender
-from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.model import batch
 
 # Bounds how often results of other gateways wake this one.
 PACE_SECONDS = 0.03
-# Up to so many gateways read all texts; every further one takes bandwidth
+# Up to so many gateways read all contents; every further one takes bandwidth
 # that all of them share.
 INLINE_MEMBERS = 12
-# Texts that are kept in memory after they were read or written.
-CACHE_BYTES = 2_000_000
-# A record's length goes before it.
-FRAME_BYTES = 4
-# Texts of one batch lie close together.
-NEIGHBOUR_BYTES = 1 << 17
 
 
 class Journal:
@@ -44,14 +38,11 @@
         'fold',
         'record_bytes',
         'call_bytes',
-        '_log',
         '_count_members',
         '_tails',
         '_appenders',
-        '_text_appenders',
+        '_contents',
         '_writing',
-        '_cache',
-        '_cached_bytes',
     )
 
     def __init__(
@@ -69,13 +60,8 @@
           limits: Sizes that the log service takes.
           count_members: Counts the gateways that live.
         """
-        self._log = log
         self._count_members = count_members
         self._writing: set[asyncio.Task] = set()
-        self._cache: collections.OrderedDict[tuple[int, int], bytes] = (
-            collections.OrderedDict()
-        )
-        self._cached_bytes = 0
         self.fold = fold.Fold()
         self.record_bytes = limits.record_bytes
         self.call_bytes = limits.call_bytes
@@ -86,15 +72,13 @@
             )
             for number in numbers
         ]
-        self._appenders, self._text_appenders = (
-            [
-                appender.Appender(
-                    log, topic, number, incarnation, limits.call_bytes
-                )
-                for number in numbers
-            ]
-            for topic in (records.TOPIC, records.TEXTS_TOPIC)
-        )
+        self._appenders = [
+            appender.Appender(
+                log, records.TOPIC, number, incarnation, limits.call_bytes
+            )
+            for number in numbers
+        ]
+        self._contents = contents.Contents(log, incarnation, limits.call_bytes)
 
     @property
     def loaded(self) -> bool:
@@ -110,7 +94,7 @@
 
     @property
     def by_reference(self) -> bool:
-        """Whether texts are written apart from their results."""
+        """Whether contents are written apart from the records."""
         return self._count_members() > INLINE_MEMBERS
 
     def list_work(self) -> list:
@@ -118,7 +102,7 @@
         return [
             *(entry.run for entry in self._tails),
             *(entry.run for entry in self._appenders),
-            *(entry.run for entry in self._text_appenders),
+            *self._contents.list_work(),
         ]
 
     def is_failing(self, batch_id: str) -> bool:
@@ -147,9 +131,47 @@
         if result.place is not None or not self.by_reference:
             self.add(records.Results(batch_id, [result]))
             return
-        task = asyncio.create_task(self._add_by_reference(batch_id, result))
-        self._writing.add(task)
-        task.add_done_callback(self._writing.discard)
+        self._write(self._add_result_apart(batch_id, result))
+
+    def add_progress(self, gained: list[records.Progress]) -> None:
+        """Queue what items of one batch have gained.
+
+        Args:
+          gained: One record an item; the texts go with them or before them.
+        """
+        if not self.by_reference:
+            for record in gained:
+                self.add(record)
+            return
+        for group in self._group_texts(gained):
+            self._write(self._add_progress_apart(group))
+
+    async def write_bodies(
+        self, submission: batch.Submission, timeout_seconds: float
+    ) -> list[batch.Place] | None:
+        """Write a batch's bodies apart, where that is the way.
+
+        Args:
+          submission: The batch.
+          timeout_seconds: How long to wait.
+
+        Returns:
+          Where they lie; None if they go with the batch.
+
+        Raises:
+          appender.AppendTimeoutError: If that took too long.
+        """
+        if not self.by_reference:
+            return None
+        deadline = time.monotonic() + timeout_seconds
+        return [
+            await self._contents.write(
+                submission.batch_id, piece, deadline - time.monotonic()
+            )
+            for piece in records.split(
+                records.pack_bodies(submission), self.record_bytes
+            )
+        ]
 
     async def read_text(self, result: batch.ItemResult) -> str:
         """Read the text of a result, from the log if need be.
@@ -157,47 +179,34 @@
         Raises:
           service.LogError: If the log service can't be read.
         """
-        place = result.place
-        if place is None:
+        if result.place is None:
             return records.unpack_text(result.text)
-        key = (place.partition, place.offset)
-        if key not in self._cache:
-            await self._read_texts(place)
-        return records.unpack_text(self._cache[key])
+        return records.unpack_text(await self._contents.read(result.place))
 
-    async def _add_by_reference(self, batch_id, result) -> None:
-        number = records.find_partition(batch_id)
-        offset = await self._text_appenders[number].add([result.text])
-        self._keep(number, offset, result.text)
-        place = batch.Place(number, offset, len(result.text))
-        moved = msgspec.structs.replace(result, text=b'', place=place)
-        self.add(records.Results(batch_id, [moved]))
+    async def read_bodies(self, state: fold.Batch) -> list[bytes]:
+        """Read the bodies of a batch's items, from the log if need be.
 
-    async def _read_texts(self, place: batch.Place) -> None:
-        """Read a text, and its neighbours, which are mostly wanted too."""
-        part = await self._log.read(
-            records.TEXTS_TOPIC,
-            place.partition,
-            place.offset,
-            0,
-            max(place.size + FRAME_BYTES, NEIGHBOUR_BYTES),
-        )
-        if not part.records:
-            raise service.LogRefusedError('a text is not there yet')
-        # The one that was asked for last, so that it is kept longest.
-        for number, text in reversed(list(enumerate(part.records))):
-            self._keep(place.partition, place.offset + number, text)
-
-    def _keep(self, partition: int, offset: int, text: bytes) -> None:
-        key = (partition, offset)
-        if key in self._cache:
-            self._cache.move_to_end(key)
-            return
-        self._cache[key] = text
-        self._cached_bytes += len(text)
-        while self._cached_bytes > CACHE_BYTES and len(self._cache) > 1:
-            _, dropped = self._cache.popitem(last=False)
-            self._cached_bytes -= len(dropped)
+        Raises:
+          service.LogError: If the log service can't be read.
+        """
+        if not state.bodies:
+            return [item.body for item in state.submission.items]
+        places = list(state.bodies)
+        found = await self._contents.read_all(set(places))
+        return records.unpack_bodies(b''.join(found[at] for at in places))
+
+    async def load(self, state: fold.Batch) -> None:
+        """Bring all that a batch needs to be run into memory.
+
+        Raises:
+          service.LogError: If the log service can't be read.
+        """
+        if state.bodies:
+            state.fill_bodies(await self.read_bodies(state))
+        # More may be saved while texts are read.
+        while places := _list_places(state):
+            found = await self._contents.read_all(places)
+            _fill_progress(state, found)
 
     async def append(
         self, batch_id: str, encoded: list[bytes], timeout_seconds: float
@@ -217,3 +226,63 @@
           service.LogError: If the log service can't be read.
         """
         await self._tails[records.find_partition(batch_id)].catch_up()
+
+    def _write(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._writing.add(task)
+        task.add_done_callback(self._writing.discard)
+
+    async def _add_result_apart(self, batch_id, result) -> None:
+        place = await self._contents.write(batch_id, result.text)
+        moved = msgspec.structs.replace(result, text=b'', place=place)
+        self.add(records.Results(batch_id, [moved]))
+
+    def _group_texts(self, gained):
+        """Group records whose texts fit into one record together."""
+        group = []
+        room = self.record_bytes - records.RECORD_HEAD_BYTES
+        for record in gained:
+            size = len(record.text) + contents.FRAME_BYTES
+            if group and size > room:
+                yield group
+                group = []
+                room = self.record_bytes - records.RECORD_HEAD_BYTES
+            group.append(record)
+            room -= size
+        if group:
+            yield group
+
+    async def _add_progress_apart(self, gained) -> None:
+        batch_id = gained[0].batch_id
+        data = records.pack_texts([record.text for record in gained])
+        place = await self._contents.write(batch_id, data)
+        encoded = [
+            records.encode(
+                msgspec.structs.replace(
+                    record, text=b'', place=place, part=number
+                )
+            )
+            for number, record in enumerate(gained)
+        ]
+        self._appenders[records.find_partition(batch_id)].add(encoded)
+
+
+def _list_places(state: fold.Batch) -> set[batch.Place]:
+    return {
+        part.place
+        for saved in state.progress.values()
+        for part in saved
+        if part.place is not None
+    }
+
+
+def _fill_progress(state: fold.Batch, found: dict[batch.Place, bytes]) -> None:
+    texts = {
+        place: records.unpack_texts(data) for place, data in found.items()
+    }
+    for saved in state.progress.values():
+        for number, part in enumerate(saved):
+            if part.place in texts:
+                saved[number] = msgspec.structs.replace(
+                    part, text=texts[part.place][part.part], place=None
+                )
--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -90,6 +90,23 @@
     return run
 
 
+def take_progress(batch_id: str, run: runs.ItemRun) -> records.Progress:
+    """Build the record of what a run has gained, and count it as saved."""
+    last = -1 if run.last_event is None else run.last_event
+    gained = records.Progress(
+        batch_id,
+        run.index,
+        run.saved_event,
+        last,
+        records.pack_text('\n'.join(run.texts[run.saved_texts :])),
+        sorted(run.versions),
+        run.failures,
+    )
+    run.saved_event = last
+    run.saved_texts = len(run.texts)
+    return gained
+
+
 def build_result(run: runs.ItemRun, outcome) -> batch.ItemResult:
     """Build the result of a run that has ended."""
     return batch.ItemResult(
@@ -100,6 +117,13 @@
     )
 
 
+def is_same_item(one: batch.Item, other: batch.Item) -> bool:
+    """Tell whether two items of one id ask for the same text."""
+    return one.path == other.path and records.hash_body(
+        one
+    ) == records.hash_body(other)
+
+
 def fits_earlier(run, item, result, terms, single_version) -> bool:
     """Tell whether an earlier result may stand for a run.
 
@@ -115,7 +139,7 @@
     """
     if result.outcome is not batch.Outcome.SUCCEEDED:
         return False
-    if (item.path, item.body) != (run.item.path, run.item.body):
+    if not is_same_item(item, run.item):
         return False
     if single_version and len(result.versions) != 1:
         return False
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -18,6 +18,7 @@
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
@@ -26,10 +27,10 @@
 
 # How often stalled runs, expired items and orphaned batches are looked for.
 TICK_SECONDS = 0.1
-# The text of a run that lasts longer is saved, and again after as long.
+# How often the texts of runs that last longer are saved.
 SAVE_SECONDS = 0.8
-# The same where many gateways read every saved text.
-LARGE_SAVE_SECONDS = 3.0
+# A batch whose contents could not be read is tried again so much later.
+LOAD_RETRY_SECONDS = 0.2
 # Batches stay readable a little longer than promised.
 FORGET_SLACK_MS = 10_000
 
@@ -49,6 +50,8 @@
         '_owned',
         '_claimed',
         '_leftovers',
+        '_loading',
+        '_saved_at',
         '_wake',
         'stopping',
     )
@@ -76,6 +79,8 @@
         self._claimed: dict[str, str] = {}
         self._wake = asyncio.Event()
         self._leftovers = leftovers.Leftovers()
+        self._loading: dict[str, asyncio.Task] = {}
+        self._saved_at = 0.0
         self.stopping = False
         batch_journal.fold.on_change(self._handle_change)
         membership.on_change(self._wake.set)
@@ -91,12 +96,6 @@
         """How many items wait for a slot."""
         return sum(len(owned.waiting) for owned in self._owned.values())
 
-    @property
-    def _save_seconds(self) -> float:
-        if self._journal.by_reference:
-            return LARGE_SAVE_SECONDS
-        return SAVE_SECONDS
-
     async def run(self) -> None:
         """Work for as long as the process lives."""
         while True:
@@ -146,8 +145,7 @@
         """
         self.stopping = True
         for owned in self._owned.values():
-            for index in owned.running:
-                self._save(owned, owned.runs[index])
+            self._save(owned, [owned.runs[index] for index in owned.running])
 
     def _handle_change(self, changed: fold.Batch) -> None:
         owned = self._owned.get(changed.id)
@@ -179,6 +177,7 @@
         for owned in list(self._owned.values()):
             self._give_up(owned, now_ms)
         self.look()
+        self._save_long_runs(time.monotonic())
         life_ms = int(self._settings.bounds.read_life_s * 1000)
         for batch_id in self._journal.fold.forget(
             now_ms - life_ms - FORGET_SLACK_MS
@@ -195,10 +194,30 @@
             if not state.open or state.id in self._owned:
                 continue
             if state.owner == own:
-                self._begin(state)
+                self._load(state)
             elif settled and not self._membership.is_alive(state.owner):
                 self._claim(state)
 
+    def _load(self, state: fold.Batch) -> None:
+        """Begin a batch once its contents are here."""
+        if state.id not in self._loading:
+            self._loading[state.id] = asyncio.create_task(
+                self._load_and_begin(state)
+            )
+
+    async def _load_and_begin(self, state: fold.Batch) -> None:
+        try:
+            await self._journal.load(state)
+        except service.LogError as error:
+            events.write('batch_not_loaded', batch=state.id, error=str(error))
+            await asyncio.sleep(LOAD_RETRY_SECONDS)
+        else:
+            if state.open and state.owner == self._membership.incarnation:
+                self._begin(state)
+        finally:
+            del self._loading[state.id]
+            self._wake.set()
+
     def _begin(self, state: fold.Batch) -> None:
         route = self._find_route(state)
         if route is not None:
@@ -360,7 +379,7 @@
         del owned.waiting[run.index]
         run.replica = target
         run.progress_at = time.monotonic()
-        run.started_at = run.saved_at = run.progress_at
+        run.started_at = run.progress_at
         target.in_flight += 1
         per_event = self._find_service(owned).tokens_per_event
         target.tokens += owned_batches.count_tokens(run, per_event)
@@ -408,7 +427,7 @@
             self._terminate(owned, run, end.value)
             return
         if end is runs.RunEnd.FAILED:
-            self._save(owned, run)
+            self._save(owned, [run])
         if end is not runs.RunEnd.NOT_RUN:
             events.write(
                 'item_attempt_ended',
@@ -437,25 +456,33 @@
         self._drop_run(owned, result.index)
         self._journal.add_result(owned.state.id, result)
 
+    def _save_long_runs(self, now: float) -> None:
+        """Save all longer runs at once, which takes one append a batch."""
+        if now - self._saved_at < SAVE_SECONDS:
+            return
+        self._saved_at = now
+        for owned in self._owned.values():
+            self._save(
+                owned,
+                [
+                    run
+                    for run in map(owned.runs.get, owned.running)
+                    if now - run.started_at > SAVE_SECONDS
+                    and len(run.texts) > run.saved_texts
+                ],
+            )
+
     def _save(
-        self, owned: owned_batches.OwnedBatch, run: runs.ItemRun
+        self, owned: owned_batches.OwnedBatch, running: list[runs.ItemRun]
     ) -> None:
-        """Save what a run has gained since it was last saved."""
-        run.saved_at = time.monotonic()
-        last = -1 if run.last_event is None else run.last_event
-        self._journal.add(
-            records.Progress(
-                owned.state.id,
-                run.index,
-                run.saved_event,
-                last,
-                records.pack_text('\n'.join(run.texts[run.saved_texts :])),
-                sorted(run.versions),
-                run.failures,
+        """Save what runs have gained since they were last saved."""
+        if running:
+            self._journal.add_progress(
+                [
+                    owned_batches.take_progress(owned.state.id, run)
+                    for run in running
+                ]
             )
-        )
-        run.saved_event = last
-        run.saved_texts = len(run.texts)
 
     def _give_up(self, owned: owned_batches.OwnedBatch, now_ms: int) -> None:
         """Terminate what may not be run any more, or is too old."""
@@ -469,7 +496,7 @@
                 self._terminate(owned, run, reason)
 
     def _watch(self, owned: owned_batches.OwnedBatch, now: float) -> None:
-        """Move runs that stall or crawl, and save long ones."""
+        """Move runs that stall or crawl."""
         for index in list(owned.running):
             run = owned.runs[index]
             if moves.is_stalled(run, now):
@@ -486,8 +513,6 @@
             )
             if reason:
                 self._move(owned, run, reason)
-            elif run.texts and now - run.saved_at > self._save_seconds:
-                self._save(owned, run)
 
     def _move(self, owned, run: runs.ItemRun, reason: str) -> None:
         events.write(
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -97,6 +97,8 @@
 class OwnerTest(unittest.IsolatedAsyncioTestCase):
     """One gateway that owns a batch, and two replicas of one slot each."""
 
+    gateways = 1
+
     async def asyncSetUp(self):
         for module, name, value in (
             (owner, 'TICK_SECONDS', TICK_SECONDS),
@@ -113,7 +115,10 @@
             membership_test.build_settings(), None
         )
         self.journal = journal.Journal(
-            self.log, self.members.incarnation, settings.LogLimits()
+            self.log,
+            self.members.incarnation,
+            settings.LogLimits(),
+            lambda: self.gateways,
         )
         self.holder = holder.ConfigurationHolder(self.adapter)
         self.holder.current = configuration.Configuration(
@@ -393,3 +398,33 @@
         await self.wait(is_there)
         results = self.journal.fold.batches[NEXT_ID].results
         return [await self.journal.read_text(result) for result in results]
+
+
+class LargeDeploymentTest(OwnerTest):
+    """The same with so many gateways that contents lie apart."""
+
+    gateways = journal.INLINE_MEMBERS + 1
+
+    async def test_an_orphan_with_contents_apart_goes_on(self):
+        """The bodies and the saved text are read from where they lie."""
+        self.add('one')
+        submission = build_submission()
+        places = await self.journal.write_bodies(submission, LIMIT_SECONDS)
+        encoded = records.build_submission_records(
+            submission,
+            'a',
+            'dead',
+            time.time_ns() // 1_000_000,
+            10**6,
+            places,
+        )
+        self.log.write(records.TOPIC, PARTITION, encoded)
+        text = records.pack_text('x\ny\nz')
+        self.journal.add_progress(
+            [records.Progress(BATCH_ID, 0, -1, 2, text, [1], 0)]
+        )
+        await self.wait(lambda: self.journal.idle)
+        self.members._seeing_from = 1.0
+        self.members._checked_at = 10.0
+        self.assertEqual(['x\ny\nz\n3\n4'], await self.wait_texts())
+        self.assertEqual(BODY, self.client.requests[-1][1].body)
--- a/packages/gateway/auburnroad_gateway/batches/reading.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading.py
@@ -77,9 +77,9 @@
         found = await self._find(request.batch_id)
         if isinstance(found, messages.Response):
             return found
-        for item in found.submission.items:
+        for index, item in enumerate(found.submission.items):
             if item.id == request.item_id:
-                return messages.Response(200, {}, item.body)
+                return await self._answer_body(found, index)
         return refusals.build_error(404, 'no_such_item')
 
     async def end(self, request: call.BatchCall) -> messages.Response:
@@ -96,6 +96,16 @@
             return refusals.build_error(504, 'log_away')
         return messages.Response(200)
 
+    async def _answer_body(
+        self, found: fold.Batch, index: int
+    ) -> messages.Response:
+        try:
+            async with asyncio.timeout(SYNC_SECONDS):
+                bodies = await self._journal.read_bodies(found)
+        except (service.LogError, TimeoutError):
+            return refusals.refuse('log_away', RETRY_SECONDS)
+        return messages.Response(200, {}, bodies[index])
+
     async def _find(self, batch_id: str) -> fold.Batch | messages.Response:
         batches = self._journal.fold.batches
         if batch_id not in batches:
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -12,9 +12,9 @@
 from auburnroad_gateway.model import batch
 
 TOPIC = 'batches'
-# Texts of results in large deployments, where not every gateway can read
+# Texts and bodies in large deployments, where not every gateway can read
 # everything; partitions are numbered as those of TOPIC.
-TEXTS_TOPIC = 'texts'
+CONTENTS_TOPIC = 'contents'
 # Enough that appends of 3 ms carry the largest deployment's batches, few
 # enough that following all of them costs little.
 PARTITIONS = 4
@@ -36,6 +36,8 @@
       submitted_ms: Unix milliseconds of the submission.
       data: Compressed msgpack of the batch.Submission, or a piece of it.
       items: Number of its items.
+      bodies: Where the items' bodies lie if they aren't in the data: pieces
+        of what pack_bodies gives.
     """
 
     batch_id: str
@@ -46,6 +48,7 @@
     submitted_ms: int
     data: bytes
     items: int
+    bodies: list[batch.Place] = []
 
 
 class Results(msgspec.Struct, frozen=True, array_like=True, tag='r'):
@@ -66,6 +69,9 @@
       text: Packed text of the events between.
       versions: Weight versions of all the text up to here.
       failures: Answers that count as a failed run.
+      place: Where the text lies if it isn't here.
+      part: Number of the text among those at that place, as pack_texts has
+        them.
     """
 
     batch_id: str
@@ -75,6 +81,8 @@
     text: bytes
     versions: list[int]
     failures: int
+    place: batch.Place | None = None
+    part: int = 0
 
 
 class End(msgspec.Struct, frozen=True, array_like=True, tag='e'):
@@ -103,6 +111,7 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Record)
 _SUBMISSIONS = msgspec.msgpack.Decoder(batch.Submission)
+_BYTES = msgspec.msgpack.Decoder(list[bytes])
 
 
 def encode(record: Record) -> bytes:
@@ -134,6 +143,73 @@
     return zlib.decompress(data).decode()
 
 
+def pack_texts(texts: list[bytes]) -> bytes:
+    """Put packed texts into one record."""
+    return _ENCODER.encode(texts)
+
+
+def unpack_texts(data: bytes) -> list[bytes]:
+    """Undo pack_texts."""
+    return _BYTES.decode(data)
+
+
+def pack_bodies(submission: batch.Submission) -> bytes:
+    """Compress the bodies of a batch's items."""
+    bodies = [item.body for item in submission.items]
+    return zlib.compress(_ENCODER.encode(bodies), COMPRESSION_LEVEL)
+
+
+def unpack_bodies(data: bytes) -> list[bytes]:
+    """Undo pack_bodies."""
+    return _BYTES.decode(zlib.decompress(data))
+
+
+def hash_body(item: batch.Item) -> int:
+    """Compute a number that tells an item's body from others."""
+    return item.body_hash or xxhash.xxh64_intdigest(item.body)
+
+
+def strip_bodies(submission: batch.Submission) -> batch.Submission:
+    """Build the same batch without its bodies, which lie elsewhere."""
+    return msgspec.structs.replace(
+        submission,
+        items=[
+            msgspec.structs.replace(item, body=b'', body_hash=hash_body(item))
+            for item in submission.items
+        ],
+    )
+
+
+def fill_bodies(
+    submission: batch.Submission, bodies: list[bytes]
+) -> batch.Submission:
+    """Undo strip_bodies."""
+    return msgspec.structs.replace(
+        submission,
+        items=[
+            msgspec.structs.replace(item, body=body)
+            for item, body in zip(submission.items, bodies, strict=True)
+        ],
+    )
+
+
+def split(data: bytes, record_bytes: int) -> list[bytes]:
+    """Split data into pieces that fit into a record each.
+
+    Args:
+      data: Any bytes.
+      record_bytes: Most bytes of a record.
+
+    Returns:
+      One piece or more.
+    """
+    room = record_bytes - RECORD_HEAD_BYTES
+    return [
+        data[start : start + room]
+        for start in range(0, max(1, len(data)), room)
+    ]
+
+
 def pack_submission(submission: batch.Submission) -> bytes:
     """Compress a batch."""
     return zlib.compress(_ENCODER.encode(submission), COMPRESSION_LEVEL)
@@ -150,6 +226,7 @@
     owner: str,
     submitted_ms: int,
     record_bytes: int,
+    bodies: list[batch.Place] | None = None,
 ) -> list[bytes]:
     """Build the records of a submitted batch.
 
@@ -159,15 +236,14 @@
       owner: Incarnation that runs it.
       submitted_ms: Unix milliseconds.
       record_bytes: Most bytes of a record.
+      bodies: Where the items' bodies lie; None if they go with the rest.
 
     Returns:
       Encoded records, in order.
     """
-    data = pack_submission(submission)
-    room = record_bytes - RECORD_HEAD_BYTES
-    pieces = [
-        data[start : start + room] for start in range(0, len(data), room)
-    ]
+    if bodies is not None:
+        submission = strip_bodies(submission)
+    pieces = split(pack_submission(submission), record_bytes)
     return [
         encode(
             SubmissionPart(
@@ -179,6 +255,7 @@
                 submitted_ms,
                 piece,
                 len(submission.items),
+                bodies or [],
             )
         )
         for number, piece in enumerate(pieces)
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -43,8 +43,6 @@
       replica: Where it runs or ran last, None before.
       saved_event: Id of the last event that was saved, -1 for none.
       saved_texts: How many of the texts were saved.
-      saved_at: When its text was last saved, or the attempt began, in
-        monotonic seconds.
     """
 
     __slots__ = (
@@ -59,7 +57,6 @@
         'replica',
         'saved_event',
         'saved_texts',
-        'saved_at',
     )
 
     def __init__(self, item: batch.Item, index: int):
@@ -74,7 +71,6 @@
         self.replica: replica.Replica | None = None
         self.saved_event = -1
         self.saved_texts = 0
-        self.saved_at = 0.0
 
     @property
     def text(self) -> str:
--- a/packages/gateway/auburnroad_gateway/model/batch.py
+++ b/packages/gateway/auburnroad_gateway/model/batch.py
@@ -17,6 +17,8 @@
       group: Items of one group are wanted all or not at all.
       length_hint: Caller's estimate of the output tokens, zero for none.
       prompt_tokens: Tokens that are read before the first one is generated.
+      body_hash: Tells bodies apart where the body itself lies elsewhere;
+        zero as long as it is here.
     """
 
     id: str
@@ -27,6 +29,7 @@
     group: str
     length_hint: int = 0
     prompt_tokens: int = 0
+    body_hash: int = 0
 
 
 class Submission(msgspec.Struct, frozen=True, array_like=True):
@@ -61,10 +64,10 @@
 
 
 class Place(msgspec.Struct, frozen=True, array_like=True):
-    """Where a text lies in the log.
+    """Where a record of contents lies in the log.
 
     Attributes:
-      partition: Partition of the topic of texts.
+      partition: Partition of the topic of contents.
       offset: Offset of its record.
       size: Bytes of the record.
     """
