Start what must start soonest, and fill slots up to the memory in use

By due time alone the first trainer's short items went before the last one's long ones, whose step then ended 3 s later. And a replica was kept at four of eight slots by two long runs, as room was kept for all that they would hold at their end.

Ruled out: slow replicas (pace 44 to 56 ms an event on all batches); refused attempts (44 of 4,380).

Change: items are started by their latest start, due time less expected run, and groups that can't be in time any more after those that can; memory bounds a replica's runs by what they hold now and a little more, and long runs go apart as long as there is a choice.

--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -55,19 +55,81 @@
 
 
 def count_tokens(run: runs.ItemRun, tokens_per_event: int) -> int:
-    """Count the tokens that a run is expected to hold in memory.
+    """Count the tokens that a run is about to hold in memory.
 
     Args:
       run: The run.
       tokens_per_event: Tokens that one of its events stands for.
 
     Returns:
-      Its prompt, and the larger of what was predicted and what there is with
-      some room to grow.
+      Its prompt and its text so far, with some room to grow.
     """
-    events = (run.last_event or 0) + GROWTH_EVENTS
-    generated = events * tokens_per_event
-    return run.item.prompt_tokens + max(run.item.length_hint, generated)
+    events = count_events(run) + GROWTH_EVENTS
+    return run.item.prompt_tokens + events * tokens_per_event
+
+
+def count_final_tokens(run: runs.ItemRun, tokens_per_event: int) -> int:
+    """Count the tokens that a run is expected to hold when it ends."""
+    predicted = run.item.prompt_tokens + run.item.length_hint
+    return max(predicted, count_tokens(run, tokens_per_event))
+
+
+def count_events(run: runs.ItemRun) -> int:
+    """Count the events that a run has made, here or before."""
+    return 0 if run.last_event is None else run.last_event + 1
+
+
+class Group:
+    """What is left of a group of a batch's items.
+
+    Attributes:
+      left: Items without a result.
+      expected_ms: Time that each of them is expected to run, by item index.
+    """
+
+    __slots__ = ('left', 'expected_ms')
+
+    def __init__(self):
+        self.left = 0
+        self.expected_ms: dict[int, int] = {}
+
+    @property
+    def longest_ms(self) -> int:
+        """The longest of the expected times."""
+        return max(self.expected_ms.values())
+
+
+def measure_groups(
+    owned: OwnedBatch, tokens_per_event: int, pace_ms: float
+) -> dict[str, Group]:
+    """Measure what is left of each group.
+
+    Args:
+      owned: The batch.
+      tokens_per_event: Tokens that one event stands for.
+      pace_ms: Time between two events, in milliseconds.
+
+    Returns:
+      Groups by name; those without any item left are missing.
+    """
+    groups: dict[str, Group] = {}
+    for run in owned.runs.values():
+        group = groups.setdefault(run.item.group, Group())
+        group.left += 1
+        events = count_events_left(run, tokens_per_event)
+        group.expected_ms[run.index] = int(events * pace_ms)
+    return groups
+
+
+def count_events_left(run: runs.ItemRun, tokens_per_event: int) -> int:
+    """Count the events that a run is expected to make from now on.
+
+    A run that has made more than was predicted may go on for long: the more
+    it has made, the more are expected.
+    """
+    made = count_events(run)
+    predicted = run.item.length_hint // tokens_per_event
+    return max(predicted - made, made // 2, 1)
 
 
 def build_run(state: fold.Batch, item, index: int) -> runs.ItemRun:
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -17,7 +17,6 @@
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.directory import placement
-from auburnroad_gateway.directory import replica
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
@@ -29,6 +28,9 @@
 TICK_SECONDS = 0.1
 # How often the texts of runs that last longer are saved.
 SAVE_SECONDS = 0.8
+# Time between two events until it was measured, in milliseconds: that of a
+# replica of the present deployments with half its slots taken.
+USUAL_PACE_MS = 48.0
 # A batch whose contents could not be read is tried again so much later.
 LOAD_RETRY_SECONDS = 0.2
 # Batches stay readable a little longer than promised.
@@ -306,12 +308,14 @@
         if not self.stopping:
             self._adopt()
         queue = []
+        now_ms = clock.time_now_ms()
         for owned in self._owned.values():
             route = self._find_route(owned.state)
             if route is None:
                 continue
             owned.route = route
-            queue.extend(self._list_waiting(owned))
+            if owned.waiting:
+                queue.extend(self._list_waiting(owned, now_ms))
         queue.sort(key=lambda entry: entry[0])
         full = set()
         now = time.monotonic()
@@ -339,6 +343,7 @@
             submission.model,
             submission.minimum_version,
             owned_batches.count_tokens(run, service.tokens_per_event),
+            owned_batches.count_final_tokens(run, service.tokens_per_event),
             service.memory_tokens,
         )
 
@@ -348,30 +353,44 @@
         return known or configuration.Service(name)
 
     def _count_memory(self) -> None:
-        """Count the tokens that running items hold in each replica."""
-        held: dict[replica.Replica, int] = {}
-        for owned in self._owned.values():
-            per_event = self._find_service(owned).tokens_per_event
-            for index in owned.running:
-                run = owned.runs[index]
-                tokens = owned_batches.count_tokens(run, per_event)
-                held[run.replica] = held.get(run.replica, 0) + tokens
-                run.replica.tokens = held[run.replica]
-
-    def _list_waiting(self, owned: owned_batches.OwnedBatch):
+        """Count anew the tokens that running items hold in each replica."""
+        running = [
+            (owned, owned.runs[index])
+            for owned in self._owned.values()
+            for index in owned.running
+        ]
+        for _, run in running:
+            run.replica.tokens = run.replica.final_tokens = 0
+        for owned, run in running:
+            self._add_memory(owned, run)
+
+    def _add_memory(self, owned, run: runs.ItemRun) -> None:
+        per_event = self._find_service(owned).tokens_per_event
+        run.replica.tokens += owned_batches.count_tokens(run, per_event)
+        run.replica.final_tokens += owned_batches.count_final_tokens(
+            run, per_event
+        )
+
+    def _list_waiting(self, owned: owned_batches.OwnedBatch, now_ms: int):
         due_ms = owned.state.submitted_ms + owned.route.due_ms
-        left: dict[str, int] = {}
-        for run in owned.runs.values():
-            left[run.item.group] = left.get(run.item.group, 0) + 1
+        service = self._find_service(owned)
+        pace_ms = placement.find_median_pace(
+            self._directory.list_ready(service.name), time.monotonic()
+        )
+        groups = owned_batches.measure_groups(
+            owned, service.tokens_per_event, pace_ms or USUAL_PACE_MS
+        )
         for run in owned.waiting.values():
+            group = groups[run.item.group]
             entry = ordering.Waiting(
                 due_ms,
                 run.item.group in owned.carried,
-                left[run.item.group],
-                run.item.length_hint,
+                group.left,
+                group.expected_ms[run.index],
+                group.longest_ms,
                 run.index,
             )
-            yield ordering.build_sort_key(entry), owned, run
+            yield ordering.build_sort_key(entry, now_ms), owned, run
 
     def _start(
         self, owned: owned_batches.OwnedBatch, run: runs.ItemRun, target
@@ -381,8 +400,7 @@
         run.progress_at = time.monotonic()
         run.started_at = run.progress_at
         target.in_flight += 1
-        per_event = self._find_service(owned).tokens_per_event
-        target.tokens += owned_batches.count_tokens(run, per_event)
+        self._add_memory(owned, run)
         owned.running[run.index] = asyncio.ensure_future(
             self._attempt(owned, run)
         )
@@ -398,7 +416,7 @@
         finally:
             target.in_flight -= 1
             if not target.in_flight:
-                target.tokens = 0
+                target.tokens = target.final_tokens = 0
             self._wake.set()
         if owned.running.pop(run.index, None) is not None:
             self._finish_attempt(owned, run, target, end)
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -17,8 +17,8 @@
 NEAR_BONUS = 0.1
 # The same for items, relative to the pace: most of their bytes are few.
 NEAR_PACE_BONUS = 0.03
-# Share of a replica's memory that expected tokens may fill: when it runs
-# out, the newest run loses what it has.
+# Share of a replica's memory that may be filled: when it runs out, the newest
+# run loses what it has.
 MEMORY_SHARE = 0.95
 
 
@@ -28,13 +28,15 @@
     Attributes:
       model: Model that generates; empty for any.
       minimum_version: Oldest weight version that may generate.
-      tokens: Tokens that it is expected to hold in memory.
+      tokens: Tokens that it is about to hold in memory.
+      final_tokens: Tokens that it is expected to hold when it ends.
       memory_tokens: Tokens that a replica holds; zero for no limit.
     """
 
     model: str
     minimum_version: int
     tokens: int = 0
+    final_tokens: int = 0
     memory_tokens: int = 0
 
 
@@ -81,7 +83,8 @@
 
     Returns:
       The one that is expected to generate fastest, of those with a free
-      slot; None if no replica has one.
+      slot and memory for now; those that are expected to keep all their runs
+      in memory to the end go first. None if there is none.
     """
     usable = [
         entry
@@ -95,7 +98,10 @@
     median = find_median_pace(candidates, now)
     return min(
         usable,
-        key=lambda entry: _rate_pace(entry, failure_domain, now, median),
+        key=lambda entry: (
+            not fits_to_the_end(entry, need),
+            _rate_pace(entry, failure_domain, now, median),
+        ),
         default=None,
     )
 
@@ -125,8 +131,10 @@
 
 
 def has_memory(entry: replica.Replica, need: Need) -> bool:
-    """Tell whether a replica is expected to keep an item in memory.
+    """Tell whether a replica has memory for an item at the moment.
 
+    Long runs fill their memory late, and a run that loses it goes on for the
+    price of reading its text again: slots aren't left free for what may come.
     One that runs nothing takes any item.
     """
     if not need.memory_tokens or not entry.in_flight:
@@ -134,6 +142,14 @@
     return entry.tokens + need.tokens <= MEMORY_SHARE * need.memory_tokens
 
 
+def fits_to_the_end(entry: replica.Replica, need: Need) -> bool:
+    """Tell whether a replica is expected to keep an item to its end."""
+    if not need.memory_tokens:
+        return True
+    filled = entry.final_tokens + need.final_tokens
+    return filled <= MEMORY_SHARE * need.memory_tokens
+
+
 def is_fresh(entry: replica.Replica, model: str, minimum: int) -> bool:
     """Tell whether a replica's weights are new enough, as far as known."""
     version = entry.versions.get(model)
--- a/packages/gateway/auburnroad_gateway/directory/placement_test.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement_test.py
@@ -70,6 +70,20 @@
         chosen = self.choose(tokens=300, memory_tokens=1000)
         self.assertIs(self.two, chosen)
 
+    def test_long_runs_go_apart_as_long_as_there_is_a_choice(self):
+        """Pattern: long runs that fill their memory only at their end."""
+        self.one.in_flight, self.one.final_tokens = 1, 800
+        self.two.in_flight, self.two.final_tokens = 2, 300
+        chosen = self.choose(final_tokens=500, memory_tokens=1000)
+        self.assertIs(self.two, chosen)
+
+    def test_no_slot_is_left_free_for_memory_that_is_filled_late(self):
+        for entry in (self.one, self.two):
+            entry.in_flight = 2
+            entry.tokens, entry.final_tokens = 300, 900
+        chosen = self.choose(tokens=100, final_tokens=500, memory_tokens=1000)
+        self.assertIsNotNone(chosen)
+
     def test_an_old_pace_says_nothing(self):
         set_pace(self.one, 200.0)
         later = NOW + replica.PACE_LIFE_SECONDS + 1
--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -24,7 +24,9 @@
     Attributes:
       registration: Its newest registration.
       in_flight: Requests of this gateway that it works on.
-      tokens: Tokens that those of them are expected to hold in memory.
+      tokens: Tokens that those of them are about to hold in memory.
+      final_tokens: The sum of what each of them is expected to hold when it
+        ends.
       avoid_until: It is passed over until then, in monotonic seconds.
       failures: Failed attempts since the last good answer.
       versions: Weight version by model, as last seen from any source.
@@ -38,6 +40,7 @@
         'registration',
         'in_flight',
         'tokens',
+        'final_tokens',
         'avoid_until',
         'failures',
         'versions',
@@ -53,6 +56,7 @@
         self.registration = entry
         self.in_flight = 0
         self.tokens = 0
+        self.final_tokens = 0
         self.avoid_until = 0.0
         self.failures = 0
         self.versions = dict(entry.versions)
