Look after runs also while something happens all the time

Cause: stalled runs, saved texts, expired items and memory were looked at only when the owner's loop had been left alone for 0.1 s.

Ruled out: the reading of saved texts (test_an_orphan_with_contents_apart), the fold's order of saved parts.

Change: the time of the next look is kept, and holds whatever wakes the loop.

Conclusion: what must happen in time needs a deadline of its own.

--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -100,12 +100,18 @@
 
     async def run(self) -> None:
         """Work for as long as the process lives."""
+        tick_at = 0.0
         while True:
+            # Under load something wakes this loop all the time.
+            if time.monotonic() >= tick_at:
+                tick_at = time.monotonic() + TICK_SECONDS
+                self._tick()
             try:
-                async with asyncio.timeout(TICK_SECONDS):
+                async with asyncio.timeout(tick_at - time.monotonic()):
                     await self._wake.wait()
             except TimeoutError:
-                self._tick()
+                # Time for the next look.
+                pass
             self._wake.clear()
             self._start_runs()
 
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -219,6 +219,21 @@
         self.add('two')
         self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
 
+    async def test_a_silent_run_is_noticed_while_others_come_and_go(self):
+        """Pattern: under load something happens more often than a look."""
+        self.add('one', pause_seconds=60)
+        self.submit()
+        await self.wait(lambda: self.client.requests)
+        self.add('two')
+
+        async def keep_waking():
+            while True:
+                self.subject._wake.set()
+                await asyncio.sleep(0)
+
+        self.tasks.append(asyncio.create_task(keep_waking()))
+        self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
+
     async def test_a_run_leaves_a_replica_that_drains(self):
         self.add('one', pause_seconds=STALL_SECONDS / 2)
         self.submit()
