Load half of a model's replicas at once, and start late items in order

Cause of the first: with several models all replicas of one model loaded at once, as the limit counted those of the service, and nobody was left to take its runs or its next step; and any waiting item held loads up, also items that only the new weights may generate.

Ruled out: taking all runs from a replica before it loads.

Change: at most half of a model's own replicas load at a time; only items that older weights may generate hold a load up; free slots count where the weights will do. Items are ordered by their latest start alone. A run's pace is compared with the best one before a place is looked for.

--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/batches/contents_test.py
@@ -0,0 +1,64 @@
+"""Tests that contents which lie apart are read back by any gateway."""
+
+import asyncio
+import unittest
+
+from auburnroad_gateway.batches import contents
+from auburnroad_gateway.batches import records
+from auburnroad_gateway.log import service
+from auburnroad_gateway.model import batch
+from auburnroad_standins import partition_log
+
+CALL_BYTES = 10**6
+PARTITION = records.find_partition('b')
+
+
+class ContentsTest(unittest.IsolatedAsyncioTestCase):
+    """One gateway that writes, another one that reads."""
+
+    async def asyncSetUp(self):
+        self.log = partition_log.PartitionLog()
+        self.writer, self.reader = (
+            contents.Contents(self.log, name, CALL_BYTES)
+            for name in ('writer', 'reader')
+        )
+        self.tasks = [
+            asyncio.create_task(work()) for work in self.writer.list_work()
+        ]
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+
+    async def write(self, *texts):
+        return [await self.writer.write('b', text) for text in texts]
+
+    async def test_what_was_written_is_read(self):
+        places = await self.write(b'one', b'two')
+        found = await self.reader.read_all(set(places))
+        self.assertEqual([b'one', b'two'], [found[at] for at in places])
+
+    async def test_neighbours_come_with_one_read(self):
+        """Pattern: an owner dies, and the next one reads all its texts."""
+        places = await self.write(*(b'%d' % n for n in range(100)))
+        self.log.calls.clear()
+        await self.reader.read_all(set(places))
+        self.assertEqual(['read'], self.log.calls)
+
+    async def test_what_was_just_written_is_not_read(self):
+        (place,) = await self.write(b'one')
+        self.log.down = True
+        self.assertEqual(b'one', await self.writer.read(place))
+
+    async def test_a_cache_that_is_full_drops_the_oldest(self):
+        size = contents.CACHE_BYTES // 2
+        places = await self.write(b'x' * size, b'y' * size, b'z' * size)
+        self.log.calls.clear()
+        await self.writer.read(places[-1])
+        self.assertEqual([], self.log.calls)
+        await self.writer.read(places[0])
+        self.assertEqual(['read'], self.log.calls)
+
+    async def test_contents_that_are_not_there_are_an_error(self):
+        with self.assertRaises(service.LogError):
+            await self.reader.read(batch.Place(PARTITION, 0, 1))
--- a/packages/gateway/auburnroad_gateway/batches/leftovers.py
+++ b/packages/gateway/auburnroad_gateway/batches/leftovers.py
@@ -9,6 +9,7 @@
 
 import collections
 
+from auburnroad_gateway.batches import owned
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.model import batch
 
@@ -50,7 +51,7 @@
         run = self._pop(item.id)
         if run is None:
             return None
-        if (run.item.path, run.item.body) != (item.path, item.body):
+        if not owned.is_same_item(run.item, item):
             return None
         if any(version < terms.minimum_version for version in run.versions):
             return None
--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -50,6 +50,7 @@
     replicas: directory.Directory,
     failure_domain: str,
     crowded: bool,
+    fastest_ms: float,
     now: float,
 ) -> str:
     """Find why a run is better off elsewhere.
@@ -60,6 +61,7 @@
       replicas: All replicas.
       failure_domain: The gateway's own.
       crowded: Whether items wait for a slot; they go before a gain of pace.
+      fastest_ms: The best pace of any replica, in milliseconds an event.
       now: Monotonic time in seconds.
 
     Returns:
@@ -67,7 +69,12 @@
     """
     current = run.replica
     vacate = current.vacating or not replicas.is_ready(current)
-    if not vacate and now - run.started_at < SETTLE_SECONDS:
+    if not vacate and (
+        crowded
+        or not run.texts
+        or now - run.started_at < SETTLE_SECONDS
+        or current.find_pace(now) <= find_ratio(run) * fastest_ms
+    ):
         return ''
     ready = replicas.list_ready(current.registration.service)
     better = placement.choose_for_item(ready, failure_domain, need, now)
@@ -75,8 +82,10 @@
         return ''
     if vacate:
         return 'vacating'
-    if not run.texts or crowded:
-        return ''
-    ratio = SLOW_RATIO if len(run.texts) < LONG_EVENTS else FAST_RATIO
-    faster = placement.is_faster(better, current, ready, ratio, now)
+    faster = placement.is_faster(better, current, ready, find_ratio(run), now)
     return 'slow' if faster else ''
+
+
+def find_ratio(run: runs.ItemRun) -> float:
+    """Find how much faster a replica has to be to be worth a move."""
+    return SLOW_RATIO if len(run.texts) < LONG_EVENTS else FAST_RATIO
--- a/packages/gateway/auburnroad_gateway/batches/ordering.py
+++ b/packages/gateway/auburnroad_gateway/batches/ordering.py
@@ -4,9 +4,9 @@
 slots, a few of them many times as long as the others; after an outage several
 steps of each trainer wait together. What must start soonest to be in time
 goes first: a long item of one step before a short one of another that is due
-at the same time, so that no step's last item begins late. A group that can't
-be in time any more waits for those that can, unless its trainer won't go on
-without it.
+at the same time, so that no step's last item begins late. That holds for
+items that will be late, too: a trainer names its next version only when the
+step is whole, so that each second of a step's end moves all later steps.
 """
 
 import msgspec
@@ -14,9 +14,6 @@
 # Items whose latest starts differ by less are ordered by their groups, so
 # that groups are finished one after the other and not all at the end.
 START_STEP_MS = 250
-# Trainers read results about twice a second: a group that ends so much after
-# its due time may still be read in time.
-GRACE_MS = 500
 
 
 class Waiting(msgspec.Struct, frozen=True):
@@ -28,7 +25,6 @@
         its trainer then waits for it.
       group_left: Items of its group that have no result yet.
       expected_ms: Time that it is expected to run.
-      group_expected_ms: The longest such time in its group.
       index: Its position in the submission.
     """
 
@@ -36,25 +32,20 @@
     carried: bool
     group_left: int
     expected_ms: int
-    group_expected_ms: int
     index: int
 
 
-def build_sort_key(entry: Waiting, now_ms: int) -> tuple:
+def build_sort_key(entry: Waiting) -> tuple:
     """Build the key by which waiting items are sorted, first one first.
 
     Args:
       entry: The item.
-      now_ms: Unix milliseconds.
 
     Returns:
       A key that is lower for an item that starts earlier.
     """
-    ends_ms = now_ms + entry.group_expected_ms
-    too_late = not entry.carried and ends_ms > entry.due_ms + GRACE_MS
     latest_start_ms = entry.due_ms - entry.expected_ms
     return (
-        too_late,
         latest_start_ms // START_STEP_MS,
         not entry.carried,
         entry.group_left,
--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -93,11 +93,6 @@
         self.left = 0
         self.expected_ms: dict[int, int] = {}
 
-    @property
-    def longest_ms(self) -> int:
-        """The longest of the expected times."""
-        return max(self.expected_ms.values())
-
 
 def measure_groups(
     owned: OwnedBatch, tokens_per_event: int, pace_ms: float
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -138,6 +138,23 @@
         mean = sum(known.values()) / len(known) if known else 1.0
         return {model: known.get(model, mean) for model in models}
 
+    def count_waiting(self, model: str, version: int) -> int:
+        """Count the waiting items that older weights may generate, too.
+
+        Args:
+          model: The model.
+          version: Weight version.
+
+        Returns:
+          Items of the model that wait for a slot and allow an older version.
+        """
+        return sum(
+            len(owned.waiting)
+            for owned in self._owned.values()
+            if owned.state.submission.model == model
+            and owned.state.submission.minimum_version < version
+        )
+
     def look(self) -> None:
         """Look for runs that are better off elsewhere, now."""
         self._count_memory()
@@ -314,14 +331,13 @@
         if not self.stopping:
             self._adopt()
         queue = []
-        now_ms = clock.time_now_ms()
         for owned in self._owned.values():
             route = self._find_route(owned.state)
             if route is None:
                 continue
             owned.route = route
             if owned.waiting:
-                queue.extend(self._list_waiting(owned, now_ms))
+                queue.extend(self._list_waiting(owned))
         queue.sort(key=lambda entry: entry[0])
         full = set()
         now = time.monotonic()
@@ -377,7 +393,7 @@
             run, per_event
         )
 
-    def _list_waiting(self, owned: owned_batches.OwnedBatch, now_ms: int):
+    def _list_waiting(self, owned: owned_batches.OwnedBatch):
         due_ms = owned.state.submitted_ms + owned.route.due_ms
         service = self._find_service(owned)
         pace_ms = placement.find_median_pace(
@@ -393,10 +409,9 @@
                 run.item.group in owned.carried,
                 group.left,
                 group.expected_ms[run.index],
-                group.longest_ms,
                 run.index,
             )
-            yield ordering.build_sort_key(entry, now_ms), owned, run
+            yield ordering.build_sort_key(entry), owned, run
 
     def _start(
         self, owned: owned_batches.OwnedBatch, run: runs.ItemRun, target
@@ -521,22 +536,29 @@
 
     def _watch(self, owned: owned_batches.OwnedBatch, now: float) -> None:
         """Move runs that stall or crawl."""
+        service = owned.route.backends[0].service
+        fastest_ms = placement.find_fastest_pace(
+            self._directory.list_ready(service), now
+        )
         for index in list(owned.running):
             run = owned.runs[index]
             if moves.is_stalled(run, now):
                 run.replica.note_failure(now)
-                self._move(owned, run, 'stalled')
-                continue
-            reason = moves.find_reason(
-                run,
-                self._build_need(owned, run),
-                self._directory,
-                self._settings.failure_domain,
-                bool(self.waiting),
-                now,
-            )
+                reason = 'stalled'
+            else:
+                reason = moves.find_reason(
+                    run,
+                    self._build_need(owned, run),
+                    self._directory,
+                    self._settings.failure_domain,
+                    bool(self.waiting),
+                    fastest_ms,
+                    now,
+                )
             if reason:
                 self._move(owned, run, reason)
+                # The place that it was moved for must not be promised twice.
+                self._start_runs()
 
     def _move(self, owned, run: runs.ItemRun, reason: str) -> None:
         events.write(
@@ -550,4 +572,3 @@
         )
         owned.running.pop(run.index).cancel()
         owned.waiting[run.index] = run
-        self._start_runs()
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -168,6 +168,18 @@
     return paces[(len(paces) - 1) // 2] if paces else 0.0
 
 
+def find_fastest_pace(candidates: list[replica.Replica], now: float) -> float:
+    """Find the best pace of replicas in milliseconds an event.
+
+    Returns:
+      The lowest one, zero if no pace is known.
+    """
+    return min(
+        (pace for entry in candidates if (pace := entry.find_pace(now))),
+        default=0.0,
+    )
+
+
 def _rate_load(entry, failure_domain: str, now: float) -> float:
     load = entry.count_load(now) / entry.registration.slots
     if entry.registration.failure_domain != failure_domain:
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -3,9 +3,10 @@
 Pattern: each version is named while the step before it still allows the
 version that is loaded, and a replica that loads serves nobody for a second.
 A step begins with a burst that fills every slot and ends with a few long
-runs. So replicas load after the burst, a few at a time, idle ones first, and
-their last runs go on at the others. A replica that is too old for the step
-loads at once.
+runs. So replicas load after the burst, at most half of a model's at a time,
+idle ones first, and their last runs go on at the others. Items that only the
+named version may generate are no reason to wait. A replica that is too old
+for the step loads at once.
 
 An order without an answer may still be carried out seconds later. It names
 how many orders the replica has accepted before it, so that it has no effect
@@ -18,6 +19,7 @@
 from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_gateway import adapter as adapters
+from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
@@ -25,7 +27,7 @@
 from auburnroad_gateway.weights import homes
 
 TICK_SECONDS = 0.1
-# Share of a model's replicas that load at once; more would slow each other.
+# Share of a service's replicas that load at once; more would slow each other.
 LOADING_SHARE = 0.4
 CALL_SECONDS = 0.6
 # A load takes some 0.9 s, longer when several load.
@@ -36,11 +38,8 @@
 # Replicas that are never idle load so long after the version was named; the
 # next one may follow four seconds after it.
 FORCE_SECONDS = 2.4
-# A replica with more runs isn't vacated: each move costs a connection.
-VACATE_RUNS = 3
-# Time for the runs of a replica to go on elsewhere before it loads.
-VACATE_SECONDS = 0.3
-VACATE_CHECK_SECONDS = 0.02
+# Time until the replica has noticed that its runs have gone elsewhere.
+VACATE_SECONDS = 0.02
 
 
 class WeightRollout:
@@ -115,29 +114,33 @@
 
     def _load_model(self, service, model, version: int, now: float) -> None:
         replicas = self._directory.list_ready(service.name)
-        room = count_at_once(len(replicas)) - sum(
-            target in self._tasks for target in replicas
-        )
         at_home = self._homes[service.name]
+        home = [
+            target for target in replicas if at_home.get(target.id) == model
+        ]
+        room = min(
+            count_at_once(len(replicas)) - self._count_loading(replicas),
+            count_half(len(home)) - self._count_loading(home),
+        )
         named_at = self._named_at.setdefault((model, version), now)
-        for target in sorted(
-            replicas, key=lambda target: target.count_load(now)
-        ):
+        for target in sorted(home, key=lambda target: target.count_load(now)):
             if room <= 0:
                 return
-            if target in self._tasks or at_home.get(target.id) != model:
-                continue
-            if not is_behind(target, model, version):
+            if target in self._tasks or not is_behind(target, model, version):
                 continue
             if not self._may_load(
                 target, replicas, model, version, now, named_at
             ):
                 continue
             room -= 1
+            target.vacating = True
             self._tasks[target] = asyncio.ensure_future(
                 self._load(target, service.name, model, version)
             )
 
+    def _count_loading(self, replicas: list[replica.Replica]) -> int:
+        return sum(target in self._tasks for target in replicas)
+
     def _may_load(
         self, target, replicas, model, version, now, named_at
     ) -> bool:
@@ -145,17 +148,18 @@
         too_old = target.versions.get(model, 0) < version - 1
         if too_old or now - named_at > FORCE_SECONDS:
             return True
-        if self._owner.waiting:
+        if self._owner.count_waiting(model, version):
             return False
         free = sum(
             max(0, other.count_free(now))
             for other in replicas
-            if other is not target and not other.is_loading(now)
+            if other is not target
+            and not other.is_loading(now)
+            and placement.is_fresh(other, model, version - 1)
         )
-        return target.count_load(now) <= min(free, VACATE_RUNS)
+        return target.count_load(now) <= free
 
     async def _load(self, target, service, model, version: int) -> None:
-        target.vacating = True
         try:
             await self._vacate(target)
             await self._order(target, service, model, version)
@@ -172,11 +176,13 @@
             target.vacating = False
 
     async def _vacate(self, target) -> None:
-        """Give the runs of this gateway time to go on elsewhere."""
-        until = time.monotonic() + VACATE_SECONDS
+        """Let the runs of this gateway go on elsewhere.
+
+        Those that find no place stay: they pause while the replica loads,
+        and go on under the new version.
+        """
         self._owner.look()
-        while target.in_flight and time.monotonic() < until:
-            await asyncio.sleep(VACATE_CHECK_SECONDS)
+        await asyncio.sleep(VACATE_SECONDS)
 
     async def _order(self, target, service, model, version: int) -> None:
         report = await self._read_report(target)
@@ -245,6 +251,11 @@
     return target.versions.get(model, 0) < version
 
 
+def count_half(replicas: int) -> int:
+    """Count how many of a model's own replicas may load at once."""
+    return (replicas + 1) // 2
+
+
 def count_at_once(replicas: int) -> int:
-    """Count how many of a model's replicas may load at once."""
+    """Count how many of a service's replicas may load at once."""
     return max(1, int(replicas * LOADING_SHARE))
