--- a/packages/client/auburnroad_client/commands/logs.py
+++ b/packages/client/auburnroad_client/commands/logs.py
@@ -52,7 +52,11 @@
 
 
 async def summarize(
-    options: Options, paths: list[str], from_ms: int, until_ms: int
+    options: Options,
+    paths: list[str],
+    from_ms: int,
+    until_ms: int,
+    plot_path: str,
 ) -> output.Report:
     """Count failures, refusals and lost dependencies by cause.
 
@@ -61,24 +65,38 @@
       paths: Files and directories.
       from_ms: Unix milliseconds; earlier lines don't count.
       until_ms: Unix milliseconds; later lines don't count. Zero for all.
+      plot_path: File to draw failures over time into; empty for none.
 
     Returns:
       A table, the most frequent cause first.
 
     Raises:
       NotFoundError: If a path names nothing.
+      BadInputError: If the plot can't be written.
     """
     log = _read(paths)
-    rows = [
-        msgspec.to_builtins(row)
-        for row in summary.build_summary(log, from_ms, until_ms)
-    ]
+    found = summary.build_summary(log, from_ms, until_ms)
+    if plot_path and found:
+        _draw(log, found, plot_path)
+    rows = [msgspec.to_builtins(row) for row in found]
     text = output.build_table(rows) if rows else 'nothing failed'
     if log.broken:
         text += f'\n{log.broken} lines held no event'
     return output.Report(rows, text)
 
 
+def _draw(log: reading.Log, found: list[summary.Row], path: str) -> None:
+    # The library takes half a second to import: only when it is asked for.
+    from auburnroad_client.logs import plot
+
+    try:
+        plot.draw(log, found, path)
+    except (OSError, ValueError) as error:
+        raise exit_codes.BadInputError(
+            str(error), 'give a file that ends in .png or .svg', []
+        ) from error
+
+
 def _read(paths: list[str]) -> reading.Log:
     try:
         return reading.read_log(paths)
--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -7,6 +7,7 @@
 import unittest
 
 from auburnroad_client.logs import causes
+from auburnroad_client.logs import plot
 from auburnroad_client.logs import reading
 from auburnroad_client.logs import story
 from auburnroad_client.logs import summary
@@ -101,6 +102,26 @@
         self.assertEqual(['request_failed'], [row.event for row in rows])
 
 
+class PlotTest(LogsCase):
+    """Failures over time."""
+
+    def test_each_line_is_counted_in_its_span(self):
+        rows = summary.build_summary(self.log)
+        begin = min(row.first_ms for row in rows)
+        end = max(row.last_ms for row in rows)
+        starts, counts = plot.count_over_time(self.log, rows, begin, end)
+        self.assertEqual(plot.BINS, len(starts))
+        self.assertEqual(
+            sum(row.count for row in rows), sum(map(sum, counts.values()))
+        )
+
+    def test_the_drawing_is_written(self):
+        with tempfile.TemporaryDirectory() as name:
+            path = pathlib.Path(name) / 'failures.png'
+            plot.draw(self.log, summary.build_summary(self.log), str(path))
+            self.assertTrue(path.read_bytes().startswith(b'\x89PNG'))
+
+
 class CausesTest(unittest.TestCase):
     """The registry of causes."""
 
--- a/packages/client/auburnroad_client/logs/summary.py
+++ b/packages/client/auburnroad_client/logs/summary.py
@@ -14,6 +14,7 @@
     'batch_refused': '',
     'batch_in_doubt': '',
     'batch_claimed': '',
+    'batch_not_loaded': 'error',
     'item_terminated': 'reason',
     'item_attempt_ended': 'how',
     'item_moved': 'reason',
@@ -59,12 +60,7 @@
       Rows, the most frequent one first.
     """
     grouped = collections.defaultdict(list)
-    for line in log.lines:
-        if line.event not in COUNTED or line.time_ms < from_ms:
-            continue
-        if until_ms and line.time_ms > until_ms:
-            continue
-        cause = str(line.fields.get(COUNTED[line.event], ''))
+    for line, cause in iterate_counted(log, from_ms, until_ms):
         grouped[line.event, cause].append(line)
     rows = [
         Row(
@@ -78,3 +74,23 @@
         for (event, cause), lines in grouped.items()
     ]
     return sorted(rows, key=lambda row: -row.count)
+
+
+def iterate_counted(log: reading.Log, from_ms: int, until_ms: int):
+    """Yield the lines that count, each with its cause.
+
+    Args:
+      log: The lines of all processes.
+      from_ms: Unix milliseconds; earlier lines don't count.
+      until_ms: Unix milliseconds; later lines don't count. Zero for all.
+
+    Yields:
+      Lines of failures, refusals and lost dependencies, and what each tells
+      as its cause.
+    """
+    for line in log.lines:
+        if line.event not in COUNTED or line.time_ms < from_ms:
+            continue
+        if until_ms and line.time_ms > until_ms:
+            continue
+        yield line, str(line.fields.get(COUNTED[line.event], ''))
--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -216,13 +216,14 @@
             )
         return plan.Plan(looking.explain, self._options, id)
 
-    def summarize(self, logs: str, from_ms=0, until_ms=0):
+    def summarize(self, logs: str, from_ms=0, until_ms=0, plot: str = ''):
         """Count failures in the logs of gateways by cause.
 
         Args:
           logs: Log files or directories, several with commas.
           from_ms: Unix milliseconds; earlier lines don't count.
           until_ms: Unix milliseconds; later lines don't count, 0 for all.
+          plot: File for a drawing of failures over time (.png, .svg).
         """
         return plan.Plan(
             log_commands.summarize,
@@ -230,6 +231,7 @@
             log_commands.split_paths(logs),
             arguments.parse_number('from_ms', from_ms, int),
             arguments.parse_number('until_ms', until_ms, int),
+            plot,
         )
 
     def _order(self, host, draining, author, timeout_seconds):
