Keep items off replicas that crawl, and let runs wait rather than stay

Ruled out: more weight on the pace; a slow slot was chosen last already, but it was chosen as soon as it was the only free one.

Change: a replica that takes twice the median time for an event gets no items; a run there goes back to the queue, in which its latest start puts it first.

--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -50,7 +50,7 @@
     replicas: directory.Directory,
     failure_domain: str,
     crowded: bool,
-    fastest_ms: float,
+    paces: placement.Paces,
     now: float,
 ) -> str:
     """Find why a run is better off elsewhere.
@@ -61,19 +61,22 @@
       replicas: All replicas.
       failure_domain: The gateway's own.
       crowded: Whether items wait for a slot; they go before a gain of pace.
-      fastest_ms: The best pace of any replica, in milliseconds an event.
+      paces: Paces of the service's replicas.
       now: Monotonic time in seconds.
 
     Returns:
-      'vacating', 'slow', or nothing if it stays.
+      'vacating', 'slow', 'crawling' if it had better wait than stay, or
+      nothing if it stays.
     """
     current = run.replica
     vacate = current.vacating or not replicas.is_ready(current)
+    settled = bool(run.texts) and now - run.started_at >= SETTLE_SECONDS
+    if not vacate and not settled:
+        return ''
+    if not vacate and placement.crawls(current, paces.median_ms, now):
+        return 'crawling'
     if not vacate and (
-        crowded
-        or not run.texts
-        or now - run.started_at < SETTLE_SECONDS
-        or current.find_pace(now) <= find_ratio(run) * fastest_ms
+        crowded or current.find_pace(now) <= find_ratio(run) * paces.fastest_ms
     ):
         return ''
     ready = replicas.list_ready(current.registration.service)
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/batches/moves_test.py
@@ -0,0 +1,89 @@
+"""Tests when a run leaves its replica. Pure decisions, without a network.
+
+Pattern: a fifth of the replicas are several times as slow as the others,
+while more items wait than there are slots.
+"""
+
+import unittest
+
+from auburnroad_gateway.batches import moves
+from auburnroad_gateway.batches import run as runs
+from auburnroad_gateway.directory import directory
+from auburnroad_gateway.directory import placement
+from auburnroad_gateway.log import service
+from auburnroad_gateway.model import batch
+from auburnroad_standins import plain_adapter
+
+NOW = 100.0
+PACE_MS = 50.0
+SLOTS = 2
+
+
+class FindReasonTest(unittest.TestCase):
+    """A run at 'one' of three replicas."""
+
+    def setUp(self):
+        self.directory = directory.Directory(plain_adapter.PlainAdapter())
+        for name in ('one', 'two', 'three'):
+            value = (
+                '{"id":"%s","service":"s","address":"%s:1",'
+                '"failure_domain":"a","slots":%d,"state":"ready",'
+                '"versions":{"m":1}}'
+            ) % (name, name, SLOTS)
+            self.directory.apply(service.KeyedRecord(name, value.encode(), 0))
+        self.replicas = {
+            entry.id: entry for entry in self.directory.list_ready('s')
+        }
+        for entry in self.replicas.values():
+            entry.note_pace(PACE_MS, NOW)
+        item = batch.Item('i', '/p/', {}, b'', 10, 'g')
+        self.run_of_item = runs.ItemRun(item, 0)
+        self.run_of_item.replica = self.replicas['one']
+        self.run_of_item.texts = ['x'] * 5
+        self.run_of_item.started_at = NOW - 2 * moves.SETTLE_SECONDS
+
+    def slow_down(self, factor):
+        entry = self.replicas['one']
+        entry._pace_ms = factor * PACE_MS
+
+    def fill_others(self):
+        for name in ('two', 'three'):
+            self.replicas[name].in_flight = SLOTS
+
+    def find(self, crowded=False):
+        return moves.find_reason(
+            self.run_of_item,
+            placement.Need('m', 1),
+            self.directory,
+            'a',
+            crowded,
+            placement.measure_paces(list(self.replicas.values()), NOW),
+            NOW,
+        )
+
+    def test_a_run_at_the_usual_pace_stays(self):
+        self.assertEqual('', self.find())
+
+    def test_a_slow_one_moves_to_a_free_slot(self):
+        self.slow_down(1.8)
+        self.assertEqual('slow', self.find())
+
+    def test_a_slow_one_stays_while_items_wait(self):
+        self.slow_down(1.8)
+        self.assertEqual('', self.find(crowded=True))
+
+    def test_one_that_crawls_leaves_even_without_a_free_slot(self):
+        self.slow_down(4)
+        self.fill_others()
+        self.assertEqual('crawling', self.find(crowded=True))
+
+    def test_one_that_has_just_come_stays(self):
+        self.slow_down(4)
+        self.run_of_item.started_at = NOW
+        self.assertEqual('', self.find())
+
+    def test_one_leaves_a_replica_that_is_about_to_load(self):
+        self.replicas['one'].vacating = True
+        self.assertEqual('vacating', self.find())
+        self.fill_others()
+        self.assertEqual('', self.find())
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -537,7 +537,7 @@
     def _watch(self, owned: owned_batches.OwnedBatch, now: float) -> None:
         """Move runs that stall or crawl."""
         service = owned.route.backends[0].service
-        fastest_ms = placement.find_fastest_pace(
+        paces = placement.measure_paces(
             self._directory.list_ready(service), now
         )
         for index in list(owned.running):
@@ -552,7 +552,7 @@
                     self._directory,
                     self._settings.failure_domain,
                     bool(self.waiting),
-                    fastest_ms,
+                    paces,
                     now,
                 )
             if reason:
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -17,6 +17,9 @@
 NEAR_BONUS = 0.1
 # The same for items, relative to the pace: most of their bytes are few.
 NEAR_PACE_BONUS = 0.03
+# A replica that is slower than the median by this factor gets no items: one
+# that waits a moment for another slot is done sooner.
+CRAWL_RATIO = 2.0
 # Share of a replica's memory that may be filled: when it runs out, the newest
 # run loses what it has.
 MEMORY_SHARE = 0.95
@@ -40,6 +43,18 @@
     memory_tokens: int = 0
 
 
+class Paces(msgspec.Struct, frozen=True):
+    """How fast the replicas of a service are, in milliseconds an event.
+
+    Attributes:
+      fastest_ms: The best pace.
+      median_ms: The lower median.
+    """
+
+    fastest_ms: float
+    median_ms: float
+
+
 def choose_replica(
     candidates: list[replica.Replica],
     failure_domain: str,
@@ -86,6 +101,7 @@
       slot and memory for now; those that are expected to keep all their runs
       in memory to the end go first. None if there is none.
     """
+    median = find_median_pace(candidates, now)
     usable = [
         entry
         for entry in candidates
@@ -94,8 +110,8 @@
         and entry.count_free(now) > 0
         and is_fresh(entry, need.model, need.minimum_version)
         and has_memory(entry, need)
+        and not crawls(entry, median, now)
     ]
-    median = find_median_pace(candidates, now)
     return min(
         usable,
         key=lambda entry: (
@@ -130,6 +146,15 @@
     return there > 0 and current.find_pace(now) > ratio * there
 
 
+def crawls(entry: replica.Replica, median_ms: float, now: float) -> bool:
+    """Tell whether a replica is too slow for any item.
+
+    What is known of its pace is forgotten after a while without runs, so that
+    it is tried again.
+    """
+    return 0.0 < CRAWL_RATIO * median_ms < entry.find_pace(now)
+
+
 def has_memory(entry: replica.Replica, need: Need) -> bool:
     """Tell whether a replica has memory for an item at the moment.
 
@@ -168,16 +193,18 @@
     return paces[(len(paces) - 1) // 2] if paces else 0.0
 
 
-def find_fastest_pace(candidates: list[replica.Replica], now: float) -> float:
-    """Find the best pace of replicas in milliseconds an event.
+def measure_paces(candidates: list[replica.Replica], now: float) -> Paces:
+    """Measure the paces of replicas.
+
+    Args:
+      candidates: Replicas of one service.
+      now: Monotonic time in seconds.
 
     Returns:
-      The lowest one, zero if no pace is known.
+      Their paces, zero where none is known.
     """
-    return min(
-        (pace for entry in candidates if (pace := entry.find_pace(now))),
-        default=0.0,
-    )
+    known = (pace for entry in candidates if (pace := entry.find_pace(now)))
+    return Paces(min(known, default=0.0), find_median_pace(candidates, now))
 
 
 def _rate_load(entry, failure_domain: str, now: float) -> float:
--- a/packages/gateway/auburnroad_gateway/directory/placement_test.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement_test.py
@@ -84,6 +84,15 @@
         chosen = self.choose(tokens=100, final_tokens=500, memory_tokens=1000)
         self.assertIsNotNone(chosen)
 
+    def test_one_that_crawls_gets_nothing(self):
+        """Pattern: a fifth of the replicas four times as slow."""
+        set_pace(self.one, 200.0)
+        set_pace(self.two, 50.0)
+        self.two.in_flight = 4
+        self.assertIsNone(self.choose())
+        self.two.in_flight = 3
+        self.assertIs(self.two, self.choose())
+
     def test_an_old_pace_says_nothing(self):
         set_pace(self.one, 200.0)
         later = NOW + replica.PACE_LIFE_SECONDS + 1
