Follow batches no more often than the log service bears

Cause: each gateway reads each partition of batches up to 33 times a second while results come. With 34 gateways that is 4,500 reads a second of 6,000, and beyond the limit for some 45.

Ruled out: fewer partitions, which appends need.

--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -20,6 +20,11 @@
 
 # Bounds how often results of other gateways wake this one.
 PACE_SECONDS = 0.03
+# Share of the log service's reads that all gateways may take to follow the
+# batches; the rest is for members, replicas, contents and catching up.
+FOLLOW_SHARE = 0.4
+# How often the pace is adapted to the number of gateways.
+ADAPT_SECONDS = 1.0
 # Up to so many gateways read all contents; every further one takes bandwidth
 # that all of them share.
 INLINE_MEMBERS = 12
@@ -43,6 +48,7 @@
         '_appenders',
         '_contents',
         '_writing',
+        '_reads_per_second',
     )
 
     def __init__(
@@ -65,6 +71,7 @@
         self.fold = fold.Fold()
         self.record_bytes = limits.record_bytes
         self.call_bytes = limits.call_bytes
+        self._reads_per_second = limits.reads_per_second
         numbers = range(records.PARTITIONS)
         self._tails = [
             tail.Tail(
@@ -103,6 +110,7 @@
             *(entry.run for entry in self._tails),
             *(entry.run for entry in self._appenders),
             *self._contents.list_work(),
+            self._adapt_pace,
         ]
 
     def is_failing(self, batch_id: str) -> bool:
@@ -227,6 +235,16 @@
         """
         await self._tails[records.find_partition(batch_id)].catch_up()
 
+    async def _adapt_pace(self) -> None:
+        """Follow the batches as often as the log service bears it."""
+        while True:
+            pace_seconds = find_pace(
+                self._count_members(), self._reads_per_second
+            )
+            for entry in self._tails:
+                entry.pace_seconds = pace_seconds
+            await asyncio.sleep(ADAPT_SECONDS)
+
     def _write(self, work) -> None:
         task = asyncio.create_task(work)
         self._writing.add(task)
@@ -267,6 +285,20 @@
         self._appenders[records.find_partition(batch_id)].add(encoded)
 
 
+def find_pace(members: int, reads_per_second: float) -> float:
+    """Find the time between two reads of a partition of batches.
+
+    Args:
+      members: Gateways that follow all partitions.
+      reads_per_second: What the log service bears.
+
+    Returns:
+      Seconds.
+    """
+    reads = members * records.PARTITIONS
+    return max(PACE_SECONDS, reads / (FOLLOW_SHARE * reads_per_second))
+
+
 def _list_places(state: fold.Batch) -> set[batch.Place]:
     return {
         part.place
--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -31,6 +31,7 @@
         the boot clock.
       complete_at: Everything that was there at this time has been handed
         on, in the same; minus infinity before that is known.
+      pace_seconds: Shortest time between two reads that find something.
     """
 
     __slots__ = (
@@ -38,11 +39,11 @@
         'failing',
         'read_at',
         'complete_at',
+        'pace_seconds',
         '_log',
         '_topic',
         '_partition',
         '_apply',
-        '_pace_seconds',
         '_caught_up',
         '_most_bytes',
         '_failed_at',
@@ -57,7 +58,7 @@
         self._topic = topic
         self._partition = partition
         self._apply = apply
-        self._pace_seconds = pace_seconds
+        self.pace_seconds = pace_seconds
         self._caught_up = asyncio.Event()
         self._most_bytes = FIRST_BYTES
         self._failed_at = 0.0
@@ -101,7 +102,7 @@
             if self.next_offset >= end:
                 self._caught_up.set()
             if self.next_offset > before:
-                await asyncio.sleep(self._pace_seconds)
+                await asyncio.sleep(self.pace_seconds)
 
     async def _read(self, wait_ms: int) -> int:
         start = self.next_offset
--- a/packages/gateway/auburnroad_gateway/model/settings.py
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -24,10 +24,12 @@
     Attributes:
       record_bytes: One record.
       call_bytes: All records of one append.
+      reads_per_second: Reads of all hosts together.
     """
 
     record_bytes: int = 262144
     call_bytes: int = 2097152
+    reads_per_second: float = 2000.0
 
 
 class Settings(msgspec.Struct, frozen=True):
