Write a text that no record holds in pieces

Cause, found by reading: a result whose text is larger than a record of the log service would be refused for good, and with it all later records of its partition.

Change: such a text goes to the topic of contents in pieces, in deployments of any size.

Before: test_it_is_written_in_pieces_and_read_whole failed (a record over the limit). After: python -m auburnroad_e2e.unit auburnroad_gateway, 192 passed, 0 failed.

--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -136,7 +136,9 @@
 
     def add_result(self, batch_id: str, result: batch.ItemResult) -> None:
         """Queue a result; its text goes with it or before it."""
-        if result.place is not None or not self.by_reference:
+        room = self.record_bytes - records.RECORD_HEAD_BYTES
+        fits = len(result.text) <= room
+        if result.place is not None or (fits and not self.by_reference):
             self.add(records.Results(batch_id, [result]))
             return
         self._write(self._add_result_apart(batch_id, result))
@@ -189,7 +191,11 @@
         """
         if result.place is None:
             return records.unpack_text(result.text)
-        return records.unpack_text(await self._contents.read(result.place))
+        pieces = [
+            await self._contents.read(place)
+            for place in (result.place, *result.further)
+        ]
+        return records.unpack_text(b''.join(pieces))
 
     async def read_bodies(self, state: fold.Batch) -> list[bytes]:
         """Read the bodies of a batch's items, from the log if need be.
@@ -251,8 +257,13 @@
         task.add_done_callback(self._writing.discard)
 
     async def _add_result_apart(self, batch_id, result) -> None:
-        place = await self._contents.write(batch_id, result.text)
-        moved = msgspec.structs.replace(result, text=b'', place=place)
+        place, *further = [
+            await self._contents.write(batch_id, piece)
+            for piece in records.split(result.text, self.record_bytes)
+        ]
+        moved = msgspec.structs.replace(
+            result, text=b'', place=place, further=further
+        )
         self.add(records.Results(batch_id, [moved]))
 
     def _group_texts(self, gained):
--- a/packages/gateway/auburnroad_gateway/batches/journal_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal_test.py
@@ -1,9 +1,14 @@
-"""Tests how often a gateway follows the batches."""
+"""Tests how a gateway follows batches, and writes texts of any size."""
 
+import asyncio
+import random
 import unittest
 
+from auburnroad_gateway.batches import fold_test
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import records
+from auburnroad_gateway.model import settings
+from auburnroad_standins import partition_log
 
 
 class FindPaceTest(unittest.TestCase):
@@ -18,3 +23,33 @@
                 pace_seconds = journal.find_pace(members, 6000)
                 reads = members * records.PARTITIONS / pace_seconds
                 self.assertLessEqual(reads, journal.FOLLOW_SHARE * 6000 + 1)
+
+
+class LongTextTest(unittest.IsolatedAsyncioTestCase):
+    """Pattern: a text that no record of the log service holds."""
+
+    async def test_it_is_written_in_pieces_and_read_whole(self):
+        limits = settings.LogLimits(record_bytes=2000, call_bytes=4000)
+        log = partition_log.PartitionLog()
+        subject = journal.Journal(log, 'me', limits)
+        tasks = [asyncio.create_task(work()) for work in subject.list_work()]
+        encoded = fold_test.encode_submission()
+        partition = records.find_partition('b')
+        log.write(records.TOPIC, partition, encoded)
+        source = random.Random(1)
+        text = ''.join(chr(source.randrange(32, 127)) for _ in range(9000))
+        subject.add_result('b', fold_test.build_result(0, text))
+        state = None
+        async with asyncio.timeout(10):
+            while state is None or not state.results:
+                await asyncio.sleep(0.001)
+                state = subject.fold.batches.get('b')
+        sizes = [
+            len(record)
+            for topic, number in log.list_partitions()
+            for record in log.list_records(topic, number)
+        ]
+        self.assertLessEqual(max(sizes[len(encoded) :]), limits.record_bytes)
+        self.assertEqual(text, await subject.read_text(state.results[0]))
+        for task in tasks:
+            task.cancel()
--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -206,5 +206,10 @@
 def move_result(result: batch.ItemResult, index: int) -> batch.ItemResult:
     """Build a result that stands for an item of another batch."""
     return batch.ItemResult(
-        index, result.outcome, result.text, result.versions, result.place
+        index,
+        result.outcome,
+        result.text,
+        result.versions,
+        result.place,
+        result.further,
     )
--- a/packages/gateway/auburnroad_gateway/model/batch.py
+++ b/packages/gateway/auburnroad_gateway/model/batch.py
@@ -86,6 +86,7 @@
       text: Data of all events, in order, as compressed by pack_text.
       versions: Weight versions that generated the events, ascending.
       place: Where the text lies if it isn't here.
+      further: Where the rest of it lies if one record doesn't hold it all.
     """
 
     index: int
@@ -93,3 +94,4 @@
     text: bytes
     versions: list[int]
     place: Place | None = None
+    further: list[Place] = []
