Split adoption and what is carried over from the owner

Change: adoption.py finds, claims and loads batches, carried.py has what they take over from earlier ones; the holder of the configuration finds a batch's route. A batch without a route isn't loaded.

Before: test_a_batch_without_a_route_is_not_loaded_again_and_again could not pass on the code before, which loads it at once.

Conclusion: no other change of behaviour is meant.

--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -181,15 +181,19 @@
     ) == records.hash_body(other)
 
 
-def fits_earlier(run, item, result, terms, single_version) -> bool:
+def fits_earlier(
+    run: runs.ItemRun,
+    item: batch.Item,
+    result: batch.ItemResult,
+    terms: runs.Terms,
+) -> bool:
     """Tell whether an earlier result may stand for a run.
 
     Args:
       run: The run.
       item: The item that the result is of.
       result: A result of another batch.
-      terms: The run's batch.
-      single_version: Whether a text may have only one weight version.
+      terms: What the run's generation has to keep to.
 
     Returns:
       Whether it is the same item and its versions are new enough.
@@ -198,7 +202,7 @@
         return False
     if not is_same_item(item, run.item):
         return False
-    if single_version and len(result.versions) != 1:
+    if terms.single_version and len(result.versions) != 1:
         return False
     return all(version >= terms.minimum_version for version in result.versions)
 
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -8,16 +8,16 @@
 import time
 
 from auburnroad_core import clock
+from auburnroad_gateway.batches import adoption
+from auburnroad_gateway.batches import carried
 from auburnroad_gateway.batches import fold
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import leftovers
 from auburnroad_gateway.batches import moves
 from auburnroad_gateway.batches import ordering
 from auburnroad_gateway.batches import owned as owned_batches
-from auburnroad_gateway.batches import records
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.directory import placement
-from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
@@ -31,8 +31,6 @@
 # Time between two events until it was measured, in milliseconds: that of a
 # replica of the present deployments with half its slots taken.
 USUAL_PACE_MS = 48.0
-# A batch whose contents could not be read is tried again so much later.
-LOAD_RETRY_SECONDS = 0.2
 # Batches stay readable a little longer than promised.
 FORGET_SLACK_MS = 10_000
 
@@ -46,13 +44,11 @@
         '_client',
         '_journal',
         '_membership',
-        '_duties',
         '_configuration',
         '_directory',
         '_owned',
-        '_claimed',
+        '_adoption',
         '_leftovers',
-        '_loading',
         '_saved_at',
         '_wake',
         'stopping',
@@ -74,14 +70,14 @@
         self._client = http_client
         self._journal = batch_journal
         self._membership = membership
-        self._duties = duties
         self._configuration = holder
         self._directory = replicas
         self._owned: dict[str, owned_batches.OwnedBatch] = {}
-        self._claimed: dict[str, str] = {}
         self._wake = asyncio.Event()
         self._leftovers = leftovers.Leftovers()
-        self._loading: dict[str, asyncio.Task] = {}
+        self._adoption = adoption.Adoption(
+            batch_journal, membership, duties, holder, self._begin
+        )
         self._saved_at = 0.0
         self.stopping = False
         batch_journal.fold.on_change(self._handle_change)
@@ -211,128 +207,26 @@
             if owned is not None:
                 owned.stop()
 
-    def _adopt(self) -> None:
-        """Begin batches that are ours, and claim those of dead owners."""
-        own = self._membership.incarnation
-        settled = self._membership.settled
-        for state in self._journal.fold.batches.values():
-            if not state.open or state.id in self._owned:
-                continue
-            if state.owner == own:
-                self._load(state)
-            elif settled and not self._membership.is_alive(state.owner):
-                self._claim(state)
-
-    def _load(self, state: fold.Batch) -> None:
-        """Begin a batch once its contents are here."""
-        if state.id not in self._loading:
-            self._loading[state.id] = asyncio.create_task(
-                self._load_and_begin(state)
-            )
-
-    async def _load_and_begin(self, state: fold.Batch) -> None:
-        try:
-            await self._journal.load(state)
-        except service.LogError as error:
-            events.write('batch_not_loaded', batch=state.id, error=str(error))
-            await asyncio.sleep(LOAD_RETRY_SECONDS)
-        else:
-            if state.open and state.owner == self._membership.incarnation:
-                self._begin(state)
-        finally:
-            del self._loading[state.id]
-            self._wake.set()
-
     def _begin(self, state: fold.Batch) -> None:
-        route = self._find_route(state)
-        if route is not None:
-            self._owned[state.id] = owned_batches.OwnedBatch(
-                state, route, self._find_carried(state)
-            )
-            self._reuse(self._owned[state.id])
-            self._wake.set()
-
-    def _claim(self, state: fold.Batch) -> None:
-        route = self._find_route(state)
+        """Run a batch that is ours, with what earlier ones have of it."""
+        route = self._configuration.find_route(state.submission)
         if route is None:
             return
-        runner = self._duties.choose_runner(route.backends[0].service)
-        if runner != self._membership.incarnation:
-            return
-        if self._claimed.get(state.id) == state.owner:
-            return
-        self._claimed[state.id] = state.owner
-        events.write(
-            'batch_claimed',
-            batch=state.id,
-            previous=state.owner,
-            finished=len(state.finished),
-        )
-        self._journal.add(
-            records.Claim(state.id, self._membership.incarnation, state.owner)
-        )
-
-    def _find_carried(self, state: fold.Batch) -> set[str]:
-        """Find groups that an earlier batch has asked for in vain."""
-        groups = {item.group for item in state.submission.items}
-        return {
-            item.group
-            for other in self._journal.fold.batches.values()
-            if other is not state
-            and other.submission.step < (state.submission.step)
-            for item in other.submission.items
-            if item.group in groups
-        }
-
-    def _reuse(self, owned: owned_batches.OwnedBatch) -> None:
-        """Take results over that an earlier batch has of the same items."""
-        terms = owned.state.submission
-        wanted = {
-            run.item.id: run
-            for run in owned.runs.values()
-            if run.item.group in owned.carried
-        }
-        for other in self._journal.fold.batches.values():
-            if not wanted or other is owned.state:
-                continue
-            for result in other.results:
-                item = other.submission.items[result.index]
-                run = wanted.get(item.id)
-                if run is not None and owned_batches.fits_earlier(
-                    run, item, result, terms, owned.route.single_version
-                ):
-                    del wanted[item.id]
-                    self._append_result(
-                        owned, owned_batches.move_result(result, run.index)
-                    )
-        for run in wanted.values():
-            left = self._leftovers.take(run.item, owned.terms)
-            if left is not None:
-                run.adopt_text(left)
-                events.write(
-                    'item_resumed',
-                    batch=owned.state.id,
-                    item=run.item.id,
-                    events=len(run.texts),
-                    versions=sorted(run.versions),
-                )
-
-    def _find_route(self, state: fold.Batch):
-        current = self._configuration.current
-        if current is None:
-            return None
-        submission = state.submission
-        return configuration.match_route(
-            current, submission.host, submission.path
+        owned = self._owned[state.id] = owned_batches.OwnedBatch(
+            state, route, carried.find_groups(self._journal.fold, state)
         )
+        for result in carried.list_results(self._journal.fold, owned):
+            self._append_result(owned, result)
+        carried.resume_texts(owned, self._leftovers)
+        self._wake.set()
 
     def _start_runs(self) -> None:
         """Give free slots to waiting items, in order."""
         if not self.stopping:
-            self._adopt()
+            self._adoption.adopt(self._owned)
         queue = []
         for owned in self._owned.values():
-            route = self._find_route(owned.state)
+            route = self._configuration.find_route(owned.state.submission)
             if route is None:
                 continue
             owned.route = route
@@ -526,7 +420,7 @@
     def _give_up(self, owned: owned_batches.OwnedBatch, now_ms: int) -> None:
         """Terminate what may not be run any more, or is too old."""
         reason = ''
-        if self._find_route(owned.state) is None:
+        if self._configuration.find_route(owned.state.submission) is None:
             reason = 'route removed'
         elif now_ms >= owned.state.submitted_ms + owned.route.give_up_ms:
             reason = 'too old'
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -294,6 +294,14 @@
         )
         self.assertEqual(1, len(self.client.requests))
 
+    async def test_a_batch_without_a_route_is_not_loaded_again_and_again(self):
+        self.holder.current = configuration.Configuration(2, (), {})
+        with mock.patch.object(journal.Journal, 'load', autospec=True) as load:
+            self.submit()
+            await self.wait(lambda: BATCH_ID in self.journal.fold.batches)
+            await asyncio.sleep(5 * TICK_SECONDS)
+            load.assert_not_called()
+
     async def test_an_end_stops_all_runs(self):
         self.add('one', pause_seconds=60)
         self.submit()
--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -2,6 +2,7 @@
 
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.log import service
+from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
 
@@ -22,6 +23,16 @@
         self._adapter = adapter
         self._listeners = []
 
+    def find_route(
+        self, submission: batch.Submission
+    ) -> configuration.Route | None:
+        """Find the route of a batch; None if there is none at present."""
+        if self.current is None:
+            return None
+        return configuration.match_route(
+            self.current, submission.host, submission.path
+        )
+
     def on_change(self, listener) -> None:
         """Call a function after anything has changed."""
         self._listeners.append(listener)
