Go on behind texts that were saved only after a claim

Cause: a gateway that is stopped while the log is away saves its texts, but they wait for the log like the claim of the next owner.

Ruled out: the number of runs that are moved before a load.

Change: a gateway that loses a batch saves its texts once more; an owner that finds more text in the log than its run has goes on behind it.

--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -9,6 +9,9 @@
 
 # Room that a run needs in memory until it is counted again and can move.
 GROWTH_EVENTS = 8
+# A run goes on behind a saved text that is longer by more events; for fewer a
+# new attempt isn't worth it.
+BEHIND_EVENTS = 8
 
 
 class OwnedBatch:
@@ -147,6 +150,31 @@
     return run
 
 
+def list_behind(owned: OwnedBatch) -> list[runs.ItemRun]:
+    """List the runs of which the log has more text than they have here.
+
+    That is so when an earlier owner could save only after it had lost the
+    batch.
+    """
+    return [
+        owned.runs[index]
+        for index, saved in owned.state.progress.items()
+        if index in owned.runs
+        and saved
+        and saved[-1].last_event + 1
+        > count_events(owned.runs[index]) + BEHIND_EVENTS
+    ]
+
+
+def resume_saved(owned: OwnedBatch, run: runs.ItemRun) -> None:
+    """Let a run go on behind what the log has of its text."""
+    saved = build_run(owned.state, run.item, run.index)
+    run.adopt_text(saved)
+    run.saved_event = saved.saved_event
+    run.saved_texts = saved.saved_texts
+    run.failures = max(run.failures, saved.failures)
+
+
 def take_progress(batch_id: str, run: runs.ItemRun) -> records.Progress:
     """Build the record of what a run has gained, and count it as saved."""
     last = -1 if run.last_event is None else run.last_event
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -18,6 +18,7 @@
 from auburnroad_gateway.batches import owned as owned_batches
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.directory import placement
+from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
@@ -48,6 +49,7 @@
         '_directory',
         '_owned',
         '_adoption',
+        '_catching_up',
         '_leftovers',
         '_saved_at',
         '_wake',
@@ -78,6 +80,7 @@
         self._adoption = adoption.Adoption(
             batch_journal, membership, duties, holder, self._begin
         )
+        self._catching_up: dict[str, asyncio.Task] = {}
         self._saved_at = 0.0
         self.stopping = False
         batch_journal.fold.on_change(self._handle_change)
@@ -176,12 +179,43 @@
         if changed.ended:
             for run in owned.runs.values():
                 self._leftovers.keep(run)
+        elif changed.owner != self._membership.incarnation:
+            # Whoever has claimed it goes on behind all that was made here.
+            self._save(owned, [owned.runs[index] for index in owned.running])
         if changed.ended or changed.owner != self._membership.incarnation:
             owned.stop()
             del self._owned[changed.id]
             return
         for index in changed.finished & owned.runs.keys():
             self._drop_run(owned, index)
+        behind = owned_batches.list_behind(owned)
+        if behind and changed.id not in self._catching_up:
+            self._catching_up[changed.id] = asyncio.create_task(
+                self._catch_up(owned)
+            )
+
+    async def _catch_up(self, owned: owned_batches.OwnedBatch) -> None:
+        """Go on behind what the owner before has saved after our claim."""
+        try:
+            await self._journal.load(owned.state)
+        except service.LogError as error:
+            events.write(
+                'batch_not_loaded', batch=owned.state.id, error=str(error)
+            )
+        else:
+            for run in owned_batches.list_behind(owned):
+                self._stop_attempt(owned, run)
+                owned_batches.resume_saved(owned, run)
+            self._wake.set()
+        finally:
+            del self._catching_up[owned.state.id]
+
+    def _stop_attempt(self, owned, run: runs.ItemRun) -> None:
+        """End a run's attempt, if it has one; it waits for a place."""
+        task = owned.running.pop(run.index, None)
+        if task is not None:
+            task.cancel()
+            owned.waiting[run.index] = run
 
     def _drop_run(self, owned: owned_batches.OwnedBatch, index: int) -> None:
         owned.runs.pop(index, None)
@@ -464,5 +498,4 @@
             events=len(run.texts),
             pace_ms=round(run.replica.find_pace(time.monotonic()), 1),
         )
-        owned.running.pop(run.index).cancel()
-        owned.waiting[run.index] = run
+        self._stop_attempt(owned, run)
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -38,6 +38,9 @@
 # Replicas that are never idle load so long after the version was named; the
 # next one may follow four seconds after it.
 FORCE_SECONDS = 2.4
+# A replica with more runs isn't vacated before it has to load: in the burst of
+# a step they would only crowd the others.
+VACATE_RUNS = 3
 # Time until the replica has noticed that its runs have gone elsewhere.
 VACATE_SECONDS = 0.02
 
@@ -157,7 +160,7 @@
             and not other.is_loading(now)
             and placement.is_fresh(other, model, version - 1)
         )
-        return target.count_load(now) <= free
+        return target.count_load(now) <= min(free, VACATE_RUNS)
 
     async def _load(self, target, service, model, version: int) -> None:
         try:
