Save only runs that have gained text

Change: only runs with more text than was saved are saved.

Conclusion: a cost at a second takeover at most, mended since it was seen.

--- a/packages/gateway/auburnroad_gateway/batches/owned.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned.py
@@ -150,6 +150,15 @@
     return run
 
 
+def list_gained(owned: OwnedBatch) -> list[runs.ItemRun]:
+    """List the running items that have more text than was saved of them."""
+    return [
+        owned.runs[index]
+        for index in owned.running
+        if len(owned.runs[index].texts) > owned.runs[index].saved_texts
+    ]
+
+
 def list_behind(owned: OwnedBatch) -> list[runs.ItemRun]:
     """List the runs of which the log has more text than they have here.
 
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -169,7 +169,7 @@
         """
         self.stopping = True
         for owned in self._owned.values():
-            self._save(owned, [owned.runs[index] for index in owned.running])
+            self._save(owned, owned_batches.list_gained(owned))
 
     def _handle_change(self, changed: fold.Batch) -> None:
         owned = self._owned.get(changed.id)
@@ -181,7 +181,7 @@
                 self._leftovers.keep(run)
         elif changed.owner != self._membership.incarnation:
             # Whoever has claimed it goes on behind all that was made here.
-            self._save(owned, [owned.runs[index] for index in owned.running])
+            self._save(owned, owned_batches.list_gained(owned))
         if changed.ended or changed.owner != self._membership.incarnation:
             owned.stop()
             del self._owned[changed.id]
@@ -433,9 +433,8 @@
                 owned,
                 [
                     run
-                    for run in map(owned.runs.get, owned.running)
+                    for run in owned_batches.list_gained(owned)
                     if now - run.started_at > SAVE_SECONDS
-                    and len(run.texts) > run.saved_texts
                 ],
             )
 
