Let the test of a stop wait for the text that is saved

Cause: the test stopped the gateway before its run had any text, and counted the empty record that was saved then.

Change: the test waits for a first event before the stop and for further ones before the claim; what it checks of the two records is as it was.

--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -371,10 +371,11 @@
         self.assertEqual(['i1', 'i2', 'i0'], started)
 
     async def test_a_stop_saves_texts_and_goes_on_until_taken_over(self):
-        self.add('one', pause_seconds=0.02)
+        self.add('one', pause_seconds=0.05)
         self.submit()
-        await self.wait(lambda: self.subject.busy)
+        await self.wait(lambda: self.count_events() >= 1)
         self.subject.hand_over()
+        await self.wait(lambda: self.count_events() >= 3)
         self.assertTrue(self.subject.busy)
         claim = records.Claim(BATCH_ID, 'next', self.members.incarnation)
         self.log.write(records.TOPIC, PARTITION, [records.encode(claim)])
