Test that the soak sees each promise broken

A soak that holds says little unless its checks are seen to fail: each promise is broken in books made by hand, and a good run breaks none. A seed is tested to give the same run each time, and every kind of fault to come in some run.

--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -0,0 +1,148 @@
+"""Tests that each promise of the soak is seen to be broken."""
+
+import types
+import unittest
+
+from auburnroad_e2e.soak import callers
+from auburnroad_e2e.soak import promises
+from auburnroad_e2e.soak import world as worlds
+from auburnroad_standins import platform_replica
+
+ITEM = 'item'
+ROUTE = '/added2/'
+
+
+class StubWorld:
+    """The books of a run in which nothing was wrong."""
+
+    is_calm = worlds.World.is_calm
+
+    def __init__(self):
+        self.books = platform_replica.Books([], [], {}, {})
+        self.disturbances = []
+        self.routes_added = [(ROUTE, 0.0)]
+        self.plain = []
+        self.gateways = [
+            types.SimpleNamespace(
+                name='g', starts=1, process=types.SimpleNamespace(running=True)
+            )
+        ]
+
+
+def build_attempt(kind='plain', status=200, whole=True, at=50.0, path='/x'):
+    return callers.Attempt(
+        kind, path, 'q', 'g', 1, at, at + 0.1, status, whole
+    )
+
+
+class CheckAllTest(unittest.TestCase):
+    """One batch of one item that was run as it should, and one breach."""
+
+    def setUp(self):
+        self.world = StubWorld()
+        self.callers = types.SimpleNamespace(batches=[], attempts=[])
+        self.run_item()
+        self.result = {
+            'id': ITEM,
+            'state': 'succeeded',
+            'text': platform_replica.build_text(ITEM),
+            'versions': [2],
+        }
+        self.book = callers.BatchBook(
+            'b', [ITEM], 2, [202], 1.0, None, {0: self.result}, []
+        )
+        self.callers.batches.append(self.book)
+
+    def run_item(self, request_id=ITEM, replica='e', started=1.0):
+        self.world.books.runs.append(
+            platform_replica.Run(request_id, replica, started)
+        )
+        for number in range(platform_replica.count_events(request_id)):
+            self.world.books.generated[request_id, number] = {2}
+
+    def order(self, fence, holder):
+        self.world.books.orders.append(
+            platform_replica.Order('e', holder, fence, 2)
+        )
+
+    def find_broken(self, timed=True):
+        breaches = promises.check_all(self.world, self.callers, timed)
+        return {breach.partition(':')[0] for breach in breaches}
+
+    def test_a_good_run_breaks_nothing(self):
+        self.callers.attempts.append(build_attempt())
+        self.assertEqual(set(), self.find_broken())
+
+    def test_what_contradicts_itself(self):
+        self.book.faults.append('another result at 0')
+        self.assertEqual({'batches-stay'}, self.find_broken())
+
+    def test_an_item_that_is_listed_twice(self):
+        self.book.results[1] = self.result
+        self.assertEqual({'items-once'}, self.find_broken())
+
+    def test_a_text_that_is_not_whole(self):
+        self.result['text'] = self.result['text'].partition('\n')[0]
+        self.assertEqual({'texts-whole'}, self.find_broken())
+
+    def test_versions_that_did_not_run_or_are_too_old(self):
+        for versions in ([], [3], [2, 3], [1]):
+            with self.subTest(versions=versions):
+                self.result['versions'] = versions
+                self.assertEqual({'versions-true'}, self.find_broken())
+
+    def test_an_item_that_is_given_up_without_a_reason(self):
+        self.result['state'] = 'terminated'
+        self.assertEqual({'given-up-truly'}, self.find_broken())
+
+    def test_a_refused_batch_or_request_that_ran(self):
+        self.book.answers[:] = [503, 503]
+        self.assertEqual({'refused-not-run'}, self.find_broken())
+        self.book.answers[:] = [503, 202]
+        self.assertEqual(set(), self.find_broken())
+        self.callers.attempts.append(build_attempt('once', 503, False))
+        self.run_item('q')
+        self.assertEqual({'refused-not-run'}, self.find_broken())
+
+    def test_a_request_that_ran_twice(self):
+        self.callers.attempts.append(build_attempt('once'))
+        self.run_item('q')
+        self.assertEqual(set(), self.find_broken())
+        self.run_item('q')
+        self.assertEqual({'run-once'}, self.find_broken())
+
+    def test_an_answer_to_something_else(self):
+        self.callers.attempts.append(build_attempt(whole=False))
+        self.assertEqual({'answers-own'}, self.find_broken())
+
+    def test_an_older_fence_and_a_fence_of_two(self):
+        self.order(2, 'g1')
+        self.order(1, 'g2')
+        self.assertEqual({'one-holder'}, self.find_broken())
+        self.world.books.orders.clear()
+        self.order(2, 'g1')
+        self.order(2, 'g2')
+        self.assertEqual({'one-holder'}, self.find_broken())
+
+    def test_new_work_for_a_replica_that_drains(self):
+        self.world.books.drained['e'] = 0.0
+        late = worlds.DRAIN_SECONDS + 1
+        self.run_item(started=late)
+        self.assertEqual({'drained-left-alone'}, self.find_broken())
+        self.assertEqual(set(), self.find_broken(timed=False))
+
+    def test_no_answer_where_nothing_was_wrong(self):
+        self.callers.attempts.append(build_attempt(status=0, whole=False))
+        self.assertEqual({'stops-cut-nothing'}, self.find_broken())
+        self.world.disturbances.append(
+            worlds.Disturbance('log-down', '', 49.0, 51.0)
+        )
+        self.assertEqual(set(), self.find_broken())
+
+    def test_a_route_that_is_unknown_too_late_or_again(self):
+        late = build_attempt('added', 404, False, path=f'{ROUTE}x')
+        self.callers.attempts.append(late)
+        self.assertEqual({'configuration-in-time'}, self.find_broken())
+        served = build_attempt('added', 200, at=10.0, path=f'{ROUTE}x')
+        self.callers.attempts.insert(0, served)
+        self.assertIn('configuration-stays', self.find_broken())
--- /dev/null
+++ b/packages/e2e/auburnroad_e2e/soak/schedule_test.py
@@ -0,0 +1,41 @@
+"""Tests that a seed names a run of the soak."""
+
+import unittest
+
+from auburnroad_e2e.soak import faults
+from auburnroad_e2e.soak import regressions
+from auburnroad_e2e.soak import schedule
+
+SECONDS = 12.0
+
+
+def draw(seed, **fields):
+    return schedule.draw(seed, SECONDS, faults.KINDS.names, **fields)
+
+
+class DrawTest(unittest.TestCase):
+    """Schedules of some seeds."""
+
+    def test_a_seed_gives_the_same_run_each_time(self):
+        self.assertEqual(draw(7), draw(7))
+        self.assertNotEqual(draw(7), draw(8))
+
+    def test_faults_begin_in_order_and_within_the_run(self):
+        for seed in range(20):
+            starts = [fault.at for fault in draw(seed).faults]
+            self.assertEqual(sorted(starts), starts)
+            self.assertTrue(all(start <= SECONDS for start in starts))
+
+    def test_every_kind_comes_in_some_run(self):
+        drawn = {
+            fault.kind for seed in range(60) for fault in draw(seed).faults
+        }
+        self.assertEqual(set(faults.KINDS.names), drawn)
+
+    def test_the_number_of_gateways_can_be_given(self):
+        self.assertEqual(4, draw(7, gateways=4).gateways)
+
+    def test_regressions_can_be_drawn(self):
+        self.assertEqual(
+            len(regressions.CASES), len(regressions.list_schedules())
+        )
