--- a/packages/gateway/auburnroad_gateway/batches/adoption.py
+++ b/packages/gateway/auburnroad_gateway/batches/adoption.py
@@ -69,13 +69,16 @@
         for state in self._journal.fold.batches.values():
             if not state.open or state.id in running:
                 continue
-            if self._configuration.find_route(state.submission) is None:
-                continue
+            # The batches of others stay packed: there may be many.
             if state.owner == own:
-                self._load(state)
+                if self._find_route(state) is not None:
+                    self._load(state)
             elif settled and not self._membership.is_alive(state.owner):
                 self._claim(state)
 
+    def _find_route(self, state: fold.Batch):
+        return self._configuration.find_route(state.submission)
+
     def _load(self, state: fold.Batch) -> None:
         if state.id not in self._loading:
             self._loading[state.id] = asyncio.create_task(
@@ -95,7 +98,9 @@
             del self._loading[state.id]
 
     def _claim(self, state: fold.Batch) -> None:
-        route = self._configuration.find_route(state.submission)
+        route = self._find_route(state)
+        if route is None:
+            return
         runner = self._duties.choose_runner(route.backends[0].service)
         if runner != self._membership.incarnation:
             return
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -303,6 +303,14 @@
             await asyncio.sleep(5 * TICK_SECONDS)
             load.assert_not_called()
 
+    async def test_batches_of_others_stay_packed(self):
+        """Pattern: small hosts, and a hundred batches that others run."""
+        self.submit(by='other')
+        await self.wait(lambda: BATCH_ID in self.journal.fold.batches)
+        await asyncio.sleep(3 * TICK_SECONDS)
+        state = self.journal.fold.batches[BATCH_ID]
+        self.assertIsNone(state._submission)
+
     async def test_an_end_stops_all_runs(self):
         self.add('one', pause_seconds=60)
         self.submit()
