--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -23,7 +23,12 @@
     cause: str
 
 
-CASES: tuple[Case, ...] = ()
+_HANG_UP = 'a hang-up ended a gateway that was still importing its modules'
+
+CASES: tuple[Case, ...] = (
+    Case(1035, 12.0, _HANG_UP),
+    Case(1041, 12.0, _HANG_UP),
+)
 
 
 def list_schedules() -> list[schedules.Schedule]:
