--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -40,8 +40,8 @@
 # Processes that started within this time count as equally old. The youngest
 # goes first: in a rolling restart it isn't the next to be stopped.
 GENERATION_MS = 5000
-# A host with less runs batches only if there is no other: the runs of a
-# service with hundreds of slots take about half a core.
+# Cores. A host with less runs batches only if there is no other, since all
+# runs of a service are the most work that a gateway can have.
 STRONG_CORES = 1.0
 # Detours are asked of members whose heartbeat is at most so old.
 PEER_AGE_SECONDS = 5.0
