Compare paces among the replicas that an item may run at

Cause, found by reading: a replica counted as crawling against all replicas of its service. Of several models that share them, one may have only slow ones; its items would have waited four seconds between short tries.

Change: the median is that of the replicas whose weights are new enough for the item, for placing and for moving.

Before: test_the_only_one_for_an_item_is_taken_though_it_crawls failed. After: python -m auburnroad_e2e.unit auburnroad_gateway, 201 passed, 0 failed.

Conclusion: with one such replica, or only slow ones, nothing crawls.

--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -61,7 +61,7 @@
       replicas: All replicas.
       failure_domain: The gateway's own.
       crowded: Whether items wait for a slot; they go before a gain of pace.
-      paces: Paces of the service's replicas.
+      paces: Paces of the replicas that may run it.
       now: Monotonic time in seconds.
 
     Returns:
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -463,10 +463,13 @@
 
     def _watch(self, owned: owned_batches.OwnedBatch, now: float) -> None:
         """Move runs that stall or crawl."""
-        service = owned.route.backends[0].service
-        paces = placement.measure_paces(
-            self._directory.list_ready(service), now
+        submission = owned.state.submission
+        fresh = placement.list_fresh(
+            self._directory.list_ready(owned.route.backends[0].service),
+            submission.model,
+            submission.minimum_version,
         )
+        paces = placement.measure_paces(fresh, now)
         for index in list(owned.running):
             run = owned.runs[index]
             if moves.is_stalled(run, now):
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -17,8 +17,8 @@
 NEAR_BONUS = 0.1
 # The same for items, relative to the pace: most of their bytes are few.
 NEAR_PACE_BONUS = 0.03
-# A replica that is slower than the median by this factor gets no items: one
-# that waits a moment for another slot is done sooner.
+# A replica that is slower by this factor than the median of those that an item
+# may run at gets none: one that waits a moment for a slot is done sooner.
 CRAWL_RATIO = 2.0
 # Share of a replica's memory that may be filled: when it runs out, the newest
 # run loses what it has.
@@ -44,7 +44,7 @@
 
 
 class Paces(msgspec.Struct, frozen=True):
-    """How fast the replicas of a service are, in milliseconds an event.
+    """How fast a number of replicas are, in milliseconds an event.
 
     Attributes:
       fastest_ms: The best pace.
@@ -101,14 +101,14 @@
       slot and memory for now; those that are expected to keep all their runs
       in memory to the end go first. None if there is none.
     """
-    median = find_median_pace(candidates, now)
+    fresh = list_fresh(candidates, need.model, need.minimum_version)
+    median = find_median_pace(fresh, now)
     usable = [
         entry
-        for entry in candidates
+        for entry in fresh
         if entry.avoid_until <= now
         and not entry.is_loading(now)
         and entry.count_free(now) > 0
-        and is_fresh(entry, need.model, need.minimum_version)
         and has_memory(entry, need)
         and not crawls(entry, median, now)
     ]
@@ -181,6 +181,13 @@
     return not model or version is None or version >= minimum
 
 
+def list_fresh(
+    candidates: list[replica.Replica], model: str, minimum: int
+) -> list[replica.Replica]:
+    """List the replicas whose weights are new enough, as far as known."""
+    return [entry for entry in candidates if is_fresh(entry, model, minimum)]
+
+
 def find_median_pace(candidates: list[replica.Replica], now: float) -> float:
     """Find the median pace of replicas in milliseconds an event.
 
--- a/packages/gateway/auburnroad_gateway/directory/placement_test.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement_test.py
@@ -93,6 +93,13 @@
         self.two.in_flight = 3
         self.assertIs(self.two, self.choose())
 
+    def test_the_only_one_for_an_item_is_taken_though_it_crawls(self):
+        """Pattern: two models with a replica each, one of them slow."""
+        set_pace(self.one, 200.0)
+        set_pace(self.two, 50.0)
+        self.two.versions['m'] = 0
+        self.assertIs(self.one, self.choose())
+
     def test_an_old_pace_says_nothing(self):
         set_pace(self.one, 200.0)
         later = NOW + replica.PACE_LIFE_SECONDS + 1
