Keep the platform's names out of the soak

Cause: the soak's callers and its world built messages of the users' protocol themselves, so that its names stood in three places.

Change: the stand-ins have them, in platform_calls.py.

Conclusion: the adapter and its stand-ins are the only places again.

--- a/packages/e2e/auburnroad_e2e/soak/callers.py
+++ b/packages/e2e/auburnroad_e2e/soak/callers.py
@@ -5,14 +5,13 @@
 """
 
 import asyncio
-import base64
 import random
 
 import msgspec
 
 from auburnroad_core.http import client
-from auburnroad_core.http import messages
 from auburnroad_e2e.soak import world as worlds
+from auburnroad_standins import platform_calls
 
 GROUPS = 4
 GROUP_SIZE = 4
@@ -23,6 +22,9 @@
 LOOKUP_SECONDS = 0.08
 ONCE_SECONDS = 0.15
 RETRY_SECONDS = 0.2
+# How long a read of results may be kept waiting, and a caller waits.
+WAIT_MS = 300
+PATIENCE_MS = 2000
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -136,8 +138,7 @@
         if not self._world.store.log.down:
             self._named += 1
             self._world.write_operator_record(
-                f'version/{worlds.MODEL}',
-                {'model': worlds.MODEL, 'version': self._named},
+                *platform_calls.build_named_version(worlds.MODEL, self._named)
             )
         return book
 
@@ -148,11 +149,7 @@
           The status, zero for no answer.
         """
         gateway = self._random.choice(self._world.gateways)
-        request = messages.Request(
-            'GET',
-            f'/-/lots/{book.id}?after={position}',
-            {'wait-ms': '300'},
-        )
+        request = platform_calls.build_read(book.id, position, WAIT_MS)
         try:
             answer = await self._world.call(gateway, request)
         except client.HttpError:
@@ -167,7 +164,7 @@
         """Ask for the body of an item at any gateway."""
         item = self._random.choice(book.items)
         gateway = self._random.choice(self._world.gateways)
-        request = messages.Request('GET', f'/-/items/{book.id}?id={item}', {})
+        request = platform_calls.build_body_read(book.id, item)
         try:
             answer = await self._world.call(gateway, request)
         except client.HttpError:
@@ -184,20 +181,12 @@
         request_id = f'{kind}{self._count}'
         loop = asyncio.get_running_loop()
         started, gateway_start = loop.time(), gateway.starts
-        request = messages.Request(
-            'POST',
-            path,
-            {'request-id': request_id, 'deadline-ms': '2000'},
-            request_id.encode(),
-        )
+        request = platform_calls.build_single(path, request_id, PATIENCE_MS)
         status, whole = 0, False
         try:
             answer = await self._world.call(gateway, request)
             status = answer.status
-            whole = (
-                answer.body == request_id.encode()
-                and request_id in answer.headers.get('response-stamp', '')
-            )
+            whole = platform_calls.is_own_answer(answer, request_id)
         except client.HttpError:
             # Told by the status of zero.
             pass
@@ -221,28 +210,17 @@
             await asyncio.sleep(STEP_SECONDS)
 
     async def _submit(self, book: BatchBook, step: int) -> None:
-        body = {
-            'step': step,
-            'model': worlds.MODEL,
-            'minVersion': book.minimum_version,
-            'groupCount': GROUPS_WANTED,
-            'items': [
-                {
-                    'id': item,
-                    'path': '/batch/x',
-                    'headers': {},
-                    'body': base64.b64encode(item.encode()).decode(),
-                    'tokens': 100,
-                    'group': f's{step}g{number // GROUP_SIZE}',
-                }
-                for number, item in enumerate(book.items)
-            ],
-        }
-        request = messages.Request(
-            'POST',
-            '/batch/',
-            {'request-id': book.id},
-            msgspec.json.encode(body),
+        request = platform_calls.build_submission(
+            platform_calls.Submission(
+                book.id,
+                '/batch/',
+                step,
+                worlds.MODEL,
+                book.minimum_version,
+                GROUPS_WANTED,
+                book.items,
+                GROUP_SIZE,
+            )
         )
         while book.accepted_at is None:
             gateway = self._random.choice(self._world.gateways)
@@ -257,7 +235,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def _end(self, book: BatchBook) -> None:
-        request = messages.Request('DELETE', f'/-/lots/{book.id}', {})
+        request = platform_calls.build_end(book.id)
         for _ in range(20):
             gateway = self._random.choice(self._world.gateways)
             try:
--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -19,6 +19,7 @@
 from auburnroad_e2e.launch import relay
 from auburnroad_e2e.soak import schedule as schedules
 from auburnroad_gateway.model import settings as gateway_settings
+from auburnroad_standins import platform_calls
 from auburnroad_standins import platform_replica
 from auburnroad_standins import platform_store
 
@@ -29,7 +30,6 @@
 PLAIN_REPLICAS = 3
 PLAIN_SLOTS = 8
 DOMAINS = ('a', 'b', 'c')
-OPERATOR_TOPIC = 'keyed.op'
 STORE_HOST = 1
 GATEWAY_HOST = 11
 REPLICA_HOST = 101
@@ -225,12 +225,15 @@
             now = asyncio.get_running_loop().time()
             self.routes_added.append((f'/added{self._version}/', now))
         self.write_operator_record(
-            'config', _build_configuration(self._version, self.routes_added)
+            platform_calls.CONFIGURATION_KEY,
+            _build_configuration(self._version, self.routes_added),
         )
 
     def write_operator_record(self, key: str, value: dict) -> None:
         """Write a record as operators and trainers do."""
-        self.store.log.put(OPERATOR_TOPIC, key, json.dumps(value).encode())
+        self.store.log.put(
+            platform_calls.OPERATOR_TOPIC, key, json.dumps(value).encode()
+        )
 
     async def call(
         self, gateway: Gateway, request: messages.Request
@@ -272,7 +275,7 @@
         )
 
     async def _is_ready(self, gateway: Gateway) -> bool:
-        request = messages.Request('GET', '/-/readyz', {})
+        request = messages.Request('GET', platform_calls.READY_PATH, {})
         try:
             response = await self.http.fetch(
                 f'{gateway.ip}:{READY_PORT}', request, CALL_SECONDS
@@ -299,41 +302,22 @@
 
 
 def _build_configuration(version: int, routes_added) -> dict:
-    def build_route(prefix, kind, service, **fields):
-        return {
-            'name': prefix.strip('/'),
-            'host': HOST,
-            'pathPrefix': prefix,
-            'kind': kind,
-            'service': service,
-            'timeoutMs': 2000,
-            'targetLatencyMs': 400,
-            'maxAttempts': 3,
-            **fields,
-        }
-
-    routes = [
-        build_route('/plain/', 'idempotent', PLAIN_SERVICE),
-        build_route('/once/', 'non_idempotent', PLAIN_SERVICE),
-        build_route(
-            '/batch/',
-            'rollout',
-            MODEL_SERVICE,
-            dueMs=7500,
-            retentionS=60.0,
-        ),
-        *(
-            build_route(prefix, 'idempotent', PLAIN_SERVICE)
-            for prefix, _ in routes_added
-        ),
-    ]
-    engine = {'stride': 1, 'kvCapacity': 0, 'models': [{'name': MODEL}]}
-    return {
-        'version': version,
-        'routes': routes,
-        'services': [
-            {'name': MODEL_SERVICE, 'engine': engine},
-            {'name': PLAIN_SERVICE},
+    return platform_calls.build_configuration(
+        version,
+        [
+            platform_calls.build_route(
+                HOST, '/plain/', 'idempotent', PLAIN_SERVICE
+            ),
+            platform_calls.build_route(
+                HOST, '/once/', 'non_idempotent', PLAIN_SERVICE
+            ),
+            platform_calls.build_batch_route(HOST, '/batch/', MODEL_SERVICE),
+            *(
+                platform_calls.build_route(
+                    HOST, prefix, 'idempotent', PLAIN_SERVICE
+                )
+                for prefix, _ in routes_added
+            ),
         ],
-        'limits': {},
-    }
+        {MODEL_SERVICE: MODEL, PLAIN_SERVICE: ''},
+    )
