Mend the four known red tests

Causes: two tests of the intake and three of the appender gave an append 0.08 s of real time; a test of the owner counted a run as stalled after 0.1 s of real time; and a stand-in's SIGTERM handler was gone once the interpreter had restored the signal's default, before the process had ended.

--- a/packages/gateway/auburnroad_gateway/batches/intake_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake_test.py
@@ -12,10 +12,14 @@
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.model import settings
+from auburnroad_standins import loop_clock
 from auburnroad_standins import partition_log
 from auburnroad_standins import plain_adapter
 
-SHORT_SECONDS = 0.08
+# Longer than any pause of a test machine; tests that need it to expire move
+# the clock of the loop.
+APPEND_TIMEOUT_SECONDS = 60.0
+TIMEOUT_SECONDS = 10
 
 
 class IntakeTest(unittest.IsolatedAsyncioTestCase):
@@ -41,9 +45,10 @@
             for work in self.journal.list_background_tasks()
         ]
         patch = mock.patch.object(
-            intake, 'APPEND_TIMEOUT_SECONDS', SHORT_SECONDS
+            intake, 'APPEND_TIMEOUT_SECONDS', APPEND_TIMEOUT_SECONDS
         )
         self.enterContext(patch)
+        self.clock = loop_clock.LoopClock()
 
     async def asyncTearDown(self):
         for task in self.tasks:
@@ -55,6 +60,15 @@
             None, messages.Request('POST', '/p/', {}, body)
         )
 
+    async def submit_until_timeout(self):
+        """Submit, and let the append time out after the log's first call."""
+        submitted = asyncio.create_task(self.submit())
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while 'append' not in self.log.calls:
+                await asyncio.sleep(0.001)
+        self.clock.advance(APPEND_TIMEOUT_SECONDS)
+        return await submitted
+
     def list_batches(self):
         return self.log.list_records(
             records.TOPIC, records.find_partition('b')
@@ -73,7 +87,7 @@
 
     async def test_refused_batch_is_never_written(self):
         self.log.down = True
-        response = await self.submit()
+        response = await self.submit_until_timeout()
         self.assertEqual(503, response.status)
         self.assertIn('retry-after', response.headers)
         self.log.down = False
@@ -82,7 +96,7 @@
 
     async def test_unconfirmed_append_is_a_gateway_timeout(self):
         self.log.silent = True
-        self.assertEqual(504, (await self.submit()).status)
+        self.assertEqual(504, (await self.submit_until_timeout()).status)
 
     async def test_invalid_batch_is_a_bad_request(self):
         response = await self.subject.submit(
@@ -115,7 +129,7 @@
 
     async def test_batch_with_unconfirmed_bodies_is_refused(self):
         self.log.silent = True
-        self.assertEqual(503, (await self.submit()).status)
+        self.assertEqual(503, (await self.submit_until_timeout()).status)
         self.log.silent = False
         await self.journal.append('b', [b'later'], 10)
         self.assertEqual([b'later'], self.list_batches())
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -33,6 +33,8 @@
 
 TICK_SECONDS = 0.01
 STALL_SECONDS = 0.1
+# Longer than any pause of a test machine.
+LONG_STALL_SECONDS = 60.0
 EVENTS = 5
 BATCH_ID = 'b'
 NEXT_ID = 'next'
@@ -104,11 +106,10 @@
     async def asyncSetUp(self):
         for module, name, value in (
             (owner, 'TICK_SECONDS', TICK_SECONDS),
-            (moves, 'STALL_SECONDS', STALL_SECONDS),
-            (moves, 'FIRST_EVENT_TIMEOUT_SECONDS', STALL_SECONDS),
             (moves, 'MIN_STAY_SECONDS', TICK_SECONDS),
         ):
             self.enterContext(mock.patch.object(module, name, value))
+        self.set_stall_limit(LONG_STALL_SECONDS)
         self.log = partition_log.PartitionLog()
         self.client = scripted_replicas.ScriptedClient()
         self.adapter = plain_adapter.PlainAdapter()
@@ -159,6 +160,10 @@
         for task in self.tasks:
             task.cancel()
 
+    def set_stall_limit(self, seconds):
+        for name in ('STALL_SECONDS', 'FIRST_EVENT_TIMEOUT_SECONDS'):
+            self.enterContext(mock.patch.object(moves, name, seconds))
+
     def register_replica(self, name, state='ready', version=1):
         value = (
             '{"id":"%s","service":"s","address":"%s:1","failure_domain":"a",'
@@ -218,6 +223,7 @@
         self.assertEqual([None, '1', '3'], resumed)
 
     async def test_silent_run_resumes_at_another_replica(self):
+        self.set_stall_limit(STALL_SECONDS)
         self.add_replica('one', pause_seconds=60)
         self.submit()
         await self.wait(lambda: self.client.requests)
@@ -226,6 +232,7 @@
 
     async def test_silent_run_is_detected_while_loop_is_woken_constantly(self):
         """Under load the loop is woken more often than the tick interval."""
+        self.set_stall_limit(STALL_SECONDS)
         self.add_replica('one', pause_seconds=60)
         self.submit()
         await self.wait(lambda: self.client.requests)
@@ -240,7 +247,7 @@
         self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
 
     async def test_run_leaves_a_draining_replica(self):
-        self.add_replica('one', pause_seconds=STALL_SECONDS / 2)
+        self.add_replica('one', pause_seconds=0.05)
         self.submit()
         await self.wait(lambda: self.client.requests)
         self.add_replica('two')
@@ -249,7 +256,7 @@
         self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
 
     async def test_run_leaves_a_replica_about_to_load_weights(self):
-        self.add_replica('one', pause_seconds=STALL_SECONDS / 2)
+        self.add_replica('one', pause_seconds=0.05)
         self.submit()
         await self.wait(lambda: self.client.requests)
         self.add_replica('two')
@@ -357,6 +364,7 @@
         self.enterContext(
             mock.patch.object(owned_batches, 'MIN_RESUME_GAIN_EVENTS', 0)
         )
+        self.set_stall_limit(STALL_SECONDS)
         self.add_replica('one', pause_seconds=60)
         self.submit()
         await self.wait(lambda: self.subject.has_running_items)
--- a/packages/gateway/auburnroad_gateway/log/appender_test.py
+++ b/packages/gateway/auburnroad_gateway/log/appender_test.py
@@ -10,11 +10,11 @@
 import unittest
 
 from auburnroad_gateway.log import appender
+from auburnroad_standins import loop_clock
 from auburnroad_standins import partition_log
 
 MAX_CALL_BYTES = 100
 LONG_TIMEOUT_SECONDS = 20.0
-SHORT_TIMEOUT_SECONDS = 0.08
 
 
 class AppenderTest(unittest.IsolatedAsyncioTestCase):
@@ -34,6 +34,17 @@
         finally:
             task.cancel()
 
+    async def append_until_timeout(self):
+        """Append a record that times out after the log's first call."""
+        clock = loop_clock.LoopClock()
+        waiting = asyncio.create_task(
+            self.subject.append([b'a'], LONG_TIMEOUT_SECONDS)
+        )
+        while not self.log.calls:
+            await asyncio.sleep(0.001)
+        clock.advance(LONG_TIMEOUT_SECONDS)
+        return await waiting
+
     async def test_records_queued_together_share_one_call(self):
         async with self.running():
             await asyncio.gather(
@@ -77,7 +88,7 @@
         self.log.down = True
         async with self.running():
             with self.assertRaises(appender.AppendTimeoutError) as caught:
-                await self.subject.append([b'a'], SHORT_TIMEOUT_SECONDS)
+                await self.append_until_timeout()
             self.log.down = False
             await self.subject.append([b'b'], LONG_TIMEOUT_SECONDS)
         self.assertIs(appender.AppendState.WITHDRAWN, caught.exception.state)
@@ -87,18 +98,20 @@
         self.log.silent = True
         async with self.running():
             with self.assertRaises(appender.AppendTimeoutError) as caught:
-                await self.subject.append([b'a'], SHORT_TIMEOUT_SECONDS)
+                await self.append_until_timeout()
         self.assertIs(appender.AppendState.UNKNOWN, caught.exception.state)
 
     async def test_fate_is_unknown_if_refusal_follows_lost_response(self):
         self.log.lose_answers = 1
         async with self.running():
+            clock = loop_clock.LoopClock()
             waiting = asyncio.create_task(
-                self.subject.append([b'a'], SHORT_TIMEOUT_SECONDS)
+                self.subject.append([b'a'], LONG_TIMEOUT_SECONDS)
             )
             while self.log.lose_answers:
                 await asyncio.sleep(0.001)
             self.log.down = True
+            clock.advance(LONG_TIMEOUT_SECONDS)
             with self.assertRaises(appender.AppendTimeoutError) as caught:
                 await waiting
         self.assertIs(appender.AppendState.UNKNOWN, caught.exception.state)
--- a/packages/standins/auburnroad_standins/stopping.py
+++ b/packages/standins/auburnroad_standins/stopping.py
@@ -1,12 +1,13 @@
-"""SIGTERM handler that remains after the event loop has closed.
+"""SIGTERM handler that remains until the process ends.
 
 Trainers and callers use it. The event loop removes its own signal handlers
-when it closes. A SIGTERM during interpreter shutdown would then kill a
-process that had completed its work, and its exit status would report a
-failure.
+when it closes, and the interpreter restores the default of each signal while
+it shuts down. A SIGTERM at that time would kill a process that had completed
+its work, and its exit status would report a failure.
 """
 
 import asyncio
+import atexit
 import signal
 import typing
 
@@ -16,7 +17,7 @@
 
     Args:
       callback: Called without arguments. After the loop has closed, SIGTERM
-        is ignored.
+        has no effect.
     """
     loop = asyncio.get_running_loop()
 
@@ -25,3 +26,6 @@
             loop.call_soon_threadsafe(callback)
 
     signal.signal(signal.SIGTERM, handle)
+    # A blocked signal stays pending whatever its handler, so that the
+    # interpreter's shutdown can't be interrupted either.
+    atexit.register(signal.pthread_sigmask, signal.SIG_BLOCK, {signal.SIGTERM})
