Send nothing more to replicas whose answers say that they leave

Cause: only registrations told that a replica drains.

Change: the header is decoded in the adapter and believed at once from answers of every kind (requests, streams, runs of items, reports, orders), but for a 421, which another replica at the address gave. The belief lasts for the incarnation: no registration undoes it, also not one that follows an expired registration, and a registration of an earlier start is ignored.

Ruled out: telling the other gateways. The rule binds the gateway that passed the answer on, and each learns of it from its own next answer.

--- a/packages/client/auburnroad_client/logs/timeline.py
+++ b/packages/client/auburnroad_client/logs/timeline.py
@@ -24,6 +24,7 @@
         'heartbeat_not_sent',
         'member_dead',
         'replica_gone',
+        'replica_leaving',
         'replica_state_changed',
         'order_sent',
         'order_failed',
--- a/packages/gateway/auburnroad_gateway/directory/directory.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory.py
@@ -4,6 +4,10 @@
 while the log service was unavailable are an exception: live replicas register
 again shortly after the outage, and until then the last known registrations
 stay in use.
+
+A replica also states in its answers that it is about to exit, possibly before
+its registration does or without a path to the log service. Such a replica gets
+no new work whatever its registrations say, until it is started again.
 """
 
 import time
@@ -17,6 +21,8 @@
 REREGISTRATION_SECONDS = 2.0
 # Time without an answer after which a reader may not have detected an outage.
 OUTAGE_SECONDS = 1.5
+# Number of incarnations that left for which late registrations are recognized.
+MAX_LEFT_INCARNATIONS = 1000
 
 
 class Directory:
@@ -26,6 +32,7 @@
         '_adapter',
         '_replicas',
         '_lapsed',
+        '_left',
         '_outage_ended_at',
         '_listeners',
     )
@@ -34,6 +41,7 @@
         self._adapter = adapter
         self._replicas: dict[str, replica.Replica] = {}
         self._lapsed: dict[str, float] = {}
+        self._left: dict[str, registration.Registration] = {}
         self._outage_ended_at = float('-inf')
         self._listeners = []
 
@@ -56,17 +64,12 @@
     def list_ready(self, service_name: str) -> list[replica.Replica]:
         """List the replicas of a service that accept new work."""
         return [
-            target
-            for target in self.list_all(service_name)
-            if target.registration.state is registration.ReplicaState.READY
+            target for target in self.list_all(service_name) if target.is_ready
         ]
 
     def is_ready(self, target: replica.Replica) -> bool:
         """Tell whether a replica is registered and accepts new work."""
-        return (
-            self._replicas.get(target.id) is target
-            and target.registration.state is registration.ReplicaState.READY
-        )
+        return self._replicas.get(target.id) is target and target.is_ready
 
     def note_outage(self, now: float) -> None:
         """Record that the log service is readable again after an outage.
@@ -103,8 +106,13 @@
     def _put_registration(self, new: registration.Registration) -> None:
         self._lapsed.pop(new.id, None)
         current = self._replicas.get(new.id)
+        if current is not None and _is_superseded(new, current.registration):
+            self._write('registration_outdated', new)
+            return
         if current is None or _is_restarted(current.registration, new):
-            self._replicas[new.id] = replica.Replica(new)
+            added = self._replicas[new.id] = replica.Replica(new)
+            left = self._left.get(new.id)
+            added.leaving = left is not None and not _is_restarted(left, new)
             self._write('replica_registered', new)
             return
         previous = current.registration
@@ -125,6 +133,8 @@
     def _remove(self, key: str, reason: str) -> None:
         removed = self._replicas.pop(key, None)
         if removed is not None:
+            if removed.leaving:
+                self._remember_left(removed.registration)
             events.write(
                 'replica_gone',
                 replica=key,
@@ -132,6 +142,12 @@
                 reason=reason,
             )
 
+    def _remember_left(self, left: registration.Registration) -> None:
+        self._left.pop(left.id, None)
+        self._left[left.id] = left
+        if len(self._left) > MAX_LEFT_INCARNATIONS:
+            del self._left[next(iter(self._left))]
+
     def _write(self, event: str, new) -> None:
         events.write(
             event,
@@ -147,7 +163,16 @@
             listener()
 
 
+def _is_superseded(new, current) -> bool:
+    """Tell whether a registration is of an earlier start than another one."""
+    return (
+        new.address == current.address
+        and 0 < new.started_ms < current.started_ms
+    )
+
+
 def _is_restarted(previous, new) -> bool:
+    """Tell whether a registration is of another start than a previous one."""
     return (
         previous.started_ms != new.started_ms
         or previous.address != new.address
--- a/packages/gateway/auburnroad_gateway/directory/directory_test.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory_test.py
@@ -1,12 +1,17 @@
 """Tests which replicas are eligible for work as registrations change.
 
-Guards against work for removed replicas, and against dropping live replicas
-whose registrations expired during an outage of the log service.
+Guards against work for removed replicas, against work for replicas whose
+answers state that they are leaving while an older registration arrives, and
+against dropping live replicas whose registrations expired during an outage of
+the log service.
 """
 
 import time
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.log import service
 from auburnroad_standins import plain_adapter
@@ -72,7 +77,71 @@
         self.assertIsNot(before, after)
         self.assertEqual(0, after.failures)
 
+    def test_leaving_replica_is_listed_but_not_ready(self):
+        self.put()
+        target = self.subject.list_ready('s')[0]
+        target.note_leaving()
+        self.put()
+        self.assertEqual([], self.list_ready())
+        self.assertFalse(self.subject.is_ready(target))
+        self.assertEqual(1, len(self.subject.list_all('s')))
+
+    def test_leaving_replica_that_registers_again_is_not_ready(self):
+        """An expired registration returns with the next heartbeat."""
+        self.put()
+        self.subject.list_ready('s')[0].note_leaving()
+        self.drop()
+        self.put()
+        self.assertEqual([], self.list_ready())
+
+    def test_restart_of_a_leaving_replica_is_ready(self):
+        self.put()
+        self.subject.list_ready('s')[0].note_leaving()
+        self.put(started_ms=2)
+        self.assertEqual(['r'], self.list_ready())
+
+    def test_registration_of_an_earlier_start_is_ignored(self):
+        self.put(started_ms=2)
+        current = self.subject.list_ready('s')[0]
+        self.put(started_ms=1, state='draining')
+        self.assertEqual([current], self.subject.list_ready('s'))
+
     def test_undecodable_registration_removes_the_replica(self):
         self.put()
         self.subject.apply(service.KeyedRecord('r', b'{"id": 7}', 0))
         self.assertEqual([], self.list_ready())
+
+
+class LeavingTest(unittest.TestCase):
+    """Registrations of two starts and answers of one, in any order."""
+
+    @hypothesis.settings(derandomize=True, max_examples=100)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from(
+                ('ready', 'draining', 'drop', 'leave', 'expire')
+            ),
+            max_size=12,
+        )
+    )
+    def test_leaving_start_is_never_ready_again(self, steps):
+        subject = DirectoryTest()
+        subject.setUp()
+        subject.put()
+        subject.subject.list_all('s')[0].note_leaving()
+        now = time.monotonic()
+        for step in steps:
+            if step == 'drop':
+                subject.drop()
+            elif step == 'expire':
+                subject.subject.note_outage(now)
+                now += directory.REREGISTRATION_SECONDS + 1
+                subject.subject.expire(now)
+            elif step == 'leave':
+                for target in subject.subject.list_all('s'):
+                    target.note_leaving()
+            else:
+                subject.put(state=step)
+            self.assertEqual([], subject.list_ready())
+        subject.put(started_ms=2)
+        self.assertEqual(['r'], subject.list_ready())
--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -2,6 +2,7 @@
 
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import registration
+from auburnroad_gateway.telemetry import events
 
 # Time after which a reported load is discarded.
 LOAD_TTL_SECONDS = 1.0
@@ -40,6 +41,8 @@
         weights is assumed to be in progress.
       vacating: Whether runs must move to other replicas because this replica
         is about to load weights.
+      leaving: Whether an answer of this incarnation stated that it is about
+        to exit. Registrations don't undo this.
     """
 
     __slots__ = (
@@ -52,6 +55,7 @@
         'versions',
         'loading_until',
         'vacating',
+        'leaving',
         '_pace_ms',
         '_pace_at',
         '_other_load',
@@ -68,6 +72,7 @@
         self.versions = dict(initial.versions)
         self.loading_until = 0.0
         self.vacating = False
+        self.leaving = False
         self._pace_ms = 0.0
         self._pace_at = 0.0
         self._other_load = 0
@@ -83,6 +88,14 @@
         """Address of the replica as 'IP:port'."""
         return self.registration.address
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the replica accepts new work."""
+        return (
+            self.registration.state is registration.ReplicaState.READY
+            and not self.leaving
+        )
+
     def count_load(self, now: float) -> int:
         """Count the requests that the replica runs or queues.
 
@@ -121,6 +134,14 @@
         self._other_load = max(0, other_load)
         self._other_load_at = now
 
+    def note_leaving(self) -> None:
+        """Record that an answer states that the replica is about to exit."""
+        if not self.leaving:
+            self.leaving = True
+            events.write(
+                'replica_leaving', replica=self.id, address=self.address
+            )
+
     def note_version(self, model: str, version: int | None) -> None:
         """Record the weight version that an answer or report names."""
         if model and version is not None:
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -110,7 +110,8 @@
 ) -> OpenResponse | Outcome:
     """Send a request to a replica and read the head of its response.
 
-    Updates the replica's load and its record of failures and refusals.
+    Updates the replica's load, its record of failures and refusals, and
+    whether it is leaving.
 
     Args:
       http_client: Connections to replicas.
@@ -150,6 +151,8 @@
             AttemptOutcomeKind.NOT_RUN,
             'status 421: another replica has the address',
         )
+    if head.leaving:
+        target.note_leaving()
     if head.not_run:
         await _discard_body(reply)
         target.note_refusal(now)
--- a/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
@@ -138,6 +138,38 @@
         self.assertEqual(503, response.status)
         self.assertIn('retry-after', response.headers)
 
+    async def test_leaving_replica_gets_no_further_request(self):
+        """The answer is returned; a registration may not say so yet."""
+
+        async def leave(request):
+            return scripted_replicas.answer(200, b'last', leaving='1')
+
+        self.client.handle('near:1', leave)
+        self.assertEqual(b'last', (await self.forward()).body)
+        self.assertEqual(b'ok', (await self.forward()).body)
+        self.assertEqual(1, self.client.count('near:1'))
+
+    async def test_refusal_of_a_leaving_replica_is_believed(self):
+        async def refuse(request):
+            return scripted_replicas.refuse(leaving='1')
+
+        self.client.handle('near:1', refuse)
+        await self.forward()
+        (ready,) = self.replicas.list_ready('s')
+        self.assertEqual('far', ready.id)
+
+    async def test_answer_of_another_replica_at_the_address_is_no_leave(self):
+        async def misdirect(request):
+            return scripted_replicas.Reply(
+                421,
+                {'not-run': '1', 'leaving': '1'},
+                scripted_replicas.iterate([b'']),
+            )
+
+        self.client.handle('near:1', misdirect)
+        await self.forward()
+        self.assertEqual(2, len(self.replicas.list_ready('s')))
+
     async def test_attempt_carries_remaining_time_and_replica_id(self):
         await self.forward(patience_ms=700)
         _, sent = self.client.requests[-1]
--- a/packages/gateway/auburnroad_gateway/model/call.py
+++ b/packages/gateway/auburnroad_gateway/model/call.py
@@ -45,6 +45,7 @@
       load: Load of the replica, if reported.
       weight_version: Weight version that generates the first event.
       encoded: Whether an intermediary has encoded the body.
+      leaving: Whether the replica states that it is about to exit.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     load: Load | None = None
     weight_version: int | None = None
     encoded: bool = False
+    leaving: bool = False
 
 
 class BatchVerb(enum.Enum):
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -19,9 +19,11 @@
 
 from auburnroad_core import clock
 from auburnroad_core.http import client
+from auburnroad_core.http import messages
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.forwarding import attempt
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
@@ -232,10 +234,8 @@
             await self._wait_loaded(target, model, version)
 
     async def _send(self, target, order: call.VersionOrder) -> int:
-        response = await self._client.fetch(
-            target.address,
-            self._adapter.build_order_call(order, target.id),
-            CALL_TIMEOUT_SECONDS,
+        response = await self._fetch(
+            target, self._adapter.build_order_call(order, target.id)
         )
         return response.status
 
@@ -260,12 +260,18 @@
         return loaded >= version
 
     async def _read_report(self, target) -> call.Report:
+        response = await self._fetch(target, self._adapter.build_report_call())
+        return self._adapter.decode_report(response.body)
+
+    async def _fetch(self, target, request) -> messages.Response:
         response = await self._client.fetch(
-            target.address,
-            self._adapter.build_report_call(),
-            CALL_TIMEOUT_SECONDS,
+            target.address, request, CALL_TIMEOUT_SECONDS
         )
-        return self._adapter.decode_report(response.body)
+        if response.status != attempt.MISDIRECTED_STATUS:
+            head = self._adapter.decode_response_head(response.headers)
+            if head.leaving:
+                target.note_leaving()
+        return response
 
 
 def is_outdated(target: replica.Replica, model: str, version: int) -> bool:
--- a/packages/gateway/auburnroad_gateway/weights/rollout_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout_test.py
@@ -32,12 +32,14 @@
       version: Loaded weight version.
       orders: Executed orders.
       lose_answers: Number of orders to execute without an answer.
+      headers: Headers of each report.
     """
 
     def __init__(self, version):
         self.version = version
         self.orders = []
         self.lose_answers = 0
+        self.headers = {}
 
     async def handle(self, request):
         if request.target == '/report':
@@ -55,7 +57,9 @@
         return scripted_replicas.answer(202, b'')
 
     def answer(self, report):
-        return scripted_replicas.answer(200, msgspec.json.encode(report))
+        return scripted_replicas.answer(
+            200, msgspec.json.encode(report), **self.headers
+        )
 
 
 class StubDuties:
@@ -194,6 +198,14 @@
         self.announce_version(3)
         await self.wait(lambda: len(self.list_loaded(3)) == 5)
 
+    async def test_replica_whose_report_says_it_leaves_is_not_ready(self):
+        self.engines['r0'].headers['leaving'] = '1'
+        self.announce_version(2)
+        await self.wait(lambda: len(self.list_loaded(2)) >= 4)
+        await self.wait(lambda: len(self.replicas.list_ready('s')) == 4)
+        ready = [target.id for target in self.replicas.list_ready('s')]
+        self.assertEqual(['r1', 'r2', 'r3', 'r4'], ready)
+
     async def test_busy_replicas_do_not_load_before_idle_replicas(self):
         busy = self.replicas.list_ready('s')[0]
         busy.in_flight = 2
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -63,7 +63,7 @@
         return {**item.headers, 'host': host, 'id': item.id}
 
     def decode_response_head(self, headers):
-        """Decode the headers 'id', 'signed', 'not-run' and 'version'."""
+        """Decode 'id', 'signed', 'not-run', 'version' and 'leaving'."""
         version = headers.get('version')
         return call.AnswerHead(
             headers.get('id', ''),
@@ -71,6 +71,7 @@
             'not-run' in headers,
             None,
             int(version) if version else None,
+            leaving='leaving' in headers,
         )
 
     def split_event_version(self, data):
