Score items by reward calls

Change: the adapter decodes and checks reward calls; bodies lie where those of items lie. A new owner asks for the score of a complete text and generates nothing again. The result carries text and score of one run; a score for a text that was given up ends with its task. After as many answers of 500 as the route allows the item is terminated; all else is asked again.

Requests that start together no longer choose the same replica: they are counted when it is chosen, not when their task starts.

Ruled out: a score that refers to the saved text, which needs less of the log service but could join one owner's text with another's score.

--- a/packages/client/auburnroad_client/logs/causes.py
+++ b/packages/client/auburnroad_client/logs/causes.py
@@ -19,6 +19,8 @@
     'not_configured',
     'batch_refused',
     'no_replica',
+    'reward_call',
+    'reward_route',
     'replica_gone',
     'silent_replica',
     'orphaned',
@@ -117,6 +119,29 @@
     return f'runs stalled at {", ".join(replicas)} and moved to other replicas'
 
 
+@CAUSES.register('reward_call')
+def _explain_reward_call(lines: Lines, context: Lines) -> str:
+    failed = [line for line in lines if line.event == 'reward_call_failed']
+    if not failed:
+        return ''
+    reasons = sorted({str(line.fields.get('reason')) for line in failed})
+    return (
+        f'the score was late or missing: {len(failed)} reward calls failed '
+        f'({", ".join(reasons)})'
+    )
+
+
+@CAUSES.register('reward_route')
+def _explain_reward_route(lines: Lines, context: Lines) -> str:
+    line = _find_event(lines, 'reward_route_missing')
+    if line is None:
+        return ''
+    return (
+        f'no route of {line.host} matched the reward calls to '
+        f'{line.fields.get("target")}; the batch was refused'
+    )
+
+
 @CAUSES.register('replica_gone')
 def _explain_replica_gone(lines: Lines, context: Lines) -> str:
     line = _find_event(context, 'replica_gone')
--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -90,6 +90,23 @@
             ['request_failed'], [line.event for line in built.lines]
         )
 
+    def test_timeline_of_item_includes_its_reward_calls(self):
+        """Reward calls are logged by an id of their own."""
+        lines = [
+            build_line(1000, 'item_done', item='i', reward='k'),
+            build_line(1100, 'reward_call_failed', reward='k', reason='x'),
+            build_line(1150, 'reward_call_failed', reward='m', reason='x'),
+            build_line(1200, 'item_scored', item='i', reward='k'),
+        ]
+        (self.path / 'h3.log').write_bytes(b'\n'.join(lines))
+        log = reading.read_log([str(self.path)])
+        built = timeline.build_timeline(log, 'i')
+        self.assertEqual(
+            ['item_done', 'reward_call_failed', 'item_scored'],
+            [line.event for line in built.lines],
+        )
+        self.assertIn('1 reward calls failed (x)', built.causes[0])
+
     def test_unknown_id_has_no_lines(self):
         self.assertEqual([], timeline.build_timeline(self.log, 'no').lines)
 
--- a/packages/client/auburnroad_client/logs/timeline.py
+++ b/packages/client/auburnroad_client/logs/timeline.py
@@ -64,6 +64,15 @@
       The timeline; without lines if no log line mentions the id.
     """
     lines = [line for line in log.lines if _mentions(line, identity)]
+    rewards = {line.fields.get('reward') for line in lines} - {None, ''}
+    if rewards:
+        # Reward calls are logged by their own id.
+        lines = [
+            line
+            for line in log.lines
+            if _mentions(line, identity)
+            or line.fields.get('reward') in rewards
+        ]
     around = _find_context(log, lines)
     return Timeline(identity, lines, around, causes.find_causes(lines, around))
 
--- a/packages/gateway/auburnroad_gateway/adapter.py
+++ b/packages/gateway/auburnroad_gateway/adapter.py
@@ -76,6 +76,9 @@
     ) -> dict[str, str]:
         """Build the headers common to all attempts of an item."""
 
+    def build_reward_headers(self, reward: call.RewardCall) -> dict[str, str]:
+        """Build the headers common to all attempts of a reward call."""
+
     def decode_response_head(self, headers: dict[str, str]) -> call.AnswerHead:
         """Decode the head of a replica's answer."""
 
@@ -102,14 +105,14 @@
         self,
         total: int,
         next_position: int,
-        results: list[tuple[str, str, str, list[int]]],
+        results: list[batch.PageEntry],
     ) -> messages.Response:
         """Build the answer to a read of results.
 
         Args:
           total: Number of items of the batch.
           next_position: Position at which the next read continues.
-          results: Item id, outcome, text and weight versions per result.
+          results: Results of the page, in order.
         """
 
     def build_report_call(self) -> messages.Request:
--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -178,6 +178,9 @@
     if record.index in target.finished or target.ended:
         return
     known = target.progress.setdefault(record.index, [])
+    if known and known[-1].complete:
+        # The first complete text counts, like the first result.
+        return
     if record.after < 0:
         known.clear()
     # If two owners saved overlapping texts, the first text in the log counts.
--- a/packages/gateway/auburnroad_gateway/batches/fold_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold_test.py
@@ -28,9 +28,13 @@
     )
 
 
-def build_result(index, text='x'):
+def build_result(index, text='x', score=''):
     return batch.ItemResult(
-        index, batch.Outcome.SUCCEEDED, records.pack_text(text), [1]
+        index,
+        batch.Outcome.SUCCEEDED,
+        records.pack_text(text),
+        [1],
+        score=score,
     )
 
 
@@ -105,6 +109,17 @@
             [4, 7, 8], [part.last_event for part in state.progress[0]]
         )
 
+    def test_text_saved_after_the_complete_text_is_ignored(self):
+        state = self.submit()
+        whole = records.Progress('b', 0, -1, 5, b'', [1], 0, complete=True)
+        for record in (
+            whole,
+            records.Progress('b', 0, -1, 3, b'', [1], 0),
+            records.Progress('b', 0, 5, 6, b'', [1], 0),
+        ):
+            self.apply(records.encode(record))
+        self.assertEqual([whole], state.progress[0])
+
     def test_undecodable_records_are_ignored(self):
         self.submit()
         self.apply(b'', b'\xff\x00', b'{"a": 1}')
@@ -116,11 +131,28 @@
             strategies.one_of(
                 strategies.builds(
                     lambda index, text: records.Results(
-                        'b', [build_result(index, text)]
+                        'b', [build_result(index, text, f'score of {text}')]
                     ),
                     strategies.integers(0, 2),
                     strategies.sampled_from(['x', 'y']),
                 ),
+                strategies.builds(
+                    lambda index, after, complete: records.Progress(
+                        'b',
+                        index,
+                        after,
+                        after + 2,
+                        b'',
+                        [1],
+                        0,
+                        None,
+                        0,
+                        complete,
+                    ),
+                    strategies.integers(0, 2),
+                    strategies.sampled_from([-1, 1]),
+                    strategies.booleans(),
+                ),
                 strategies.builds(
                     lambda owner, previous: records.Claim(
                         'b', owner, previous
@@ -134,15 +166,28 @@
         )
     )
     def test_positions_of_results_never_change(self, entries):
-        """Results that a reader has received keep their positions."""
+        """Results that a reader has received keep their positions.
+
+        The text that a score was asked for is the one in the log, whichever
+        texts of other owners follow.
+        """
         subject = fold.Fold()
         for record in encode_submission():
             subject.apply(0, record)
         state = subject.batches['b']
         seen = []
+        complete = {}
         for entry in entries:
             subject.apply(0, records.encode(entry))
+            for index, saved in state.progress.items():
+                if index in complete:
+                    self.assertEqual(complete[index], saved)
+                elif saved and saved[-1].complete:
+                    complete[index] = list(saved)
             self.assertEqual(seen, state.results[: len(seen)])
             seen = list(state.results)
+        for result in seen:
+            text = records.unpack_text(result.text)
+            self.assertEqual(f'score of {text}', result.score)
         indexes = [result.index for result in seen]
         self.assertEqual(len(set(indexes)), len(indexes))
--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -29,13 +29,14 @@
 class Intake:
     """Accepts the batches that trainers submit."""
 
-    __slots__ = ('_adapter', '_journal', '_choose_owner')
+    __slots__ = ('_adapter', '_journal', '_choose_owner', '_match_route')
 
     def __init__(
         self,
         adapter: adapters.Adapter,
         batch_journal: journal.Journal,
         choose_owner: typing.Callable[[configuration.Route], str],
+        match_route: typing.Callable[[str, str], configuration.Route | None],
     ):
         """Initialize the intake.
 
@@ -43,10 +44,12 @@
           adapter: Decodes submissions.
           batch_journal: Journal to which batches are appended.
           choose_owner: Returns the incarnation that runs batches of a route.
+          match_route: Returns the route of a host and a path, if any.
         """
         self._adapter = adapter
         self._journal = batch_journal
         self._choose_owner = choose_owner
+        self._match_route = match_route
 
     async def submit(
         self, route: configuration.Route, request: messages.Request
@@ -70,6 +73,9 @@
         if submission.batch_id in self._journal.fold.batches:
             return messages.Response(202)
         started = time.monotonic()
+        refusal = self._check_reward_routes(submission)
+        if refusal is not None:
+            return refusal
         try:
             await self._write_batch(route, submission, started)
         except appender.AppendTimeoutError as error:
@@ -77,6 +83,41 @@
         self._write_event('batch_accepted', submission, started)
         return messages.Response(202)
 
+    def _check_reward_routes(
+        self, submission: batch.Submission
+    ) -> messages.Response | None:
+        """Check that the reward calls of a batch can be sent and repeated.
+
+        A reward call without a route is refused with 503, as the route may be
+        part of a configuration that this gateway hasn't read yet.
+
+        Returns:
+          The response to the trainer; None if all calls can be sent.
+        """
+        targets = {
+            (item.reward.host, item.reward.path.partition('?')[0])
+            for item in submission.items
+            if item.reward is not None
+        }
+        for host, path in targets:
+            route = self._match_route(host, path)
+            if route is None:
+                events.write(
+                    'reward_route_missing',
+                    batch=submission.batch_id,
+                    target=f'{host}{path}',
+                )
+                return refusals.build_refusal(
+                    'no_reward_route', RETRY_AFTER_SECONDS
+                )
+            if not route.repeatable:
+                events.write(
+                    'batch_invalid',
+                    error=f'reward calls of route {route.name} run only once',
+                )
+                return refusals.build_error(400, 'reward_not_repeatable')
+        return None
+
     async def _write_batch(self, route, submission, started: float) -> None:
         """Append the bodies, if stored separately, and then the batch.
 
--- a/packages/gateway/auburnroad_gateway/batches/intake_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake_test.py
@@ -11,6 +11,8 @@
 from auburnroad_gateway.batches import intake
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import records
+from auburnroad_gateway.model import call
+from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings
 from auburnroad_standins import loop_clock
 from auburnroad_standins import partition_log
@@ -20,12 +22,20 @@
 # the clock of the loop.
 APPEND_TIMEOUT_SECONDS = 60.0
 TIMEOUT_SECONDS = 10
+REWARD = call.RewardCall('k', 'h', '/r/1', b'text?')
+
+
+def build_reward_route(kind):
+    return configuration.Route(
+        'rewards', 'h', '/r/', kind, (configuration.Backend('plain'),)
+    )
 
 
 class IntakeTest(unittest.IsolatedAsyncioTestCase):
     """One gateway to which the same batch is submitted."""
 
     gateways = 1
+    reward_route = None
 
     async def asyncSetUp(self):
         self.log = partition_log.PartitionLog()
@@ -39,6 +49,7 @@
             plain_adapter.PlainAdapter(),
             self.journal,
             lambda route: 'owner',
+            self.match_route,
         )
         self.tasks = [
             asyncio.create_task(work())
@@ -54,8 +65,14 @@
         for task in self.tasks:
             task.cancel()
 
-    async def submit(self, items=3):
-        body = msgspec.msgpack.encode(fold_test.build_submission(items=items))
+    async def submit(self, items=3, reward=None):
+        submission = fold_test.build_submission(items=items)
+        if reward is not None:
+            first = msgspec.structs.replace(submission.items[0], reward=reward)
+            submission = msgspec.structs.replace(
+                submission, items=[first, *submission.items[1:]]
+            )
+        body = msgspec.msgpack.encode(submission)
         return await self.subject.submit(
             None, messages.Request('POST', '/p/', {}, body)
         )
@@ -69,6 +86,9 @@
         self.clock.advance(APPEND_TIMEOUT_SECONDS)
         return await submitted
 
+    def match_route(self, host, path):
+        return self.reward_route
+
     def list_batches(self):
         return self.log.list_records(
             records.TOPIC, records.find_partition('b')
@@ -104,6 +124,31 @@
         )
         self.assertEqual(400, response.status)
 
+    async def test_reward_call_without_a_route_is_refused(self):
+        """The route may be part of a configuration that is yet to be read."""
+        response = await self.submit(reward=REWARD)
+        self.assertEqual(503, response.status)
+        self.assertEqual([], self.list_batches())
+
+    async def test_reward_call_of_a_run_once_route_is_a_bad_request(self):
+        self.reward_route = build_reward_route(configuration.RouteKind.ONCE)
+        response = await self.submit(reward=REWARD)
+        self.assertEqual(400, response.status)
+        self.assertEqual([], self.list_batches())
+
+    async def test_reward_body_can_be_read_by_any_gateway(self):
+        self.reward_route = build_reward_route(
+            configuration.RouteKind.IDEMPOTENT
+        )
+        self.assertEqual(202, (await self.submit(reward=REWARD)).status)
+        other = journal.Journal(self.log, 'other', settings.LogLimits())
+        await other.catch_up('b')
+        state = other.fold.batches['b']
+        await other.load(state)
+        self.assertEqual(b'text?', state.submission.items[0].reward.body)
+        self.assertIsNone(state.submission.items[1].reward)
+        self.assertEqual(b'body', state.submission.items[2].body)
+
     async def test_bodies_can_be_read_by_any_gateway(self):
         await self.submit()
         other = journal.Journal(self.log, 'other', settings.LogLimits())
--- a/packages/gateway/auburnroad_gateway/batches/owned_batches.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned_batches.py
@@ -23,6 +23,7 @@
       route: Route of the batch, as found by the latest lookup.
       waiting: Runs that wait for a slot, by item index.
       running: Tasks of the current attempts, by item index.
+      scoring: Tasks that wait for the scores of complete texts, by item index.
       runs: All runs without a result, by item index.
       repeated_groups: Names of the groups that a batch of an earlier step
         already requested.
@@ -33,6 +34,7 @@
         'route',
         'waiting',
         'running',
+        'scoring',
         'runs',
         'repeated_groups',
     )
@@ -44,6 +46,7 @@
         self.route = route
         self.repeated_groups = repeated_groups
         self.running: dict[int, asyncio.Task] = {}
+        self.scoring: dict[int, asyncio.Task] = {}
         self.runs: dict[int, runs.ItemRun] = {}
         for index, item in enumerate(state.submission.items):
             if index not in state.finished:
@@ -63,11 +66,28 @@
 
     def stop(self) -> None:
         """Cancel all runs."""
-        for task in self.running.values():
+        for task in (*self.running.values(), *self.scoring.values()):
             task.cancel()
         self.running.clear()
+        self.scoring.clear()
         self.waiting.clear()
 
+    def stop_attempt(self, run: runs.ItemRun) -> None:
+        """Cancel the attempt of a run, if any, and queue the run again."""
+        task = self.running.pop(run.index, None)
+        if task is not None:
+            task.cancel()
+            self.waiting[run.index] = run
+
+    def drop_run(self, index: int) -> None:
+        """Drop a run whose item has its result."""
+        self.runs.pop(index, None)
+        self.waiting.pop(index, None)
+        for tasks in (self.running, self.scoring):
+            task = tasks.pop(index, None)
+            if task is not None:
+                task.cancel()
+
 
 def count_tokens(run: runs.ItemRun, tokens_per_event: int) -> int:
     """Count the tokens of a run in a replica's memory, with a margin.
@@ -160,6 +180,7 @@
         run.last_event = run.saved_event = saved[-1].last_event
         run.saved_texts = len(run.texts)
         run.versions = set(saved[-1].versions)
+        run.complete = saved[-1].complete
     return run
 
 
@@ -175,20 +196,28 @@
 def list_runs_behind_log(owned: OwnedBatch) -> list[runs.ItemRun]:
     """List the runs whose text in the log is longer than in memory.
 
-    The text in the log must be longer by more than MIN_RESUME_GAIN_EVENTS
-    events. This happens when the previous owner saved its texts only after
-    this gateway had claimed the batch.
+    The text in the log must be complete, or longer by more than
+    MIN_RESUME_GAIN_EVENTS events. This happens when the previous owner saved
+    its texts only after this gateway had claimed the batch.
     """
     return [
         owned.runs[index]
         for index, saved in owned.state.progress.items()
         if index in owned.runs
         and saved
-        and saved[-1].last_event + 1
-        > count_events(owned.runs[index]) + MIN_RESUME_GAIN_EVENTS
+        and _is_run_behind(owned.runs[index], saved[-1])
     ]
 
 
+def _is_run_behind(run: runs.ItemRun, saved: records.Progress) -> bool:
+    if run.complete:
+        return False
+    saved_events = saved.last_event + 1
+    return saved.complete or (
+        saved_events > count_events(run) + MIN_RESUME_GAIN_EVENTS
+    )
+
+
 def resume_from_log(owned: OwnedBatch, run: runs.ItemRun) -> None:
     """Resume a run after the item's text in the log."""
     saved = build_run(owned.state, run.item, run.index)
@@ -209,19 +238,23 @@
         records.pack_text('\n'.join(run.texts[run.saved_texts :])),
         sorted(run.versions),
         run.failures,
+        complete=run.complete,
     )
     run.saved_event = last
     run.saved_texts = len(run.texts)
     return progress
 
 
-def build_result(run: runs.ItemRun, outcome) -> batch.ItemResult:
+def build_result(
+    run: runs.ItemRun, outcome, score: str = ''
+) -> batch.ItemResult:
     """Build the result of a finished run."""
     return batch.ItemResult(
         run.index,
         outcome,
         records.pack_text(run.text),
         sorted(run.versions),
+        score=score,
     )
 
 
@@ -232,6 +265,15 @@
     ) == records.hash_body(second)
 
 
+def has_same_reward(first: batch.Item, second: batch.Item) -> bool:
+    """Tell whether two items have the same reward call, or both none."""
+    if first.reward is None or second.reward is None:
+        return first.reward is second.reward
+    return records.strip_body(first.reward) == records.strip_body(
+        second.reward
+    )
+
+
 def is_reusable(
     run: runs.ItemRun,
     item: batch.Item,
@@ -247,13 +289,15 @@
       constraints: Constraints on the generation of the run.
 
     Returns:
-      Whether the item is the same, the result succeeded and its weight
-      versions satisfy the constraints.
+      Whether the item and its reward call are the same, the result succeeded
+      and its weight versions satisfy the constraints.
     """
     if result.outcome is not batch.Outcome.SUCCEEDED:
         return False
     if not is_same_item(item, run.item):
         return False
+    if not has_same_reward(item, run.item):
+        return False
     if constraints.single_version and len(result.versions) != 1:
         return False
     return all(
@@ -270,4 +314,5 @@
         result.versions,
         result.place,
         result.further_locations,
+        result.score,
     )
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -18,9 +18,11 @@
 from auburnroad_gateway.batches import partial_runs
 from auburnroad_gateway.batches import reuse
 from auburnroad_gateway.batches import run as runs
+from auburnroad_gateway.completion import finisher
+from auburnroad_gateway.completion import reward_calls
+from auburnroad_gateway.completion import scorer
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.log import service
-from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -28,9 +30,6 @@
 
 # Interval of the checks for stalled runs, expired items and orphaned batches.
 TICK_SECONDS = 0.1
-# Interval between saves of partial texts. Runs whose attempt started less than
-# one interval ago are not saved periodically.
-SAVE_INTERVAL_SECONDS = 0.8
 # Assumed time between two events before the first measurement: the value of a
 # replica in the present deployments with half of its slots in use.
 DEFAULT_PACE_MS = 48.0
@@ -58,7 +57,8 @@
         '_claimer',
         '_resume_tasks',
         '_partial_runs',
-        '_saved_at',
+        '_finisher',
+        '_scorer',
         '_wake',
         'stopping',
     )
@@ -73,6 +73,7 @@
         duties: duty.Duties,
         holder,
         replicas,
+        reward_caller: reward_calls.RewardCaller,
     ):
         self._settings = settings
         self._adapter = adapter
@@ -88,7 +89,8 @@
             batch_journal, membership, duties, holder, self._start_batch
         )
         self._resume_tasks: dict[str, asyncio.Task] = {}
-        self._saved_at = 0.0
+        self._finisher = finisher.ItemFinisher(batch_journal)
+        self._scorer = scorer.Scorer(self._finisher, reward_caller)
         self.stopping = False
         batch_journal.fold.on_change(self._handle_change)
         membership.on_change(self._wake.set)
@@ -96,8 +98,10 @@
 
     @property
     def has_running_items(self) -> bool:
-        """Whether this gateway runs items."""
-        return any(owned.running for owned in self._owned.values())
+        """Whether this gateway runs items or waits for their scores."""
+        return any(
+            owned.running or owned.scoring for owned in self._owned.values()
+        )
 
     @property
     def waiting_count(self) -> int:
@@ -181,7 +185,7 @@
         """
         self.stopping = True
         for owned in self._owned.values():
-            self._save(owned, owned_batches.list_unsaved_runs(owned))
+            self._finisher.save_unfinished(owned)
 
     def _handle_change(self, changed: fold.BatchState) -> None:
         owned = self._owned.get(changed.id)
@@ -193,13 +197,13 @@
                 self._partial_runs.add(run)
         elif changed.owner != self._membership.incarnation:
             # The new owner resumes after the last event generated here.
-            self._save(owned, owned_batches.list_unsaved_runs(owned))
+            self._finisher.save_unfinished(owned)
         if changed.ended or changed.owner != self._membership.incarnation:
             owned.stop()
             del self._owned[changed.id]
             return
         for index in changed.finished & owned.runs.keys():
-            self._drop_run(owned, index)
+            owned.drop_run(index)
         outdated = owned_batches.list_runs_behind_log(owned)
         if outdated and changed.id not in self._resume_tasks:
             self._resume_tasks[changed.id] = asyncio.create_task(
@@ -216,26 +220,12 @@
             )
         else:
             for run in owned_batches.list_runs_behind_log(owned):
-                self._stop_attempt(owned, run)
+                owned.stop_attempt(run)
                 owned_batches.resume_from_log(owned, run)
             self._wake.set()
         finally:
             del self._resume_tasks[owned.state.id]
 
-    def _stop_attempt(self, owned, run: runs.ItemRun) -> None:
-        """Cancel the attempt of a run, if any, and queue the run again."""
-        task = owned.running.pop(run.index, None)
-        if task is not None:
-            task.cancel()
-            owned.waiting[run.index] = run
-
-    def _drop_run(self, owned: owned_batches.OwnedBatch, index: int) -> None:
-        owned.runs.pop(index, None)
-        owned.waiting.pop(index, None)
-        task = owned.running.pop(index, None)
-        if task is not None:
-            task.cancel()
-
     def _tick(self) -> None:
         if not self._journal.is_loaded:
             return
@@ -244,7 +234,7 @@
         for owned in list(self._owned.values()):
             self._terminate_expired(owned, now_ms)
         self.move_runs()
-        self._save_long_runs(time.monotonic())
+        self._finisher.save_long_runs(self._owned.values(), time.monotonic())
         life_ms = int(self._settings.bounds.read_life_s * 1000)
         for batch_id in self._journal.fold.drop_expired(
             now_ms - life_ms - EXPIRY_MARGIN_MS
@@ -262,7 +252,7 @@
             state, route, reuse.find_repeated_groups(self._journal.fold, state)
         )
         for result in reuse.list_reusable_results(self._journal.fold, owned):
-            self._append_result(owned, result)
+            self._finisher.append_result(owned, result)
         reuse.resume_partial_runs(owned, self._partial_runs)
         self._wake.set()
 
@@ -276,6 +266,7 @@
             if route is None:
                 continue
             owned.route = route
+            self._scorer.start_waiting(owned)
             if owned.waiting:
                 queue.extend(self._list_queue_entries(owned))
         queue.sort(key=lambda entry: entry[0])
@@ -398,19 +389,18 @@
                 events=len(run.texts),
                 versions=sorted(run.versions),
                 took_ms=int((time.monotonic() - run.started_at) * 1000),
+                reward=run.item.reward.id if run.item.reward else '',
             )
-            self._append_result(
-                owned, owned_batches.build_result(run, batch.Outcome.SUCCEEDED)
-            )
+            self._scorer.finish_text(owned, run)
             return
         if end is runs.AttemptEnd.FAILED:
             run.failures += 1
         exhausted = run.failures >= owned.route.max_attempts
         if end is runs.AttemptEnd.IMPOSSIBLE or exhausted:
-            self._terminate(owned, run, end.value)
+            self._finisher.terminate(owned, run, end.value)
             return
         if end is runs.AttemptEnd.FAILED:
-            self._save(owned, [run])
+            self._finisher.save(owned, [run])
         if end is not runs.AttemptEnd.NOT_RUN:
             events.write(
                 'item_attempt_ended',
@@ -423,49 +413,6 @@
             )
         owned.waiting[run.index] = run
 
-    def _terminate(self, owned, run: runs.ItemRun, reason: str) -> None:
-        events.write(
-            'item_terminated',
-            batch=owned.state.id,
-            item=run.item.id,
-            reason=reason,
-            failures=run.failures,
-        )
-        self._append_result(
-            owned, owned_batches.build_result(run, batch.Outcome.TERMINATED)
-        )
-
-    def _append_result(self, owned, result: batch.ItemResult) -> None:
-        self._drop_run(owned, result.index)
-        self._journal.add_result(owned.state.id, result)
-
-    def _save_long_runs(self, now: float) -> None:
-        """Save the texts of long runs, with one append per batch."""
-        if now - self._saved_at < SAVE_INTERVAL_SECONDS:
-            return
-        self._saved_at = now
-        for owned in self._owned.values():
-            self._save(
-                owned,
-                [
-                    run
-                    for run in owned_batches.list_unsaved_runs(owned)
-                    if now - run.started_at > SAVE_INTERVAL_SECONDS
-                ],
-            )
-
-    def _save(
-        self, owned: owned_batches.OwnedBatch, running: list[runs.ItemRun]
-    ) -> None:
-        """Save the text that runs have generated since their last save."""
-        if running:
-            self._journal.add_progress(
-                [
-                    owned_batches.checkpoint_run(owned.state.id, run)
-                    for run in running
-                ]
-            )
-
     def _terminate_expired(
         self, owned: owned_batches.OwnedBatch, now_ms: int
     ) -> None:
@@ -477,7 +424,7 @@
             reason = 'too old'
         if reason:
             for run in list(owned.runs.values()):
-                self._terminate(owned, run, reason)
+                self._finisher.terminate(owned, run, reason)
 
     def _move_runs(self, owned: owned_batches.OwnedBatch, now: float) -> None:
         """Move stalled runs and runs on slow or vacating replicas."""
@@ -519,4 +466,4 @@
             events=len(run.texts),
             pace_ms=round(run.replica.find_pace(time.monotonic()), 1),
         )
-        self._stop_attempt(owned, run)
+        owned.stop_attempt(run)
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -18,8 +18,10 @@
 from auburnroad_gateway.batches import owned_batches
 from auburnroad_gateway.batches import owner
 from auburnroad_gateway.batches import records
+from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
+from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.log import service
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import membership_test
@@ -98,7 +100,7 @@
     )
 
 
-class OwnerTest(unittest.IsolatedAsyncioTestCase):
+class OwnerTestCase(unittest.IsolatedAsyncioTestCase):
     """One gateway that owns a batch; replicas have one slot each."""
 
     gateways = 1
@@ -147,6 +149,14 @@
             duty.Duties(self.members, self.log, LEASE_MS),
             self.holder,
             self.replicas,
+            reward_calls.RewardCaller(
+                self.adapter,
+                requests.Forwarder(
+                    self.adapter, self.client, self.replicas, 'a'
+                ),
+                self.holder,
+                self.replicas,
+            ),
         )
         self.tasks = [
             asyncio.create_task(work())
@@ -206,6 +216,40 @@
             for result in await self.wait_results(count)
         ]
 
+    def count_events(self):
+        return sum(
+            len(run.texts)
+            for entry in self.subject._owned.values()
+            for run in entry.runs.values()
+        )
+
+    def submit_next(self, submission):
+        submission = msgspec.structs.replace(
+            submission, batch_id=NEXT_ID, step=2
+        )
+        encoded = records.build_submission_records(
+            submission,
+            'a',
+            self.members.incarnation,
+            time.time_ns() // 1_000_000,
+            10**6,
+        )
+        partition = records.find_partition(NEXT_ID)
+        self.log.write(records.TOPIC, partition, encoded)
+
+    async def wait_next_texts(self):
+        def has_results():
+            state = self.journal.fold.batches.get(NEXT_ID)
+            return state is not None and state.results
+
+        await self.wait(has_results)
+        results = self.journal.fold.batches[NEXT_ID].results
+        return [await self.journal.read_text(result) for result in results]
+
+
+class OwnerTest(OwnerTestCase):
+    """Runs under load and faults."""
+
     async def test_result_of_every_item_has_the_complete_text(self):
         self.add_replica('one')
         self.add_replica('two')
@@ -428,7 +472,7 @@
         self.log.write(records.TOPIC, PARTITION, [end])
         await self.wait(lambda: not self.subject.has_running_items)
         slow.pause_seconds = 0.0
-        self.submit_next(minimum_version=1)
+        self.submit_next(build_submission())
         self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_next_texts())
         resumed = self.client.requests[-1][1].headers.get('after')
         self.assertGreaterEqual(int(resumed), 1)
@@ -441,42 +485,10 @@
         self.log.write(records.TOPIC, PARTITION, [end])
         await self.wait(lambda: not self.subject.has_running_items)
         self.add_replica('two', version=2)
-        self.submit_next(minimum_version=2)
+        self.submit_next(build_submission(minimum_version=2))
         self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_next_texts())
         self.assertIsNone(self.client.requests[-1][1].headers.get('after'))
 
-    def count_events(self):
-        return sum(
-            len(run.texts)
-            for entry in self.subject._owned.values()
-            for run in entry.runs.values()
-        )
-
-    def submit_next(self, minimum_version):
-        submission = msgspec.structs.replace(
-            build_submission(minimum_version=minimum_version),
-            batch_id=NEXT_ID,
-            step=2,
-        )
-        encoded = records.build_submission_records(
-            submission,
-            'a',
-            self.members.incarnation,
-            time.time_ns() // 1_000_000,
-            10**6,
-        )
-        partition = records.find_partition(NEXT_ID)
-        self.log.write(records.TOPIC, partition, encoded)
-
-    async def wait_next_texts(self):
-        def has_results():
-            state = self.journal.fold.batches.get(NEXT_ID)
-            return state is not None and state.results
-
-        await self.wait(has_results)
-        results = self.journal.fold.batches[NEXT_ID].results
-        return [await self.journal.read_text(result) for result in results]
-
 
 class LargeDeploymentTest(OwnerTest):
     """The same tests with contents that are stored separately.
--- a/packages/gateway/auburnroad_gateway/batches/reading.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.log import appender
 from auburnroad_gateway.log import service
+from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import call
 
 # Maximum size of the texts in one page. If the first text is larger, the page
@@ -182,11 +183,12 @@
             if page and size > MAX_PAGE_BYTES:
                 break
             page.append(
-                (
+                batch.PageEntry(
                     items[result.index].id,
-                    result.outcome.value,
+                    result.outcome,
                     text,
                     result.versions,
+                    result.score,
                 )
             )
         return self._adapter.build_results_page(
--- a/packages/gateway/auburnroad_gateway/batches/reading_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading_test.py
@@ -57,7 +57,7 @@
         self.write_result()
         # The submission is folded a second time and has no effect.
         page = json.loads((await self.read()).body)
-        self.assertEqual([3, 1, [['i1', 'succeeded', 'text', [1]]]], page)
+        self.assertEqual([3, 1, [['i1', 'succeeded', 'text', [1], '']]], page)
 
     async def test_read_of_an_empty_outdated_state_is_503(self):
         self.submit()
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import call
 
 TOPIC = 'batches'
 # Texts and bodies in large deployments, where not every gateway can read
@@ -72,6 +73,7 @@
       failures: Number of attempts that count towards the route's limit.
       place: Location of the text if this record doesn't contain it.
       part: Index of the text at that location, in the order of pack_texts.
+      complete: Whether the item's text is complete and waits for its score.
     """
 
     batch_id: str
@@ -83,6 +85,7 @@
     failures: int
     place: batch.RecordLocation | None = None
     part: int = 0
+    complete: bool = False
 
 
 class End(msgspec.Struct, frozen=True, array_like=True, tag='e'):
@@ -154,19 +157,23 @@
 
 
 def pack_bodies(submission: batch.Submission) -> bytes:
-    """Encode and compress the bodies of a batch's items."""
+    """Encode and compress the bodies of a batch.
+
+    The bodies of the reward calls follow those of all items.
+    """
     bodies = [item.body for item in submission.items]
+    bodies += [item.reward.body for item in submission.items if item.reward]
     return zlib.compress(_ENCODER.encode(bodies), COMPRESSION_LEVEL)
 
 
 def unpack_bodies(data: bytes) -> list[bytes]:
-    """Decompress and decode the bodies of a batch's items."""
+    """Decompress and decode the bodies of a batch; see pack_bodies."""
     return _BYTES.decode(zlib.decompress(data))
 
 
-def hash_body(item: batch.Item) -> int:
-    """Return the stored hash of an item's body, or compute the hash."""
-    return item.body_hash or xxhash.xxh64_intdigest(item.body)
+def hash_body(owner: batch.Item | call.RewardCall) -> int:
+    """Return the stored hash of a body, or compute the hash."""
+    return owner.body_hash or xxhash.xxh64_intdigest(owner.body)
 
 
 def strip_bodies(submission: batch.Submission) -> batch.Submission:
@@ -174,21 +181,45 @@
     return msgspec.structs.replace(
         submission,
         items=[
-            msgspec.structs.replace(item, body=b'', body_hash=hash_body(item))
+            strip_body(item, reward=item.reward and strip_body(item.reward))
             for item in submission.items
         ],
     )
 
 
+def strip_body(owner: batch.Item | call.RewardCall, **fields):
+    """Build a copy of an item or reward call with a hash for the body.
+
+    Args:
+      owner: The item or reward call.
+      fields: Further fields to replace.
+
+    Returns:
+      The copy; equal copies have equal bodies.
+    """
+    return msgspec.structs.replace(
+        owner, body=b'', body_hash=hash_body(owner), **fields
+    )
+
+
 def fill_bodies(
     submission: batch.Submission, bodies: list[bytes]
 ) -> batch.Submission:
-    """Build a copy of a stripped batch with its bodies."""
+    """Build a copy of a stripped batch with its bodies; see pack_bodies."""
+    remaining = iter(bodies)
+    items = [
+        msgspec.structs.replace(item, body=next(remaining))
+        for item in submission.items
+    ]
     return msgspec.structs.replace(
         submission,
         items=[
-            msgspec.structs.replace(item, body=body)
-            for item, body in zip(submission.items, bodies, strict=True)
+            msgspec.structs.replace(
+                item,
+                reward=item.reward
+                and msgspec.structs.replace(item.reward, body=next(remaining)),
+            )
+            for item in items
         ],
     )
 
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -54,6 +54,7 @@
         first attempt.
       saved_event: Id of the last event that was saved; -1 for none.
       saved_texts: Number of texts that were saved.
+      complete: Whether the text is complete and waits for its score.
     """
 
     __slots__ = (
@@ -68,6 +69,7 @@
         'replica',
         'saved_event',
         'saved_texts',
+        'complete',
     )
 
     def __init__(self, item: batch.Item, index: int):
@@ -82,6 +84,7 @@
         self.replica: replica.Replica | None = None
         self.saved_event = -1
         self.saved_texts = 0
+        self.complete = False
 
     @property
     def text(self) -> str:
@@ -93,6 +96,7 @@
         self.texts = other.texts
         self.last_event = other.last_event
         self.versions = other.versions
+        self.complete = other.complete
 
     def reset_text(self) -> None:
         """Discard the text, so that the next attempt starts anew."""
@@ -101,6 +105,7 @@
         self.last_event = None
         self.saved_event = -1
         self.saved_texts = 0
+        self.complete = False
 
 
 class Constraints(msgspec.Struct, frozen=True):
--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -29,11 +29,18 @@
         self, submission: batch.Submission
     ) -> configuration.Route | None:
         """Find the route of a batch; None if no route matches."""
+        return self.match_route(submission.host, submission.path)
+
+    def match_route(self, host: str, path: str) -> configuration.Route | None:
+        """Find the route of a request; None if no route matches.
+
+        Args:
+          host: Value of the Host header.
+          path: Path without the query.
+        """
         if self.current is None:
             return None
-        return configuration.match_route(
-            self.current, submission.host, submission.path
-        )
+        return configuration.match_route(self.current, host, path)
 
     def on_change(self, listener) -> None:
         """Call a function after each change of configuration or versions.
--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -147,6 +147,10 @@
         if model and version is not None:
             self.versions[model] = version
 
+    def note_end(self) -> None:
+        """Record the end of a request that was counted in in_flight."""
+        self.in_flight -= 1
+
     def note_success(self) -> None:
         """Record an attempt with a complete answer."""
         self.failures = 0
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -17,6 +17,7 @@
 
 MISDIRECTED_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
+INTERNAL_ERROR_STATUS = 500
 # Covers the time until the registry shows that the address was reassigned.
 MISDIRECTED_AVOID_SECONDS = 2.0
 
@@ -67,6 +68,14 @@
             and self.response.status < FIRST_SERVER_ERROR_STATUS
         )
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the replica ran the request and responded with 500."""
+        return (
+            self.end is AttemptOutcomeKind.ANSWERED
+            and self.response.status == INTERNAL_ERROR_STATUS
+        )
+
 
 class OpenResponse(msgspec.Struct, frozen=True):
     """A replica's response whose head was read and whose body was not.
@@ -178,7 +187,6 @@
       request; a response with a status below 500 also has the replica's
       signature and an unencoded body, so no proxy produced or changed it.
     """
-    target.in_flight += 1
     try:
         opened = await send_attempt(
             http_client, adapter, target, request, request_id, new_connection
@@ -189,8 +197,6 @@
     except client.HttpError as error:
         target.note_failure(time.monotonic())
         return Outcome(AttemptOutcomeKind.UNKNOWN, str(error))
-    finally:
-        target.in_flight -= 1
     status = opened.reply.status
     if status < FIRST_SERVER_ERROR_STATUS:
         if not opened.head.signed or opened.head.encoded:
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -42,6 +42,7 @@
       deadline_at: Monotonic time in seconds by which the gateway responds.
       tried_replicas: Ids of the replicas that the request was sent to.
       possible_runs: Number of attempts that may have run the request.
+      server_errors: Number of answers with status 500.
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         'deadline_at',
         'tried_replicas',
         'possible_runs',
+        'server_errors',
         '_caller_deadline_at',
     )
 
@@ -73,6 +75,7 @@
             self.deadline_at = min(self.deadline_at, self._caller_deadline_at)
         self.tried_replicas: set[str] = set()
         self.possible_runs = 0
+        self.server_errors = 0
 
     @property
     def may_repeat(self) -> bool:
@@ -196,6 +199,7 @@
                 metrics.ATTEMPTS.labels(outcome.end.value).inc()
                 if outcome.succeeded:
                     return outcome.response
+                pending.server_errors += outcome.is_server_error
                 self._retry_if_allowed(pending, attempts, outcome)
         return self._build_failure(pending, outcome)
 
@@ -213,18 +217,21 @@
         request = self.build_request(
             pending, target, pending.head.last_event_id
         )
-        attempts.add(
-            asyncio.ensure_future(
-                attempt.fetch_response(
-                    self._client,
-                    self._adapter,
-                    target,
-                    request,
-                    pending.head.request_id,
-                    not pending.route.repeatable,
-                )
+        task = asyncio.ensure_future(
+            attempt.fetch_response(
+                self._client,
+                self._adapter,
+                target,
+                request,
+                pending.head.request_id,
+                not pending.route.repeatable,
             )
         )
+        # Counted before the task starts, so that other requests of the same
+        # iteration of the event loop choose other replicas.
+        target.in_flight += 1
+        task.add_done_callback(lambda _: target.note_end())
+        attempts.add(task)
 
     def _retry_if_allowed(
         self, pending: PendingRequest, attempts, outcome: attempt.Outcome
--- a/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
@@ -170,6 +170,24 @@
         await self.forward()
         self.assertEqual(2, len(self.replicas.list_ready('s')))
 
+    async def test_requests_that_arrive_together_are_spread(self):
+        """The answers of a burst show the load of its replica too late."""
+        self.client.handle('near:1', hang)
+        self.client.handle('far:1', hang)
+        route = build_route(target_latency_ms=60_000)
+        burst = [asyncio.create_task(self.forward(route)) for _ in range(4)]
+        while len(self.client.requests) < 4:
+            await asyncio.sleep(0)
+        self.assertEqual(2, self.client.count('far:1'))
+        for task in burst:
+            task.cancel()
+        await asyncio.gather(*burst, return_exceptions=True)
+        await asyncio.sleep(0)
+        self.assertEqual(
+            [0, 0],
+            [target.in_flight for target in self.replicas.list_all('s')],
+        )
+
     async def test_attempt_carries_remaining_time_and_replica_id(self):
         await self.forward(patience_ms=700)
         _, sent = self.client.requests[-1]
--- a/packages/gateway/auburnroad_gateway/model/batch.py
+++ b/packages/gateway/auburnroad_gateway/model/batch.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from auburnroad_gateway.model import call
+
 
 class Item(msgspec.Struct, frozen=True, array_like=True):
     """One request of a batch.
@@ -21,6 +23,8 @@
         output token.
       body_hash: Hash that identifies a body stored in another record; zero if
         the body is present.
+      reward: Call that scores the complete text; None if the text needs no
+        score.
     """
 
     id: str
@@ -32,6 +36,7 @@
     length_hint: int = 0
     prompt_tokens: int = 0
     body_hash: int = 0
+    reward: call.RewardCall | None = None
 
 
 class Submission(msgspec.Struct, frozen=True, array_like=True):
@@ -92,6 +97,7 @@
       place: Position of the text if it is stored in another record.
       further_locations: Positions of the remaining text if one record can't
         hold it.
+      score: Score of the text; empty if the item has no reward call.
     """
 
     index: int
@@ -100,3 +106,22 @@
     versions: list[int]
     place: RecordLocation | None = None
     further_locations: list[RecordLocation] = []
+    score: str = ''
+
+
+class PageEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A result as a page of results shows it.
+
+    Attributes:
+      item_id: Id of the item.
+      outcome: Final state of the item.
+      text: Data of all events in order.
+      versions: Weight versions that generated the events, in ascending order.
+      score: Score of the text; empty if the item has no reward call.
+    """
+
+    item_id: str
+    outcome: Outcome
+    text: str
+    versions: list[int]
+    score: str = ''
--- a/packages/gateway/auburnroad_gateway/model/call.py
+++ b/packages/gateway/auburnroad_gateway/model/call.py
@@ -40,7 +40,8 @@
 
     Attributes:
       request_id: Id of the answered request; empty if not stated.
-      signed: Whether the answer has the replica's signature.
+      signature: The replica's signature of the answer; empty if the answer
+        has none.
       not_run: Whether the answer states that the request was not run.
       load: Load of the replica, if reported.
       weight_version: Weight version that generates the first event.
@@ -49,13 +50,37 @@
     """
 
     request_id: str
-    signed: bool
+    signature: str
     not_run: bool
     load: Load | None = None
     weight_version: int | None = None
     encoded: bool = False
     leaving: bool = False
 
+    @property
+    def signed(self) -> bool:
+        """Whether the answer has the replica's signature."""
+        return bool(self.signature)
+
+
+class RewardCall(msgspec.Struct, frozen=True, array_like=True):
+    """Request whose signed answer is the score of a complete text.
+
+    Attributes:
+      id: Id of the request, unique within a batch.
+      host: Value of the Host header.
+      path: Request path.
+      body: Request body, decoded from the submission.
+      body_hash: Hash that identifies a body stored in another record; zero if
+        the body is present.
+    """
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+    body_hash: int = 0
+
 
 class BatchVerb(enum.Enum):
     """Operation of a call on an existing batch."""
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -13,6 +13,7 @@
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import owner
 from auburnroad_gateway.batches import reading
+from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.forwarding import refusals
@@ -235,9 +236,15 @@
             lambda: len(self._members.alive),
         )
         self._intake = intake.Intake(
-            adapter, self._journal, self._choose_owner
+            adapter,
+            self._journal,
+            self._choose_owner,
+            self._configuration.match_route,
         )
         self._reader = reading.Reader(adapter, self._journal)
+        self._forwarder = requests.Forwarder(
+            adapter, self._client, self._directory, settings.failure_domain
+        )
         self._owner = owner.Owner(
             settings,
             adapter,
@@ -247,9 +254,12 @@
             self._duties,
             self._configuration,
             self._directory,
-        )
-        self._forwarder = requests.Forwarder(
-            adapter, self._client, self._directory, settings.failure_domain
+            reward_calls.RewardCaller(
+                adapter,
+                self._forwarder,
+                self._configuration,
+                self._directory,
+            ),
         )
         self._streams = streams.StreamForwarder(
             adapter, self._client, self._forwarder
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -63,6 +63,28 @@
     'Items of own batches that wait for a slot.',
     registry=REGISTRY,
 )
+ITEMS_WAITING_FOR_SCORE = prometheus_client.Gauge(
+    'auburnroad_items_waiting_for_score',
+    'Items of own batches with a complete text and without a score.',
+    registry=REGISTRY,
+)
+REWARD_CALLS_IN_FLIGHT = prometheus_client.Gauge(
+    'auburnroad_reward_calls_in_flight',
+    'Reward calls that were sent and not answered.',
+    registry=REGISTRY,
+)
+REWARD_CALLS = prometheus_client.Counter(
+    'auburnroad_reward_calls',
+    'Reward calls, by class of the status of their answer.',
+    ['status'],
+    registry=REGISTRY,
+)
+REWARD_CALL_SECONDS = prometheus_client.Histogram(
+    'auburnroad_reward_call_seconds',
+    'Time of a reward call with all its attempts.',
+    buckets=SECONDS_BUCKETS,
+    registry=REGISTRY,
+)
 APPEND_SECONDS = prometheus_client.Histogram(
     'auburnroad_log_append_seconds',
     'Time until a group of records was in the log.',
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -62,12 +62,16 @@
         """Build headers with the item's id."""
         return {**item.headers, 'host': host, 'id': item.id}
 
+    def build_reward_headers(self, reward):
+        """Build headers with the id of the reward call."""
+        return {'host': reward.host, 'id': reward.id}
+
     def decode_response_head(self, headers):
         """Decode 'id', 'signed', 'not-run', 'version' and 'leaving'."""
         version = headers.get('version')
         return call.AnswerHead(
             headers.get('id', ''),
-            'signed' in headers,
+            headers.get('signed', ''),
             'not-run' in headers,
             None,
             int(version) if version else None,
