Look routes up by host and prefix instead of scanning all

Cause: each look-up compared every route. The configuration of the large deployment grows by 1,400 routes, and routes are looked up for each request and, at each wake-up of the owner, for each open batch.

Change: an index by host and path prefix, built once for each configuration. A look-up tries the prefixes of the path, the longest first.

--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -1,6 +1,7 @@
 """Holds the configuration in force and the announced weight versions."""
 
 from auburnroad_gateway import adapter as adapters
+from auburnroad_gateway.configuration import route_table
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
@@ -13,18 +14,34 @@
     Revisions and versions only increase: older records are ignored.
 
     Attributes:
-      current: Configuration in force; None before the first record.
       announced_versions: Newest announced weight version by model.
     """
 
-    __slots__ = ('current', 'announced_versions', '_adapter', '_listeners')
+    __slots__ = (
+        'announced_versions',
+        '_adapter',
+        '_current',
+        '_listeners',
+        '_routes',
+    )
 
     def __init__(self, adapter: adapters.Adapter):
-        self.current: configuration.Configuration | None = None
+        self._current: configuration.Configuration | None = None
+        self._routes = route_table.RouteTable()
         self.announced_versions: dict[str, int] = {}
         self._adapter = adapter
         self._listeners = []
 
+    @property
+    def current(self) -> configuration.Configuration | None:
+        """Configuration in force; None before the first one was read."""
+        return self._current
+
+    @current.setter
+    def current(self, new: configuration.Configuration | None) -> None:
+        self._current = new
+        self._routes = route_table.RouteTable(new.routes if new else ())
+
     def find_route(
         self, submission: batch.Submission
     ) -> configuration.Route | None:
@@ -38,9 +55,7 @@
           host: Value of the Host header.
           path: Path without the query.
         """
-        if self.current is None:
-            return None
-        return configuration.match_route(self.current, host, path)
+        return self._routes.match(host, path)
 
     def on_change(self, listener) -> None:
         """Call a function after each change of configuration or versions.
--- a/packages/gateway/auburnroad_gateway/model/configuration.py
+++ b/packages/gateway/auburnroad_gateway/model/configuration.py
@@ -121,32 +121,6 @@
     limits: CallerLimits = CallerLimits()
 
 
-def match_route(
-    configuration: Configuration, host: str, path: str
-) -> Route | None:
-    """Find the route of a request.
-
-    Args:
-      configuration: Configuration in force.
-      host: Value of the Host header, with or without a port.
-      path: Path without the query.
-
-    Returns:
-      The route of the host with the longest matching path prefix; None if no
-      route matches.
-    """
-    bare_host = host.partition(':')[0].lower()
-    best = None
-    for route in configuration.routes:
-        if route.host.lower() != bare_host:
-            continue
-        if not path.startswith(route.path_prefix):
-            continue
-        if best is None or len(route.path_prefix) > len(best.path_prefix):
-            best = route
-    return best
-
-
 def choose_service(route: Route, draw: float) -> str:
     """Choose a backend of a route by weight.
 
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -355,7 +355,7 @@
         if batch_call is not None:
             return batch_call.verb.value, self._reader.handle(batch_call)
         host = request.headers.get('host', '')
-        route = configuration.match_route(current, host, request.path)
+        route = self._configuration.match_route(host, request.path)
         if route is None:
             return 'none', _return_response(
                 refusals.build_error(404, 'no_route')
