Press scores and leaving replicas in the soak

Change: items of odd seeds have reward calls; two promises: a score is of the item's own call, made after its last event, and a gateway that passed on that a replica leaves sends it no later request. A new kind of fault lets a plain replica say so in its answers only. Seeds that once failed are drawn without the new kind, so that they stay what they were.

--- a/packages/e2e/auburnroad_e2e/soak/callers.py
+++ b/packages/e2e/auburnroad_e2e/soak/callers.py
@@ -40,6 +40,8 @@
       ended: The same.
       status: Status of the answer, zero if there was none.
       whole: Whether the answer is the replica's to this very request.
+      replica: Id of the replica that signed the answer, empty for none.
+      leaving: Whether the answer states that this replica leaves.
     """
 
     kind: str
@@ -51,6 +53,8 @@
     ended: float
     status: int
     whole: bool
+    replica: str = ''
+    leaving: bool = False
 
 
 class BatchBook(msgspec.Struct):
@@ -65,6 +69,7 @@
       ended_at: When its end was acknowledged, in the same.
       results: Results by position, as first read.
       faults: What contradicts itself or what was read before.
+      scored: Whether its items have reward calls.
     """
 
     id: str
@@ -75,6 +80,7 @@
     ended_at: float | None = None
     results: dict[int, dict] = {}
     faults: list[str] = []
+    scored: bool = False
 
 
 class Callers:
@@ -90,6 +96,8 @@
         self.attempts: list[Attempt] = []
         self._world = world
         self._random = random.Random(seed)
+        # Items of every other seed have reward calls.
+        self._scored = seed % 2 == 1
         self._count = 0
         self._named = 1
         self._tasks: list[asyncio.Task] = []
@@ -122,7 +130,12 @@
         """
         step = len(self.batches)
         items = [f's{step}i{n}' for n in range(GROUPS * GROUP_SIZE)]
-        book = BatchBook(f'step{step}', items, max(1, self._named - 1))
+        book = BatchBook(
+            f'step{step}',
+            items,
+            max(1, self._named - 1),
+            scored=self._scored,
+        )
         self.batches.append(book)
         try:
             async with asyncio.timeout(deadline_seconds):
@@ -183,10 +196,13 @@
         started, gateway_start = loop.time(), gateway.starts
         request = platform_calls.build_single(path, request_id, PATIENCE_MS)
         status, whole = 0, False
+        replica, leaving = '', False
         try:
             answer = await self._world.call(gateway, request)
             status = answer.status
             whole = platform_calls.is_own_answer(answer, request_id)
+            replica = platform_calls.find_replica(answer)
+            leaving = platform_calls.is_leaving(answer)
         except client.HttpError:
             # Told by the status of zero.
             pass
@@ -200,6 +216,8 @@
             loop.time(),
             status,
             whole,
+            replica,
+            leaving,
         )
         self.attempts.append(attempt)
         return attempt
@@ -220,6 +238,8 @@
                 GROUPS_WANTED,
                 book.items,
                 GROUP_SIZE,
+                worlds.HOST if book.scored else '',
+                '/plain/score',
             )
         )
         while book.accepted_at is None:
--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -14,6 +14,7 @@
 from auburnroad_e2e.soak import world as worlds
 
 KINDS: registry.Registry = registry.Registry('fault')
+LEAVING = 'replica-leaving'
 SLOW_SECONDS = 0.15
 DELAY_SECONDS = 0.05
 SLOW_FACTOR = 8
@@ -196,6 +197,16 @@
         world.relays[replica.id].reset()
 
 
+@KINDS.register(LEAVING)
+async def announce_leave(world, fault) -> None:
+    """Let a plain replica say that it leaves in its answers only."""
+    replica = choose(world.plain, fault)
+    with disturb(world, fault.kind, replica.id):
+        replica.leaving = True
+        await asyncio.sleep(worlds.DRAIN_SECONDS + fault.seconds)
+        replica.restart()
+
+
 @KINDS.register('replica-slow')
 async def slow_replica(world, fault) -> None:
     replica = choose(world.replicas, fault)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -6,14 +6,21 @@
 
 from auburnroad_core import registry
 from auburnroad_e2e.soak import callers as all_callers
+from auburnroad_e2e.soak import faults
 from auburnroad_e2e.soak import world as worlds
+from auburnroad_standins import platform_calls
 from auburnroad_standins import platform_replica
 
 PROMISES: registry.Registry = registry.Registry('promise')
 # Promises with a time bound: on a machine that is busy with other work a
 # breach may be its fault, so CI leaves them to runs by hand.
 TIMED = frozenset(
-    ('configuration-in-time', 'drained-left-alone', 'stops-cut-nothing')
+    (
+        'configuration-in-time',
+        'drained-left-alone',
+        'leaving-left-alone',
+        'stops-cut-nothing',
+    )
 )
 REFUSALS = (429, 503)
 # A disturbance may still show so long after it has ended: connections that
@@ -169,6 +176,50 @@
             yield f'{run.request_id} began at {run.replica}'
 
 
+@PROMISES.register('scores-own')
+def check_scores(world, callers):
+    """A score is of the item's own reward call, made after its last event."""
+    runs = {
+        (run.request_id, run.replica): run.started for run in world.books.runs
+    }
+    for book in callers.batches:
+        for result in book.results.values():
+            if not book.scored or result['state'] != 'succeeded':
+                continue
+            item, score = result['id'], result.get('score', '')
+            replica, _, request_id = score.partition('.')
+            if request_id != platform_calls.name_reward_call(item):
+                yield f'{item} has the score {score!r}'
+                continue
+            started = runs.get((request_id, replica), float('-inf'))
+            if started < world.books.last_events.get(item, float('inf')):
+                yield f'{item} was scored before its last event'
+
+
+@PROMISES.register('leaving-left-alone')
+def check_leaving(world, callers):
+    """A gateway that passed on that a replica leaves sends it no more."""
+    runs = {(run.request_id, run.replica) for run in world.books.runs}
+    for entry in world.disturbances:
+        if entry.kind != faults.LEAVING:
+            continue
+        told: dict[tuple[str, int], float] = {}
+        for attempt in callers.attempts:
+            process = (attempt.gateway, attempt.gateway_start)
+            if attempt.ended <= entry.start or attempt.started >= entry.end:
+                continue
+            if attempt.leaving and attempt.replica == entry.subject:
+                told.setdefault(process, attempt.ended)
+            late = attempt.started > (
+                told.get(process, float('inf')) + worlds.DRAIN_SECONDS
+            )
+            if late and (attempt.request_id, entry.subject) in runs:
+                yield (
+                    f'{attempt.request_id} reached {entry.subject} '
+                    f'by {attempt.gateway}'
+                )
+
+
 @PROMISES.register('stops-cut-nothing')
 def check_answered(world, callers):
     """Where nothing is wrong, a request that was sent has an answer."""
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -3,9 +3,13 @@
 import types
 import unittest
 
+import msgspec
+
 from auburnroad_e2e.soak import callers
+from auburnroad_e2e.soak import faults
 from auburnroad_e2e.soak import promises
 from auburnroad_e2e.soak import world as worlds
+from auburnroad_standins import platform_calls
 from auburnroad_standins import platform_replica
 
 ITEM = 'item'
@@ -18,7 +22,7 @@
     is_calm = worlds.World.is_calm
 
     def __init__(self):
-        self.books = platform_replica.Books([], [], {}, {})
+        self.books = platform_replica.Books()
         self.disturbances = []
         self.routes_added = [(ROUTE, 0.0)]
         self.plain = []
@@ -59,6 +63,7 @@
         )
         for number in range(platform_replica.count_events(request_id)):
             self.world.books.generated[request_id, number] = {2}
+        self.world.books.last_events[request_id] = started + 1
 
     def order(self, fence, holder):
         self.world.books.orders.append(
@@ -77,6 +82,47 @@
         self.book.faults.append('another result at 0')
         self.assertEqual({'batches-stay'}, self.find_broken())
 
+    def score(self, score, started=3.0):
+        self.book.scored = True
+        self.result['score'] = score
+        reward = platform_calls.name_reward_call(ITEM)
+        self.world.books.runs.append(
+            platform_replica.Run(reward, 'p', started)
+        )
+
+    def test_a_good_score_breaks_nothing(self):
+        self.score(f'p.{ITEM}.reward')
+        self.assertEqual(set(), self.find_broken())
+
+    def test_a_score_of_another_item(self):
+        self.score('p.other.reward')
+        self.assertEqual({'scores-own'}, self.find_broken())
+
+    def test_a_score_that_no_replica_gave(self):
+        self.score(f'q.{ITEM}.reward')
+        self.assertEqual({'scores-own'}, self.find_broken())
+
+    def test_a_score_from_before_the_last_event(self):
+        self.score(f'p.{ITEM}.reward', started=1.5)
+        self.assertEqual({'scores-own'}, self.find_broken())
+
+    def test_a_request_at_a_replica_that_said_it_leaves(self):
+        self.world.disturbances.append(
+            worlds.Disturbance(faults.LEAVING, 'p', 10.0, 60.0)
+        )
+        told = msgspec.structs.replace(
+            build_attempt(at=20.0), replica='p', leaving=True
+        )
+        late = msgspec.structs.replace(
+            build_attempt(at=20.2 + worlds.DRAIN_SECONDS), request_id='late'
+        )
+        self.callers.attempts += [told, late]
+        self.assertEqual(set(), self.find_broken())
+        self.world.books.runs.append(
+            platform_replica.Run('late', 'p', late.started)
+        )
+        self.assertEqual({'leaving-left-alone'}, self.find_broken())
+
     def test_an_item_that_is_listed_twice(self):
         self.book.results[1] = self.result
         self.assertEqual({'items-once'}, self.find_broken())
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -16,24 +16,35 @@
       seed: The seed.
       seconds: How long faults came.
       cause: What was wrong.
+      later_kinds: Kinds of faults that were added since, which the seed is
+        drawn without.
     """
 
     seed: int
     seconds: float
     cause: str
+    later_kinds: tuple[str, ...] = ()
 
 
 _HANG_UP = 'a hang-up ended a gateway that was still importing its modules'
 
 CASES: tuple[Case, ...] = (
-    Case(1035, 12.0, _HANG_UP),
-    Case(1041, 12.0, _HANG_UP),
+    Case(1035, 12.0, _HANG_UP, (faults.LEAVING,)),
+    Case(1041, 12.0, _HANG_UP, (faults.LEAVING,)),
 )
 
 
 def list_schedules() -> list[schedules.Schedule]:
     """Draw the schedules of all cases."""
     return [
-        schedules.draw(case.seed, case.seconds, faults.KINDS.names)
+        schedules.draw(
+            case.seed,
+            case.seconds,
+            [
+                kind
+                for kind in faults.KINDS.names
+                if kind not in case.later_kinds
+            ],
+        )
         for case in CASES
     ]
--- a/packages/standins/auburnroad_standins/platform_calls.py
+++ b/packages/standins/auburnroad_standins/platform_calls.py
@@ -28,6 +28,8 @@
       groups_wanted: Number of groups that complete the batch.
       items: Ids of the items; each id is also the item's body.
       group_size: Number of items in a group.
+      reward_host: Host of the reward calls; empty for items without one.
+      reward_path: Path of the reward calls, whose body is the item's id.
     """
 
     batch_id: str
@@ -38,6 +40,8 @@
     groups_wanted: int
     items: list[str]
     group_size: int
+    reward_host: str = ''
+    reward_path: str = ''
 
 
 def build_submission(batch: Submission) -> messages.Request:
@@ -55,6 +59,7 @@
                 'body': base64.b64encode(item.encode()).decode(),
                 'tokens': 100,
                 'group': f'{batch.batch_id}g{number // batch.group_size}',
+                'scorer': _build_scorer(batch, item),
             }
             for number, item in enumerate(batch.items)
         ],
@@ -65,6 +70,22 @@
     )
 
 
+def name_reward_call(item_id: str) -> str:
+    """Name the reward call of an item."""
+    return f'{item_id}.reward'
+
+
+def _build_scorer(batch: Submission, item_id: str) -> dict | None:
+    if not batch.reward_host:
+        return None
+    return {
+        'id': name_reward_call(item_id),
+        'host': batch.reward_host,
+        'path': batch.reward_path,
+        'body': base64.b64encode(item_id.encode()).decode(),
+    }
+
+
 def build_read(batch_id: str, position: int, wait_ms: int) -> messages.Request:
     """Build the request that reads a batch's results from a position on."""
     return messages.Request(
@@ -98,6 +119,16 @@
     return response.body == request_id.encode() and request_id in signature
 
 
+def is_leaving(response: messages.Response) -> bool:
+    """Tell whether the replica of a response states that it leaves."""
+    return response.headers.get('server-leaving') == '1'
+
+
+def find_replica(response: messages.Response) -> str:
+    """Find the id of the replica that signed a response; empty if none."""
+    return response.headers.get('response-stamp', '').partition('.')[0]
+
+
 def build_named_version(model: str, version: int) -> tuple[str, dict]:
     """Build the key and value of a record of a model's weight version."""
     return f'version/{model}', {'model': model, 'version': version}
--- a/packages/standins/auburnroad_standins/platform_replica.py
+++ b/packages/standins/auburnroad_standins/platform_replica.py
@@ -57,6 +57,8 @@
       orders: All accepted orders, in order of acceptance.
       generated: Weight versions that generated an event, by request id and
         event number.
+      last_events: Time at which the last event of each item was first
+        generated, by request id, in seconds of the event loop's clock.
       drained: Time of each replica's first registration as draining, by
         replica id, in seconds of the event loop's clock.
     """
@@ -64,6 +66,7 @@
     runs: list[Run] = []
     orders: list[Order] = []
     generated: dict[tuple[str, int], set[int]] = {}
+    last_events: dict[str, float] = {}
     drained: dict[str, float] = {}
 
 
@@ -96,6 +99,7 @@
       pause_seconds: Time between two events of an engine, or run time of a
         plain service, in seconds.
       down: Whether the replica stops responding, as after a crash.
+      leaving: Whether answers state that the replica is about to exit.
     """
 
     def __init__(
@@ -107,6 +111,7 @@
         self.fail_share = 0.0
         self.pause_seconds = 0.01
         self.down = False
+        self.leaving = False
         self._service = service
         self._domain = domain
         self._slots = slots
@@ -127,6 +132,11 @@
         """Stop the server and close its connections."""
         await self._server.close()
 
+    def restart(self) -> None:
+        """Continue as a new start of the replica under the same id."""
+        self.leaving = False
+        self._started_ms = max(self._started_ms + 1, clock.time_now_ms())
+
     def drain(self) -> None:
         """Announce 'draining' from the next registration on."""
         self._draining = True
@@ -171,11 +181,14 @@
         raise NotImplementedError
 
     def _build_headers(self, request_id: str) -> dict[str, str]:
-        return {
+        headers = {
             'request-id': request_id,
             'response-stamp': f'{self.id}.{request_id}',
             'replica-load': f'{self._running},0,{self._slots}',
         }
+        if self.leaving:
+            headers['server-leaving'] = '1'
+        return headers
 
     def _start_run(self, request) -> str | None:
         """Record a run and return its request id; None without a free slot."""
@@ -283,6 +296,10 @@
                 self._books.generated.setdefault(
                     (request_id, number), set()
                 ).add(sent_version)
+                if number == count_events(request_id) - 1:
+                    self._books.last_events.setdefault(
+                        request_id, asyncio.get_running_loop().time()
+                    )
                 data = build_event(request_id, number)
                 yield f'{line}id: {number}\ndata: {data}\n\n'.encode()
         finally:
