Show the routes of a configuration grouped, their problems and changes

Cause: operators could not read through a configuration that had grown by 1,400 routes.

`auburnroad route_changes OLD NEW` tells what changes for which callers, by host and path prefix.

No route is called unused from the configuration alone: that would need the requests, which no metric counts by route.

--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -20,6 +20,7 @@
 from auburnroad_client.commands import inspection
 from auburnroad_client.commands import logs as log_commands
 from auburnroad_client.commands import publishing
+from auburnroad_client.commands import routes as route_commands
 from auburnroad_client.commands import waiting
 from auburnroad_client import exit_codes
 from auburnroad_client import options as client_options
@@ -234,6 +235,40 @@
             plot,
         )
 
+    def routes(
+        self,
+        file: str,
+        host: str = '',
+        service: str = '',
+        problems: bool = False,
+    ):
+        """Show the routes in a configuration record, grouped.
+
+        Args:
+          file: File with the operators' configuration record.
+          host: Show only routes of this host.
+          service: Show only routes to this service.
+          problems: Show only routes that are duplicates, change nothing or
+            lack a service.
+        """
+        return plan.Plan(
+            route_commands.show_routes,
+            self._options,
+            file,
+            host,
+            service,
+            problems,
+        )
+
+    def route_changes(self, old: str, new: str):
+        """Show what a configuration record changes for which callers.
+
+        Args:
+          old: File with the earlier configuration record.
+          new: File with the later configuration record.
+        """
+        return plan.Plan(route_commands.show_changes, self._options, old, new)
+
     def _build_order_plan(self, host, draining, author, timeout_seconds):
         return plan.Plan(
             hosts.order,
--- /dev/null
+++ b/packages/client/auburnroad_client/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Overview, checks and comparison of the routes of a configuration."""
