Don't order waiting items while no slot is free

Change: batches of a service without a free slot are passed over.

The new test fails without the change.

--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -261,17 +261,19 @@
         if not self.stopping:
             self._claimer.claim_and_load(self._owned)
         queue = []
+        now = time.monotonic()
         for owned in self._owned.values():
             route = self._configuration.find_route(owned.state.submission)
             if route is None:
                 continue
             owned.route = route
             self._scorer.start_waiting(owned)
-            if owned.waiting:
+            if owned.waiting and placement.has_free_slot(
+                self._directory.list_ready(route.backends[0].service), now
+            ):
                 queue.extend(self._list_queue_entries(owned))
         queue.sort(key=lambda entry: entry[0])
         unplaceable = set()
-        now = time.monotonic()
         for _, owned, run in queue:
             service = owned.route.backends[0].service
             need = self._build_need(owned, run)
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -15,6 +15,7 @@
 from auburnroad_core.http import client
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import moves
+from auburnroad_gateway.batches import ordering
 from auburnroad_gateway.batches import owned_batches
 from auburnroad_gateway.batches import owner
 from auburnroad_gateway.batches import records
@@ -429,6 +430,22 @@
         await self.wait(lambda: state.progress)
         self.assertGreaterEqual(state.progress[0][-1].last_event, 1)
 
+    async def test_waiting_items_are_not_ordered_while_no_slot_is_free(self):
+        """Hundreds of items wait, and a wake-up follows each record."""
+        self.add_replica('one', pause_seconds=60)
+        self.submit(build_submission(50))
+        await self.wait(lambda: self.subject.has_running_items)
+        with mock.patch.object(
+            ordering, 'build_sort_key', wraps=ordering.build_sort_key
+        ) as build_key:
+            for _ in range(10):
+                self.subject._wake.set()
+                await asyncio.sleep(0.001)
+            build_key.assert_not_called()
+            self.add_replica('two', pause_seconds=60)
+            await self.wait(lambda: self.client.count('two:1'))
+            build_key.assert_called()
+
     async def test_longest_items_start_first(self):
         self.add_replica('one')
         self.submit(build_submission(3, hints=[5, 100, 50]))
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -130,6 +130,24 @@
     )
 
 
+def has_free_slot(candidates: list[replica.Replica], now: float) -> bool:
+    """Tell whether any replica could take an item now.
+
+    While all slots are in use, which is most of the time under load, this
+    saves the work of ordering all waiting items.
+
+    Args:
+      candidates: Replicas of the service that accept new work.
+      now: Monotonic time in seconds.
+    """
+    return any(
+        target.count_free(now) > 0
+        and target.avoid_until <= now
+        and not target.is_loading(now)
+        for target in candidates
+    )
+
+
 def is_faster(
     better: replica.Replica,
     current: replica.Replica,
