Log the members that changed in one line instead of one each

Change: one line for all changes between two checks, with their number and the first names. The line that a process writes at its start names its incarnation, which other lines refer to.

The test fails before: 88 lines instead of one.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -46,6 +46,8 @@
 # A host with fewer cores runs batches only if every live host has fewer, since
 # all runs of a service are the largest workload that a gateway can have.
 PREFERRED_CORES = 1.0
+# Number of members that one log line names.
+MAX_MEMBERS_LOGGED = 8
 # Maximum age of the heartbeat of a dead member that is still tried as a relay.
 PEER_MAX_AGE_SECONDS = 5.0
 
@@ -129,6 +131,7 @@
         '_sent_at',
         '_heartbeat_requested',
         '_listeners',
+        '_changed',
     )
 
     def __init__(self, settings: gateway_settings.Settings, log):
@@ -146,6 +149,7 @@
         self._started_ms = clock.time_now_ms()
         self._heartbeat_requested = asyncio.Event()
         self._listeners = []
+        self._changed: dict[str, Heartbeat] = {}
 
     @property
     def has_discovered_members(self) -> bool:
@@ -258,14 +262,7 @@
             before.seen_at = now
             return
         self._members[record.key] = Member(record.key, heartbeat, now)
-        events.write(
-            'member_changed',
-            member=record.key,
-            incarnation=heartbeat.incarnation,
-            leaving=heartbeat.leaving,
-            restarted=before is not None
-            and before.heartbeat.incarnation != heartbeat.incarnation,
-        )
+        self._changed[record.key] = heartbeat
         self._notify()
 
     async def run_heartbeats(self) -> None:
@@ -332,6 +329,7 @@
         """
         log_unread = now - read_at > CHECK_GAP_SECONDS
         was_suspended = now - self._checked_at > CHECK_GAP_SECONDS
+        self._write_changes()
         self._checked_at = now
         if log_unread or was_suspended:
             self._observing_since = 0.0
@@ -358,6 +356,22 @@
                 )
                 self._notify()
 
+    def _write_changes(self) -> None:
+        """Log the members that changed since the last check in one line.
+
+        After a start or a loss of all power every gateway sees every other
+        one change; a line for each would displace all other lines.
+        """
+        if not self._changed:
+            return
+        events.write(
+            'members_changed',
+            count=len(self._changed),
+            leaving=sum(entry.leaving for entry in self._changed.values()),
+            members=sorted(self._changed)[:MAX_MEMBERS_LOGGED],
+        )
+        self._changed.clear()
+
     def _notify(self) -> None:
         self._alive = None
         for listener in self._listeners:
--- a/packages/gateway/auburnroad_gateway/members/membership_test.py
+++ b/packages/gateway/auburnroad_gateway/members/membership_test.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -60,6 +61,31 @@
         self.assertEqual(3 * membership.HEARTBEAT_MAX_SECONDS, slow)
 
 
+class ChangesTest(unittest.TestCase):
+    """All gateways of a large deployment start at once."""
+
+    def test_changes_between_two_checks_are_one_log_line(self):
+        subject = membership.Membership(build_settings(), None)
+        for number in range(88):
+            heartbeat = membership.Heartbeat(f'i{number}', 'h:1', False)
+            subject.apply(
+                service.KeyedRecord(
+                    f'h{number:02}', msgspec.msgpack.encode(heartbeat), 0
+                )
+            )
+        with mock.patch.object(
+            membership.events, 'write', autospec=True
+        ) as write:
+            subject.check(100.0, 100.0)
+            subject.check(100.2, 100.2)
+        write.assert_called_once_with(
+            'members_changed',
+            count=88,
+            leaving=0,
+            members=[f'h{number:02}' for number in range(8)],
+        )
+
+
 class MembershipTest(unittest.TestCase):
     """One gateway that monitors other gateways."""
 
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -93,6 +93,11 @@
         """Whether the gateway is loaded and not stopping."""
         return not self._stopping and self._is_loaded
 
+    @property
+    def incarnation(self) -> str:
+        """Unique id of this run of the process."""
+        return self._members.incarnation
+
     @property
     def addresses(self) -> dict[str, str]:
         """Bound addresses as 'IP address:port' by server name.
--- a/packages/gateway/auburnroad_gateway/process/run.py
+++ b/packages/gateway/auburnroad_gateway/process/run.py
@@ -45,7 +45,11 @@
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     await running_gateway.start()
-    events.write('started', failure_domain=settings.failure_domain)
+    events.write(
+        'started',
+        failure_domain=settings.failure_domain,
+        incarnation=running_gateway.incarnation,
+    )
     follow_task = asyncio.create_task(
         follow_settings(running_gateway, load_settings, reload_requested)
     )
