Detect the loss of a holder of a duty after 1.0 s instead of 1.6 s

Cause: all runs of a service stop with the gateway that holds its duty.

Change: a holder sends five heartbeats a second instead of two, and says so in them, so that two missing ones and the allowance for an append through a peer make it dead. The others stay at two a second: all heartbeats share one partition. The wait for the former holder's lease counts from the shorter silence.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -18,11 +18,17 @@
 
 TOPIC = service.KEYED_PREFIX + 'members'
 HEARTBEAT_SECONDS = 0.5
+# Interval of a gateway that holds a duty. All runs of a service stop with it,
+# so that its loss is detected sooner than that of the others, of which there
+# are too many for a shorter interval.
+HOLDER_HEARTBEAT_SECONDS = 0.2
 # A failed heartbeat is repeated sooner, over another route to the log service.
 HEARTBEAT_RETRY_SECONDS = 0.2
-# Three heartbeat intervals, with an allowance for an append through a peer.
-DEAD_TIMEOUT_SECONDS = 1.6
+# Minimum number of missing heartbeats of a dead member.
 DEAD_HEARTBEATS = 3
+# Time for an append through a peer and for the pauses between two reads and
+# two checks; two missing heartbeats and this time make a member dead, too.
+DEAD_ALLOWANCE_SECONDS = 0.6
 # Minimum heartbeat interval as a multiple of the append latency: all members
 # append to a single partition, one after the other.
 HEARTBEAT_LATENCY_RATIO = 2.0
@@ -132,6 +138,7 @@
         '_heartbeat_requested',
         '_listeners',
         '_changed',
+        '_holds_duty',
     )
 
     def __init__(self, settings: gateway_settings.Settings, log):
@@ -149,8 +156,26 @@
         self._started_ms = clock.time_now_ms()
         self._heartbeat_requested = asyncio.Event()
         self._listeners = []
+        self._holds_duty = False
         self._changed: dict[str, Heartbeat] = {}
 
+    @property
+    def holds_duty(self) -> bool:
+        """Whether this gateway holds a duty, and is watched closely."""
+        return self._holds_duty
+
+    @holds_duty.setter
+    def holds_duty(self, holds: bool) -> None:
+        if holds != self._holds_duty:
+            self._holds_duty = holds
+            self._heartbeat_requested.set()
+
+    @property
+    def _shortest_interval(self) -> float:
+        if self._holds_duty:
+            return HOLDER_HEARTBEAT_SECONDS
+        return HEARTBEAT_SECONDS
+
     @property
     def has_discovered_members(self) -> bool:
         """Whether every live member has been observed by now."""
@@ -274,7 +299,7 @@
             interval = min(
                 HEARTBEAT_MAX_SECONDS,
                 max(
-                    HEARTBEAT_SECONDS,
+                    self._shortest_interval,
                     HEARTBEAT_LATENCY_RATIO * self._append_latency,
                 ),
             )
@@ -402,4 +427,7 @@
       Minimum time in seconds without a heartbeat after which the member is
       declared dead. Observers add an allowance while appends are slow.
     """
-    return max(DEAD_TIMEOUT_SECONDS, DEAD_HEARTBEATS * interval_seconds)
+    return max(
+        DEAD_HEARTBEATS * interval_seconds,
+        (DEAD_HEARTBEATS - 1) * interval_seconds + DEAD_ALLOWANCE_SECONDS,
+    )
--- a/packages/gateway/auburnroad_gateway/members/membership_test.py
+++ b/packages/gateway/auburnroad_gateway/members/membership_test.py
@@ -17,6 +17,8 @@
 from auburnroad_gateway.model import settings
 
 STEP_SECONDS = 0.2
+# Of a member that holds no duty.
+DEAD_TIMEOUT_SECONDS = 1.6
 
 
 def build_settings(name='own'):
@@ -51,13 +53,36 @@
                 await asyncio.sleep(0.01)
             task.cancel()
             left = subject.presumed_alive_until - before
-            self.assertLess(left, membership.DEAD_TIMEOUT_SECONDS)
+            self.assertLess(left, DEAD_TIMEOUT_SECONDS)
             self.assertGreater(left, membership.HEARTBEAT_SECONDS)
 
+    async def test_holder_of_a_duty_sends_heartbeats_more_often(self):
+        """All runs of a service wait until the loss of its holder is seen."""
+        log = mock.AsyncMock(on_detour=False)
+        subject = membership.Membership(build_settings(), log)
+        task = asyncio.create_task(subject.run_heartbeats())
+        intervals = []
+        for holds in (False, True, False):
+            subject.holds_duty = holds
+            sent = log.append.await_count
+            while log.append.await_count == sent:
+                await asyncio.sleep(0)
+            (record,) = log.append.await_args.args[2]
+            heartbeat = msgspec.msgpack.decode(
+                service.decode_keyed(record)[1], type=membership.Heartbeat
+            )
+            intervals.append(heartbeat.interval_ms)
+        task.cancel()
+        self.assertEqual([500, 200, 500], intervals)
+
     async def test_dead_timeout_grows_with_the_heartbeat_interval(self):
         fast = membership.find_dead_timeout(membership.HEARTBEAT_SECONDS)
         slow = membership.find_dead_timeout(membership.HEARTBEAT_MAX_SECONDS)
-        self.assertEqual(membership.DEAD_TIMEOUT_SECONDS, fast)
+        self.assertEqual(DEAD_TIMEOUT_SECONDS, fast)
+        holder = membership.find_dead_timeout(
+            membership.HOLDER_HEARTBEAT_SECONDS
+        )
+        self.assertEqual(1.0, holder)
         self.assertEqual(3 * membership.HEARTBEAT_MAX_SECONDS, slow)
 
 
@@ -122,7 +147,7 @@
 
     def test_member_without_heartbeats_is_declared_dead(self):
         self.apply_heartbeat('other', 'o1')
-        self.advance(membership.DEAD_TIMEOUT_SECONDS + 2 * STEP_SECONDS)
+        self.advance(DEAD_TIMEOUT_SECONDS + 2 * STEP_SECONDS)
         self.assertFalse(self.subject.is_alive('o1'))
 
     def test_no_member_is_declared_dead_while_log_is_unreadable(self):
@@ -141,7 +166,7 @@
         """Other members' appends may be as slow as this gateway's."""
         self.apply_heartbeat('other', 'o1')
         self.subject._sent_at = self.now
-        self.advance(membership.DEAD_TIMEOUT_SECONDS + 2 * STEP_SECONDS)
+        self.advance(DEAD_TIMEOUT_SECONDS + 2 * STEP_SECONDS)
         self.assertTrue(self.subject.is_alive('o1'))
 
     def test_restarted_member_replaces_its_old_incarnation(self):
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -84,6 +84,10 @@
         self._duties[record.key] = Duty(
             holder.incarnation, record.offset + 1, act_not_before
         )
+        self._membership.holds_duty = any(
+            duty.holder == self._membership.incarnation
+            for duty in self._duties.values()
+        )
         events.write(
             'duty_changed',
             service=record.key,
@@ -199,8 +203,9 @@
             return 0.0
         if not previous.holder:
             return previous.act_not_before
+        interval_seconds = membership.HOLDER_HEARTBEAT_SECONDS
         silent_seconds = (
-            membership.DEAD_TIMEOUT_SECONDS - membership.HEARTBEAT_SECONDS
+            membership.find_dead_timeout(interval_seconds) - interval_seconds
         )
         return now + self._lease_seconds - silent_seconds
 
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -51,6 +51,13 @@
         self.members.presumed_alive_until = now + 1
         return self.subject.may_act('s', now)
 
+    async def test_holder_is_watched_closely_until_the_duty_is_released(self):
+        await self.claim()
+        self.assertTrue(self.members.holds_duty)
+        await self.subject.release(self.tail)
+        await self.tail.catch_up()
+        self.assertFalse(self.members.holds_duty)
+
     async def test_runner_is_the_live_holder_or_else_the_next_claimant(
         self,
     ):
