--- a/packages/e2e/auburnroad_e2e/mutations.py
+++ b/packages/e2e/auburnroad_e2e/mutations.py
@@ -28,6 +28,8 @@
 JOBS = 2
 REASON_CHARACTERS = 160
 PROGRAMS = ('auburnroadd', 'auburnroad')
+# Directories that a scratch copy contains.
+SOURCES = ('packages', 'platform')
 KINDS = {
     'unit': 'auburnroad_e2e.unit',
     'scenario': 'auburnroad_e2e.scenarios',
@@ -163,13 +165,13 @@
     Returns:
       The environment.
     """
-    packages = sorted((copy / 'packages').iterdir())
-    path = os.pathsep.join(map(str, packages))
+    sources = [*sorted((copy / 'packages').iterdir()), copy / 'platform']
+    path = os.pathsep.join(map(str, sources))
     return {**os.environ, 'PYTHONPATH': path, 'PYTHONDONTWRITEBYTECODE': '1'}
 
 
 def make_copy(mutation: Mutation, copy: pathlib.Path) -> None:
-    """Copy the packages and make the edits in the copy.
+    """Copy all sources and make the edits in the copy.
 
     Args:
       mutation: The mutation.
@@ -178,11 +180,12 @@
     Raises:
       MutationError: If an edit can't be made.
     """
-    shutil.copytree(
-        known_red.ROOT / 'packages',
-        copy / 'packages',
-        ignore=shutil.ignore_patterns('__pycache__', '*.egg-info'),
-    )
+    for name in SOURCES:
+        shutil.copytree(
+            known_red.ROOT / name,
+            copy / name,
+            ignore=shutil.ignore_patterns('__pycache__', '*.egg-info'),
+        )
     shutil.copy(known_red.PATH, copy)
     for edit in mutation.edits:
         path = copy / 'packages' / edit.file
--- a/packages/e2e/auburnroad_e2e/mutations_test.py
+++ b/packages/e2e/auburnroad_e2e/mutations_test.py
@@ -1,5 +1,8 @@
 """Tests of how a check counts as seen failing."""
 
+import os
+import pathlib
+import tempfile
 import unittest
 
 from auburnroad_e2e import known_red
@@ -30,6 +33,27 @@
                     mutations.mutate(path.read_text(encoding='utf-8'), edit)
 
 
+class MakeCopyTest(unittest.TestCase):
+    """What runs against a copy finds all of its modules there."""
+
+    def test_every_source_of_the_environment_is_copied(self):
+        """The unit tests import the platform's adapter, too."""
+        mutation = mutations.Mutation('none', 'p', 'nothing', [], [])
+        with tempfile.TemporaryDirectory() as name:
+            copy = pathlib.Path(name)
+            mutations.make_copy(mutation, copy)
+            path = mutations.build_environment(copy)['PYTHONPATH']
+            found = {
+                package.name
+                for source in path.split(os.pathsep)
+                for package in pathlib.Path(source).glob('auburnroad_*')
+            }
+        self.assertLessEqual(
+            {'auburnroad_core', 'auburnroad_gateway', 'auburnroad_platform'},
+            found,
+        )
+
+
 class FindReasonTest(unittest.TestCase):
     """A run that failed no test has no reason."""
 
