Count a member's silence only up to the last successful read of the log

Cause: since a holder is considered dead after 1.0 s, the start of an outage made it look dead: its heartbeats stopped with the log, while a read that hung was noticed only after its time limit of 1.5 s and the gap of 1.2 s between reads was still allowed.

Change: silence counts up to the last successful read, which with a longer timeout had been implied. The new test fails before.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -368,7 +368,9 @@
         if self._sent_at is not None:
             latency = max(latency, now - self._sent_at)
         for member in self._members.values():
-            silent_seconds = now - member.seen_at
+            # Until the last successful read: after that, the log service may
+            # be unavailable without this gateway having noticed.
+            silent_seconds = read_at - member.seen_at
             timeout = find_dead_timeout(member.heartbeat.interval_ms / 1000)
             timeout += APPEND_LATENCY_RATIO * latency
             if member.alive and silent_seconds > timeout:
--- a/packages/gateway/auburnroad_gateway/members/membership_test.py
+++ b/packages/gateway/auburnroad_gateway/members/membership_test.py
@@ -119,7 +119,7 @@
         self.now = 100.0
 
     def apply_heartbeat(
-        self, name, incarnation, started_ms=0, leaving=False, cores=1.0
+        self, name, incarnation, started_ms=0, leaving=False, **fields
     ):
         heartbeat = membership.Heartbeat(
             incarnation,
@@ -127,7 +127,7 @@
             leaving,
             'a',
             started_ms,
-            cores=cores,
+            **fields,
         )
         self.subject.apply(
             service.KeyedRecord(name, msgspec.msgpack.encode(heartbeat), 0)
@@ -155,6 +155,24 @@
         self.advance(60, readable=False)
         self.assertTrue(self.subject.is_alive('o1'))
 
+    def test_holder_is_not_declared_dead_when_an_outage_begins(self):
+        """Its heartbeats are missing as soon as the log is.
+
+        A read that started before the outage is noticed only when it times
+        out, later than a holder's dead timeout.
+        """
+        self.apply_heartbeat('other', 'o1', interval_ms=200)
+        self.advance(STEP_SECONDS)
+        self.advance(1.4, readable=False)
+        self.assertTrue(self.subject.is_alive('o1'))
+
+    def test_silent_holder_is_declared_dead_sooner_than_others(self):
+        self.apply_heartbeat('other', 'o1', interval_ms=200)
+        self.apply_heartbeat('third', 'o2')
+        self.advance(1.4)
+        self.assertFalse(self.subject.is_alive('o1'))
+        self.assertTrue(self.subject.is_alive('o2'))
+
     def test_no_member_is_declared_dead_after_own_suspension(self):
         self.apply_heartbeat('other', 'o1')
         self.advance(0.4)
