Keep the limit of reward calls when a call is cancelled

Cause: found by reading. A reward call that ended with its batch was released as a failed one, so that each step that ended with scores under way halved the number of reward calls allowed at a time.

Change: only an answer of 500 and above, other than of an item whose calls are always answered with 500, counts as a failure. The new test fails before: one call of two was sent.

--- a/packages/gateway/auburnroad_gateway/completion/reward_calls.py
+++ b/packages/gateway/auburnroad_gateway/completion/reward_calls.py
@@ -119,7 +119,8 @@
         """
         limit = self._find_limit(route)
         await limit.acquire(due_ms)
-        succeeded = False
+        # A cancelled call tells nothing of the service.
+        failed = False
         started = time.monotonic()
         metrics.REWARD_CALLS_IN_FLIGHT.inc()
         try:
@@ -135,11 +136,11 @@
                 started,
             )
             response = await self._forwarder.forward(pending)
-            # An item whose calls always fail tells nothing of the service.
-            succeeded = response.status < 500 or bool(pending.server_errors)
+            # Nor does an item whose calls are always answered with 500.
+            failed = response.status >= 500 and not pending.server_errors
         finally:
             metrics.REWARD_CALLS_IN_FLIGHT.dec()
-            limit.release(succeeded)
+            limit.release(not failed)
         metrics.REWARD_CALLS.labels(f'{response.status // 100}xx').inc()
         metrics.REWARD_CALL_SECONDS.observe(time.monotonic() - started)
         return response, pending.server_errors
--- a/packages/gateway/auburnroad_gateway/completion/reward_calls_test.py
+++ b/packages/gateway/auburnroad_gateway/completion/reward_calls_test.py
@@ -117,6 +117,27 @@
         self.holder.current = current
         self.assertEqual('mark', await waiting)
 
+    async def test_cancelled_calls_leave_the_limit_as_it_is(self):
+        """A trainer that ends its step says nothing about the service."""
+        reached = asyncio.Event()
+
+        async def hang(request):
+            reached.set()
+            await asyncio.Event().wait()
+
+        for name in ('one', 'two'):
+            self.client.handle(f'{name}:1', hang)
+        waiting = asyncio.create_task(self.fetch())
+        await reached.wait()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.client.requests.clear()
+        calls = [asyncio.create_task(self.fetch()) for _ in range(4)]
+        await asyncio.sleep(0.01)
+        self.assertEqual(2, len(self.client.requests))
+        for task in calls:
+            task.cancel()
+
     async def test_burst_of_calls_uses_a_share_of_the_slots(self):
         """Skiers' requests share the replicas with the end of a group."""
         release = asyncio.Event()
