Restore a removed replica that registers again without a restart

Cause: found by reading. A registration that lapses and comes back made a new replica object; the answer to a request that was sent before could then tell that the replica leaves without this being known of the new object, so that one more request could reach it (DRAIN).

Change: removed replicas are kept, 1,000 at most, and restored with all that is known of them. The new test fails before.

--- a/packages/gateway/auburnroad_gateway/directory/directory.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory.py
@@ -21,8 +21,8 @@
 REREGISTRATION_SECONDS = 2.0
 # Time without an answer after which a reader may not have detected an outage.
 OUTAGE_SECONDS = 1.5
-# Number of incarnations that left for which late registrations are recognized.
-MAX_LEFT_INCARNATIONS = 1000
+# Number of removed replicas that are recognized if they register again.
+MAX_REMOVED = 1000
 
 
 class Directory:
@@ -32,7 +32,7 @@
         '_adapter',
         '_replicas',
         '_lapsed',
-        '_left',
+        '_removed',
         '_outage_ended_at',
         '_listeners',
     )
@@ -41,7 +41,7 @@
         self._adapter = adapter
         self._replicas: dict[str, replica.Replica] = {}
         self._lapsed: dict[str, float] = {}
-        self._left: dict[str, registration.Registration] = {}
+        self._removed: dict[str, replica.Replica] = {}
         self._outage_ended_at = float('-inf')
         self._listeners = []
 
@@ -105,14 +105,12 @@
 
     def _put_registration(self, new: registration.Registration) -> None:
         self._lapsed.pop(new.id, None)
-        current = self._replicas.get(new.id)
+        current = self._replicas.get(new.id) or self._restore(new)
         if current is not None and _is_superseded(new, current.registration):
             self._write('registration_outdated', new)
             return
         if current is None or _is_restarted(current.registration, new):
-            added = self._replicas[new.id] = replica.Replica(new)
-            left = self._left.get(new.id)
-            added.leaving = left is not None and not _is_restarted(left, new)
+            self._replicas[new.id] = replica.Replica(new)
             self._write('replica_registered', new)
             return
         previous = current.registration
@@ -133,8 +131,9 @@
     def _remove(self, key: str, reason: str) -> None:
         removed = self._replicas.pop(key, None)
         if removed is not None:
-            if removed.leaving:
-                self._remember_left(removed.registration)
+            self._removed[key] = removed
+            if len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
             events.write(
                 'replica_gone',
                 replica=key,
@@ -142,11 +141,20 @@
                 reason=reason,
             )
 
-    def _remember_left(self, left: registration.Registration) -> None:
-        self._left.pop(left.id, None)
-        self._left[left.id] = left
-        if len(self._left) > MAX_LEFT_INCARNATIONS:
-            del self._left[next(iter(self._left))]
+    def _restore(
+        self, new: registration.Registration
+    ) -> replica.Replica | None:
+        """Restore a removed replica that registers again without a restart.
+
+        What is known of it stays valid, and answers to requests that were
+        sent before its removal may still tell that it leaves.
+        """
+        removed = self._removed.pop(new.id, None)
+        if removed is None or _is_restarted(removed.registration, new):
+            return None
+        self._replicas[new.id] = removed
+        self._write('replica_registered', new)
+        return removed
 
     def _write(self, event: str, new) -> None:
         events.write(
--- a/packages/gateway/auburnroad_gateway/directory/directory_test.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory_test.py
@@ -94,6 +94,15 @@
         self.put()
         self.assertEqual([], self.list_ready())
 
+    def test_answer_after_a_registration_expired_is_believed_later(self):
+        """A request may be answered while its replica isn't registered."""
+        self.put()
+        target = self.subject.list_ready('s')[0]
+        self.drop()
+        target.note_leaving()
+        self.put()
+        self.assertEqual([], self.list_ready())
+
     def test_restart_of_a_leaving_replica_is_ready(self):
         self.put()
         self.subject.list_ready('s')[0].note_leaving()
