End the check of a leaving replica at its next start and at a pause

Change: an announcement of a replica that is leaving already is left out, and a pause of the gateway since it passed the answer on excuses it. The check stays as strict for all other requests; its test has both sides.

--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -15,6 +15,7 @@
 
 KINDS: registry.Registry = registry.Registry('fault')
 LEAVING = 'replica-leaving'
+PAUSED = 'gateway-paused'
 SLOW_SECONDS = 0.15
 DELAY_SECONDS = 0.05
 SLOW_FACTOR = 8
@@ -79,7 +80,7 @@
         )
 
 
-@KINDS.register('gateway-paused')
+@KINDS.register(PAUSED)
 async def pause_gateway(world, fault) -> None:
     gateway = choose(world.gateways, fault)
     with disturb(world, fault.kind, gateway.name):
@@ -199,8 +200,14 @@
 
 @KINDS.register(LEAVING)
 async def announce_leave(world, fault) -> None:
-    """Let a plain replica say that it leaves in its answers only."""
+    """Let a plain replica say that it leaves in its answers only.
+
+    Announcements of one replica don't overlap, so that each lasts until the
+    replica's next start.
+    """
     replica = choose(world.plain, fault)
+    if replica.leaving:
+        return
     with disturb(world, fault.kind, replica.id):
         replica.leaving = True
         await asyncio.sleep(worlds.DRAIN_SECONDS + fault.seconds)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -198,7 +198,10 @@
 
 @PROMISES.register('leaving-left-alone')
 def check_leaving(world, callers):
-    """A gateway that passed on that a replica leaves sends it no more."""
+    """A gateway that passed on that a replica leaves sends it no more.
+
+    Its restart or pause since then excuses it, as in the users' rule.
+    """
     runs = {(run.request_id, run.replica) for run in world.books.runs}
     for entry in world.disturbances:
         if entry.kind != faults.LEAVING:
@@ -213,7 +216,9 @@
             late = attempt.started > (
                 told.get(process, float('inf')) + worlds.DRAIN_SECONDS
             )
-            if late and (attempt.request_id, entry.subject) in runs:
+            if not late or _was_paused(world, attempt, told[process]):
+                continue
+            if (attempt.request_id, entry.subject) in runs:
                 yield (
                     f'{attempt.request_id} reached {entry.subject} '
                     f'by {attempt.gateway}'
@@ -270,6 +275,16 @@
             yield f'{attempt.gateway} went back behind {attempt.path}'
 
 
+def _was_paused(world: worlds.World, attempt, since: float) -> bool:
+    return any(
+        entry.kind == faults.PAUSED
+        and entry.subject == attempt.gateway
+        and entry.end > since
+        and entry.start < attempt.ended
+        for entry in world.disturbances
+    )
+
+
 def _find_prefix(attempt: all_callers.Attempt) -> str:
     return f'/{attempt.path.split("/")[1]}/'
 
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -122,6 +122,10 @@
             platform_replica.Run('late', 'p', late.started)
         )
         self.assertEqual({'leaving-left-alone'}, self.find_broken())
+        self.world.disturbances.append(
+            worlds.Disturbance(faults.PAUSED, 'g', 21.0, 22.0)
+        )
+        self.assertEqual(set(), self.find_broken())
 
     def test_an_item_that_is_listed_twice(self):
         self.book.results[1] = self.result
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -26,11 +26,18 @@
     later_kinds: tuple[str, ...] = ()
 
 
+_NEXT_START = (
+    'the check of replicas that leave counted requests to their next start, '
+    'after overlapping announcements or a pause of the gateway'
+)
 _HANG_UP = 'a hang-up ended a gateway that was still importing its modules'
 
 CASES: tuple[Case, ...] = (
     Case(1035, 12.0, _HANG_UP, (faults.LEAVING,)),
     Case(1041, 12.0, _HANG_UP, (faults.LEAVING,)),
+    Case(2001, 12.0, _NEXT_START),
+    Case(2006, 12.0, _NEXT_START),
+    Case(2027, 12.0, _NEXT_START),
 )
 
 
