--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -38,6 +38,7 @@
     Case(2001, 12.0, _NEXT_START),
     Case(2006, 12.0, _NEXT_START),
     Case(2027, 12.0, _NEXT_START),
+    Case(2049, 12.0, _NEXT_START),
 )
 
 
