Rename the scoring of items, which had the platform's word for a call

The users' field name `scorer` named a module and a class of the gateway; they are scoring.py and ItemScoring now. No other change.

--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -20,7 +20,7 @@
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.completion import finisher
 from auburnroad_gateway.completion import reward_calls
-from auburnroad_gateway.completion import scorer
+from auburnroad_gateway.completion import scoring
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import configuration
@@ -58,7 +58,7 @@
         '_resume_tasks',
         '_partial_runs',
         '_finisher',
-        '_scorer',
+        '_scoring',
         '_wake',
         'stopping',
     )
@@ -90,7 +90,7 @@
         )
         self._resume_tasks: dict[str, asyncio.Task] = {}
         self._finisher = finisher.ItemFinisher(batch_journal)
-        self._scorer = scorer.Scorer(self._finisher, reward_caller)
+        self._scoring = scoring.ItemScoring(self._finisher, reward_caller)
         self.stopping = False
         batch_journal.fold.on_change(self._handle_change)
         membership.on_change(self._wake.set)
@@ -267,7 +267,7 @@
             if route is None:
                 continue
             owned.route = route
-            self._scorer.start_waiting(owned)
+            self._scoring.start_waiting(owned)
             if owned.waiting and placement.has_free_slot(
                 self._directory.list_ready(route.backends[0].service), now
             ):
@@ -393,7 +393,7 @@
                 took_ms=int((time.monotonic() - run.started_at) * 1000),
                 reward=run.item.reward.id if run.item.reward else '',
             )
-            self._scorer.finish_text(owned, run)
+            self._scoring.finish_text(owned, run)
             return
         if end is runs.AttemptEnd.FAILED:
             run.failures += 1
--- a/packages/gateway/auburnroad_gateway/completion/scorer.py
+++ b/packages/gateway/auburnroad_gateway/completion/scoring.py
@@ -18,7 +18,7 @@
 from auburnroad_gateway.telemetry import metrics
 
 
-class Scorer:
+class ItemScoring:
     """Fetches the scores of complete texts and appends the results."""
 
     __slots__ = ('_finisher', '_reward_caller')
