--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -16,11 +16,13 @@
 KINDS: registry.Registry = registry.Registry('fault')
 LEAVING = 'replica-leaving'
 PAUSED = 'gateway-paused'
+HISTORY_LOST_BEHIND_CUT = 'log-history-lost-behind-cut'
 SLOW_SECONDS = 0.15
 DELAY_SECONDS = 0.05
 SLOW_FACTOR = 8
 FAIL_SHARE = 0.5
 LOST_ANSWERS = 5
+REFUSED_SNAPSHOTS = 4
 # A process that was killed is started again so much later.
 RESTART_SECONDS = 0.3
 
@@ -147,6 +149,19 @@
     world.store.forget_history()
 
 
+@KINDS.register(HISTORY_LOST_BEHIND_CUT)
+async def lose_history_behind_cut(world, fault) -> None:
+    """A cut-off gateway misses a change, and its first snapshot is refused."""
+    gateway = choose(world.gateways, fault)
+    with disturb(world, fault.kind, gateway.name):
+        gateway.relay.cut()
+        world.write_configuration(add_route=True)
+        await asyncio.sleep(fault.seconds)
+        world.store.forget_history()
+        world.store.log.refuse_snapshots += REFUSED_SNAPSHOTS
+        gateway.relay.heal()
+
+
 @KINDS.register('log-path-cut')
 async def cut_log_path(world, fault) -> None:
     gateway = choose(world.gateways, fault)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -247,7 +247,11 @@
 
 @PROMISES.register('configuration-in-time')
 def check_configuration_in_time(world, callers):
-    """A route that was added is known in time where nothing is wrong."""
+    """A route that was added is known in time where nothing is wrong.
+
+    A disturbance excuses a gateway until its aftermath has passed, however
+    long ago the route was added.
+    """
     added = dict(world.routes_added)
     for attempt in callers.attempts:
         if attempt.kind != 'added' or attempt.status != 404:
@@ -255,8 +259,9 @@
         gateway = _find(world, attempt.gateway)
         since = added[_find_prefix(attempt)]
         late = attempt.started > since + CONFIGURATION_SECONDS
+        calm_from = max(since, attempt.started - CONFIGURATION_SECONDS)
         if late and world.is_calm(
-            gateway, since - AFTERMATH_SECONDS, attempt.ended
+            gateway, calm_from - AFTERMATH_SECONDS, attempt.ended
         ):
             yield f'{gateway.name} does not know {attempt.path}'
 
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -196,3 +196,15 @@
         served = build_attempt('added', 200, at=10.0, path=f'{ROUTE}x')
         self.callers.attempts.insert(0, served)
         self.assertIn('configuration-stays', self.find_broken())
+
+    def test_route_that_stays_unknown_long_after_a_disturbance(self):
+        """A gateway that missed a change behind a cut never noticed it."""
+        self.world.disturbances.append(
+            worlds.Disturbance('log-path-cut', 'g', 9.0, 11.0)
+        )
+        soon = build_attempt('added', 404, False, 16.0, path=f'{ROUTE}x')
+        self.callers.attempts.append(soon)
+        self.assertEqual(set(), self.find_broken())
+        late = build_attempt('added', 404, False, 18.0, path=f'{ROUTE}x')
+        self.callers.attempts.append(late)
+        self.assertEqual({'configuration-in-time'}, self.find_broken())
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -31,14 +31,16 @@
     'after overlapping announcements or a pause of the gateway'
 )
 _HANG_UP = 'a hang-up ended a gateway that was still importing its modules'
+# Kinds of faults added after the cases below failed.
+_ADDED_LATER = (faults.HISTORY_LOST_BEHIND_CUT,)
 
 CASES: tuple[Case, ...] = (
-    Case(1035, 12.0, _HANG_UP, (faults.LEAVING,)),
-    Case(1041, 12.0, _HANG_UP, (faults.LEAVING,)),
-    Case(2001, 12.0, _NEXT_START),
-    Case(2006, 12.0, _NEXT_START),
-    Case(2027, 12.0, _NEXT_START),
-    Case(2049, 12.0, _NEXT_START),
+    Case(1035, 12.0, _HANG_UP, (faults.LEAVING, *_ADDED_LATER)),
+    Case(1041, 12.0, _HANG_UP, (faults.LEAVING, *_ADDED_LATER)),
+    Case(2001, 12.0, _NEXT_START, _ADDED_LATER),
+    Case(2006, 12.0, _NEXT_START, _ADDED_LATER),
+    Case(2027, 12.0, _NEXT_START, _ADDED_LATER),
+    Case(2049, 12.0, _NEXT_START, _ADDED_LATER),
 )
 
 
--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -125,7 +125,7 @@
             )
             raise
         except service.LogTrimmedError as error:
-            await self._handle_trimmed(error)
+            self._handle_trimmed(error)
             # An end beyond the next offset, so that the caller reads again.
             return self.next_offset + 1
         self._note_success()
@@ -142,7 +142,11 @@
             self.complete_at = max(self.complete_at, requested_at)
         return result.end
 
-    async def _handle_trimmed(self, error) -> None:
+    def _handle_trimmed(self, error) -> None:
+        self._write_expired(error)
+        self.next_offset = max(self.next_offset, error.first_offset)
+
+    def _write_expired(self, error) -> None:
         events.write(
             'log_records_expired',
             topic=self._topic,
@@ -150,7 +154,6 @@
             from_offset=self.next_offset,
             first_offset=error.first_offset,
         )
-        self.next_offset = max(self.next_offset, error.first_offset)
 
     def _note_success(self) -> None:
         self.read_at = clock.read_boot_clock_seconds()
@@ -198,13 +201,14 @@
             await self._load_snapshot()
         return await super()._read(wait_ms)
 
-    async def _handle_trimmed(self, error) -> None:
-        await super()._handle_trimmed(error)
-        await self._load_snapshot()
+    def _handle_trimmed(self, error) -> None:
+        # The next offset stays where it is: the deleted records are known
+        # only once a snapshot has been loaded, which may fail.
+        self._write_expired(error)
+        self._has_snapshot = False
 
     async def _load_snapshot(self) -> None:
         snapshot = await self._log.read_newest(self._topic)
-        self._has_snapshot = True
         present = {record.key for record in snapshot.records}
         for key in self._live_keys - present:
             self._apply_keyed(
@@ -213,7 +217,14 @@
         for record in snapshot.records:
             self._apply_keyed(record)
         self.next_offset = snapshot.next_offset
+        self._has_snapshot = True
         self._note_success()
+        events.write(
+            'log_snapshot_loaded',
+            topic=self._topic,
+            keys=len(snapshot.records),
+            next_offset=snapshot.next_offset,
+        )
 
     def _apply_record(self, offset: int, record: bytes) -> None:
         decoded = service.decode_keyed(record)
--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -115,3 +115,19 @@
         self.log.forget('k', 0, 4)
         await self.subject.catch_up()
         self.assertEqual({'a': b'', 'b': b'2'}, self.values)
+
+    async def test_snapshot_is_loaded_after_a_refused_one(self):
+        """Values among deleted records stayed unknown until the next change.
+
+        The tail had moved beyond the deleted records before it knew what
+        they held.
+        """
+        self.log.put('k', 'a', b'1')
+        await self.subject.catch_up()
+        self.log.put('k', 'a', b'2')
+        self.log.forget('k', 0, 2)
+        self.log.refuse_snapshots = 1
+        with self.assertRaises(service.LogError):
+            await self.subject.catch_up()
+        await self.subject.catch_up()
+        self.assertEqual({'a': b'2'}, self.values)
--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -20,6 +20,7 @@
         time out; None for no limit.
       lose_answers: Number of next appends that take effect but raise
         LogLostError.
+      refuse_snapshots: Number of next calls of read_newest that are refused.
       calls: Names of the received calls in order, with 'answer' for the end of
         a waiting read and 'address ADDRESS' for a call of set_address.
     """
@@ -29,6 +30,7 @@
         'silent',
         'bytes_in_time',
         'lose_answers',
+        'refuse_snapshots',
         'calls',
         '_records',
         '_first',
@@ -41,6 +43,7 @@
         self.silent = False
         self.bytes_in_time: int | None = None
         self.lose_answers = 0
+        self.refuse_snapshots = 0
         self.calls: list[str] = []
         self._records = collections.defaultdict(list)
         self._first = collections.defaultdict(int)
@@ -125,6 +128,9 @@
     async def read_newest(self, topic) -> service.Snapshot:
         """Read the newest record of each key; see service.LogService."""
         await self._begin_call('read_newest')
+        if self.refuse_snapshots:
+            self.refuse_snapshots -= 1
+            raise service.LogRefusedError('fault: snapshot refused')
         newest = {}
         for offset, record in enumerate(self._records[topic, 0]):
             key, value = service.decode_keyed(record)
