Leave pooled connections that may have gone silent

Callers saw: requests handled by a configuration that had been replaced seconds before (CONFIG).

Cause: open connections may go silent without being closed, all of them at once. A read of the log met a silent connection, its hedges met one more at each peer, which relayed over a third one, and each of these failures took 1.5 to 3.5 s; the retry took the next idle connection, which was as silent. Only the time limit of each call ended it. The same holds for replicas: each request there met one more silent connection.

A request that is given up without a response on a pooled connection discards what was idle when it was sent. The soak silences all connections at once.

Ruled out: keep-alive probes of the kernel, which a peer's kernel answers while nothing behind it does.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -3,11 +3,15 @@
 Connections are pooled for each address. A failure before the first byte is
 written raises a ConnectError: the request was not run. A later failure raises
 a BrokenError: the client can't know whether the request was run.
+
+Pooled connections may all have gone silent without being closed, while new
+ones work. A request that is given up without a response on a pooled connection
+therefore discards the connections that were idle when it was sent, and a
+client may limit how long a connection is idle.
 """
 
 import asyncio
 import collections
-import time
 import typing
 
 import h11
@@ -25,6 +29,8 @@
 KEEP_ALIVE_FRACTION = 0.8
 # For servers that don't send their idle timeout.
 DEFAULT_IDLE_SECONDS = 30.0
+# A request given up sooner tells nothing about its connection.
+SILENCE_SECONDS = 0.1
 
 # Created without a registry: each role adds it to the registry that it
 # exports.
@@ -51,16 +57,31 @@
 
 
 class _Connection:
-    """One pooled connection."""
+    """One pooled connection.
 
-    __slots__ = ('h11', 'reader', 'writer', 'idle_seconds', 'usable_until')
+    Attributes:
+      idle_seconds: How long the server keeps the connection open while idle.
+      idle_since: Loop time in seconds of the last complete response; None
+        before the first one.
+      received_at: Loop time in seconds of the last bytes received.
+    """
+
+    __slots__ = (
+        'h11',
+        'reader',
+        'writer',
+        'idle_seconds',
+        'idle_since',
+        'received_at',
+    )
 
     def __init__(self, reader, writer):
         self.h11 = h11.Connection(h11.CLIENT)
         self.reader = reader
         self.writer = writer
         self.idle_seconds = DEFAULT_IDLE_SECONDS
-        self.usable_until = 0.0
+        self.idle_since: float | None = None
+        self.received_at = 0.0
 
     async def next_event(self):
         """Read from the socket until h11 returns an event."""
@@ -70,6 +91,7 @@
                 return event
             data = await self.reader.read(READ_BYTES)
             _BYTES_IN.inc(len(data))
+            self.received_at = _find_time()
             self.h11.receive_data(data)
 
     def send(self, event) -> None:
@@ -138,13 +160,23 @@
 class HttpClient:
     """Sends requests to any address over pooled connections."""
 
-    __slots__ = ('_idle', '_connect_timeout_seconds')
+    __slots__ = ('_idle', '_connect_timeout_seconds', '_max_idle_seconds')
 
     def __init__(
-        self, connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
+        self,
+        connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        max_idle_seconds: float = float('inf'),
     ):
+        """Create a client without connections.
+
+        Args:
+          connect_timeout_seconds: Timeout of opening a connection.
+          max_idle_seconds: Time after which an idle connection isn't reused,
+            whatever the server allows.
+        """
         self._idle = collections.defaultdict(collections.deque)
         self._connect_timeout_seconds = connect_timeout_seconds
+        self._max_idle_seconds = max_idle_seconds
 
     async def open(
         self,
@@ -172,6 +204,7 @@
           BrokenError: If the connection failed after sending began.
         """
         connection = await self._acquire(address, fresh)
+        sent_at = _find_time()
         try:
             return await self._exchange(address, connection, request, is_own)
         except (OSError, h11.ProtocolError) as error:
@@ -179,6 +212,8 @@
             raise BrokenError(f'{address}: {error}') from error
         except BaseException:
             connection.writer.close()
+            if _was_silent(connection, sent_at):
+                self._discard_idle(address, sent_at)
             raise
 
     async def fetch(
@@ -218,7 +253,7 @@
             connection.writer.close()
             return
         connection.h11.start_next_cycle()
-        connection.usable_until = time.monotonic() + connection.idle_seconds
+        connection.idle_since = _find_time()
         idle = self._idle[address]
         if len(idle) >= IDLE_CONNECTIONS_PER_ADDRESS:
             connection.writer.close()
@@ -232,11 +267,20 @@
                 connection.writer.close()
         self._idle.clear()
 
+    def _discard_idle(self, address: str, before: float) -> None:
+        """Close the connections that have been idle since before a time."""
+        idle = self._idle[address]
+        for connection in [
+            entry for entry in idle if entry.idle_since < before
+        ]:
+            idle.remove(connection)
+            connection.writer.close()
+
     async def _acquire(self, address: str, fresh: bool) -> _Connection:
         idle = self._idle[address]
         while idle and not fresh:
             connection = idle.pop()
-            if not _is_stale(connection):
+            if not _is_stale(connection, self._max_idle_seconds):
                 return connection
             connection.writer.close()
         host, _, port = address.rpartition(':')
@@ -314,10 +358,24 @@
     return DEFAULT_IDLE_SECONDS
 
 
-def _is_stale(connection: _Connection) -> bool:
+def _find_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _was_silent(connection: _Connection, sent_at: float) -> bool:
+    """Return whether a pooled connection never answered a request."""
+    return (
+        connection.idle_since is not None
+        and connection.received_at < sent_at
+        and _find_time() - sent_at >= SILENCE_SECONDS
+    )
+
+
+def _is_stale(connection: _Connection, max_idle_seconds: float) -> bool:
     """Return whether an idle connection has expired or was closed."""
+    idle_seconds = min(connection.idle_seconds, max_idle_seconds)
     return (
-        time.monotonic() > connection.usable_until
+        _find_time() - connection.idle_since >= idle_seconds
         or connection.reader.at_eof()
         or connection.writer.is_closing()
         or connection.h11.our_state is not h11.IDLE
--- a/packages/core/auburnroad_core/http/client_test.py
+++ b/packages/core/auburnroad_core/http/client_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
@@ -104,3 +105,62 @@
         await self.fetch(http_client, address, 'a')
         await self.fetch(http_client, address, 'b', fresh=True)
         self.assertEqual(2, self.connections)
+
+
+class SilentConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that carry nothing more, while new ones work."""
+
+    RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
+
+    async def asyncSetUp(self):
+        self.connections = 0
+        self.silent = 0
+        listener = await asyncio.start_server(self.accept, '127.0.0.1', 0)
+        self.addCleanup(listener.close)
+        host, port = listener.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    async def accept(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        while await reader.readuntil(b'\r\n\r\n'):
+            if number > self.silent:
+                writer.write(self.RESPONSE)
+
+    async def fetch(self, http_client, timeout_seconds=10.0):
+        request = messages.Request('GET', '/', {})
+        return await http_client.fetch(self.address, request, timeout_seconds)
+
+    async def open_two(self, **options):
+        http_client = client.HttpClient(**options)
+        self.addCleanup(http_client.close)
+        await asyncio.gather(self.fetch(http_client), self.fetch(http_client))
+        self.assertEqual(2, self.connections)
+        return http_client
+
+    async def test_idle_connections_are_discarded_after_a_silent_one(self):
+        """Each retry met one more silent connection of the pool."""
+        http_client = await self.open_two()
+        self.silent = 2
+        with self.assertRaises(client.BrokenError):
+            await self.fetch(http_client, 2 * client.SILENCE_SECONDS)
+        await self.fetch(http_client)
+        self.assertEqual(3, self.connections)
+
+    @mock.patch.object(client, 'SILENCE_SECONDS', 60.0)
+    async def test_idle_connections_stay_if_a_request_ends_soon(self):
+        http_client = await self.open_two()
+        self.silent = 2
+        call = asyncio.create_task(self.fetch(http_client))
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        self.silent = 0
+        await self.fetch(http_client)
+        self.assertEqual(2, self.connections)
+
+    async def test_connection_is_not_reused_beyond_the_idle_limit(self):
+        """After all connections went silent, every path failed in turn."""
+        http_client = await self.open_two(max_idle_seconds=0.0)
+        await self.fetch(http_client)
+        self.assertEqual(3, self.connections)
--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -16,6 +16,7 @@
 KINDS: registry.Registry = registry.Registry('fault')
 LEAVING = 'replica-leaving'
 PAUSED = 'gateway-paused'
+ALL_SILENT = 'all-connections-silent'
 HISTORY_LOST_BEHIND_CUT = 'log-history-lost-behind-cut'
 SLOW_SECONDS = 0.15
 DELAY_SECONDS = 0.05
@@ -192,6 +193,16 @@
         await asyncio.sleep(fault.seconds)
 
 
+@KINDS.register(ALL_SILENT)
+async def silence_all_connections(world, fault) -> None:
+    """All open connections but those between gateways carry nothing more."""
+    with disturb(world, fault.kind):
+        for gateway in world.gateways:
+            gateway.relay.silence(relay.Direction.BOTH, lasting=False)
+        for before in world.relays.values():
+            before.silence(relay.Direction.BOTH, lasting=False)
+
+
 @KINDS.register('log-path-delayed')
 async def delay_log_path(world, fault) -> None:
     gateway = choose(world.gateways, fault)
--- a/packages/gateway/auburnroad_gateway/log/service.py
+++ b/packages/gateway/auburnroad_gateway/log/service.py
@@ -16,6 +16,10 @@
 KEYED_PREFIX = 'keyed.'
 # Maximum size of one read: one megabyte, the limit of the log service.
 MAX_READ_BYTES = 1 << 20
+# Connections to the log service and to relaying peers are reused only within
+# this time: all of them may go silent at once, and a call that meets a silent
+# one fails after more than a second.
+MAX_IDLE_SECONDS = 1.0
 
 
 class LogError(errors.AuburnroadError):
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -20,6 +20,7 @@
 from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.forwarding import streams
 from auburnroad_gateway.log import detour
+from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import relay
@@ -75,7 +76,9 @@
         self._response_deadline_at = float('inf')
         self._closed = asyncio.Event()
         self._client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
-        self._peer_client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
+        self._peer_client = client.HttpClient(
+            CONNECT_TIMEOUT_SECONDS, service.MAX_IDLE_SECONDS
+        )
         self._log = detour.DetourLog(
             adapter.open_log(), self._list_peers, self._open_peer
         )
