Apply weight versions that come before the first configuration

Cause: a listener to changes of the configuration read its limits while there was none. The exception ended the read of what operators wrote, and the rest of the records waited for the restart of that work.

Change: the listener returns if there is no configuration yet.

Measured: GatewayTest.test_version_before_first_configuration_is_applied failed before ('work_failed' among the events) and passes.

--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -288,7 +288,11 @@
         self._configuration.on_change(self._apply_limits)
 
     def _apply_limits(self) -> None:
-        limits = self._configuration.current.limits
+        current = self._configuration.current
+        if current is None:
+            # A weight version may be read before the first configuration.
+            return
+        limits = current.limits
         self._caller_server.limits = server.HttpLimits(
             limits.header_bytes,
             limits.body_bytes,
--- a/packages/gateway/auburnroad_gateway/process/gateway_test.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway_test.py
@@ -9,6 +9,7 @@
 import json
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -158,6 +159,24 @@
         ready = await self.send(subject, '/', endpoint='ready')
         self.assertEqual(503, ready.status)
 
+    async def test_version_before_first_configuration_is_applied(self):
+        """An exception ended the read of what operators had written."""
+        self.log.put(plain_adapter.PlainAdapter.operator_topic, '#m', b'2')
+        with mock.patch.object(
+            supervision.events, 'write', autospec=True
+        ) as write:
+            subject = await self.start('one')
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                while not subject._operator_tail.is_loaded:
+                    await asyncio.sleep(0.01)
+        written = [entry.args[0] for entry in write.call_args_list]
+        self.assertNotIn('work_failed', written)
+        self.publish()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not subject.is_ready:
+                await asyncio.sleep(0.01)
+        self.assertEqual(2, subject._configuration.announced_versions['m'])
+
     async def test_unknown_route_returns_404(self):
         self.publish()
         subject = await self.start('one')
