Decode the rate limit that a replica's answers name, and log it

Cause: a replica in need names the requests a second that it takes from all hosts together; the gateway didn't read it.

Change: the header is decoded, kept with the replica and logged when it changes. Nothing is decided by it yet.

--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -43,6 +43,8 @@
         is about to load weights.
       leaving: Whether an answer of this incarnation stated that it is about
         to exit. Registrations don't undo this.
+      rate_limit: Requests per second that the replica accepts from all
+        gateways together, as its last answer states; None for no limit.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         'loading_until',
         'vacating',
         'leaving',
+        'rate_limit',
         '_pace_ms',
         '_pace_at',
         '_other_load',
@@ -73,6 +76,7 @@
         self.loading_until = 0.0
         self.vacating = False
         self.leaving = False
+        self.rate_limit: float | None = None
         self._pace_ms = 0.0
         self._pace_at = 0.0
         self._other_load = 0
@@ -142,6 +146,17 @@
                 'replica_leaving', replica=self.id, address=self.address
             )
 
+    def note_rate_limit(self, limit: float | None) -> None:
+        """Record the rate limit that an answer states, None for no limit."""
+        if limit != self.rate_limit:
+            self.rate_limit = limit
+            events.write(
+                'replica_limited',
+                replica=self.id,
+                address=self.address,
+                per_second=limit,
+            )
+
     def note_version(self, model: str, version: int | None) -> None:
         """Record the weight version that an answer or report names."""
         if model and version is not None:
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -160,6 +160,7 @@
             AttemptOutcomeKind.NOT_RUN,
             'status 421: another replica has the address',
         )
+    target.note_rate_limit(head.rate_limit)
     if head.leaving:
         target.note_leaving()
     if head.not_run:
--- a/packages/gateway/auburnroad_gateway/model/call.py
+++ b/packages/gateway/auburnroad_gateway/model/call.py
@@ -47,6 +47,8 @@
       weight_version: Weight version that generates the first event.
       encoded: Whether an intermediary has encoded the body.
       leaving: Whether the replica states that it is about to exit.
+      rate_limit: Requests per second that the replica accepts from all
+        gateways together; None if it states no limit.
     """
 
     request_id: str
@@ -56,6 +58,7 @@
     weight_version: int | None = None
     encoded: bool = False
     leaving: bool = False
+    rate_limit: float | None = None
 
     @property
     def signed(self) -> bool:
