Keep the rate limits of replicas over all gateways together

Cause: nothing counted what all gateways together send to a replica.

Change: an attempt at a replica that names a limit needs a permit, whatever the kind of the request: single requests, streams, items, reward calls. Requests go to replicas without a limit while one is free. Without a permit a request is refused at once, and Retry-After spreads the callers over the time in which permits become available. Weight orders and state reports are no requests in the users' sense and need no permit.

Ruled out: a share of the limit for each gateway. With 34 hosts and a limit of 1 a second a share is useless to each, and shares by demand exceed the limit while many hosts raise theirs at once.

--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -16,6 +16,7 @@
 KINDS: registry.Registry = registry.Registry('fault')
 LEAVING = 'replica-leaving'
 PAUSED = 'gateway-paused'
+LIMITED = 'replica-limited'
 ALL_SILENT = 'all-connections-silent'
 HISTORY_LOST_BEHIND_CUT = 'log-history-lost-behind-cut'
 SLOW_SECONDS = 0.15
@@ -24,6 +25,9 @@
 FAIL_SHARE = 0.5
 LOST_ANSWERS = 5
 REFUSED_SNAPSHOTS = 4
+# Requests per second of a replica that limits its rate, and for how long.
+RATE_LIMITS = (0.5, 1.0, 2.0, 4.0)
+LIMITED_SECONDS = 4.0
 # A process that was killed is started again so much later.
 RESTART_SECONDS = 0.3
 
@@ -240,6 +244,25 @@
         replica.restart()
 
 
+@KINDS.register(LIMITED)
+async def limit_replicas(world, fault) -> None:
+    """Let one replica, or all of its service, limit their rate."""
+    chosen = choose(world.replicas, fault)
+    service = world.engines if chosen in world.engines else world.plain
+    per_second = RATE_LIMITS[int(fault.draw * 97) % len(RATE_LIMITS)]
+    limited = [
+        replica
+        for replica in (service if fault.draw < 0.5 else [chosen])
+        if not replica.is_limited
+    ]
+    with disturb(world, fault.kind, *(replica.id for replica in limited)):
+        for replica in limited:
+            replica.limit(per_second)
+        await asyncio.sleep(LIMITED_SECONDS + fault.seconds)
+        for replica in limited:
+            replica.end_limit()
+
+
 @KINDS.register('replica-slow')
 async def slow_replica(world, fault) -> None:
     replica = choose(world.replicas, fault)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -27,6 +27,12 @@
 # have gone silent are noticed late.
 AFTERMATH_SECONDS = 4.0
 CONFIGURATION_SECONDS = 2.0
+# From so long after a replica first named its rate limit, it gets no more
+# requests in a window than the ratio of what the limit allows, and a few.
+LIMIT_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_EXTRA = 5
 
 
 def check_all(
@@ -225,6 +231,32 @@
                 )
 
 
+@PROMISES.register('limit-kept')
+def check_limits(world, callers):
+    """A replica gets no more than its rate limit from all gateways."""
+    for limit in world.books.limits:
+        allowed = (
+            LIMIT_RATIO * LIMIT_WINDOW_SECONDS * limit.per_second + LIMIT_EXTRA
+        )
+        starts = [
+            run.started
+            for run in world.books.runs
+            if run.replica == limit.replica
+            and limit.start + LIMIT_SECONDS <= run.started < limit.end
+        ]
+        for start in starts:
+            count = sum(
+                start <= other < start + LIMIT_WINDOW_SECONDS
+                for other in starts
+            )
+            if count > allowed:
+                yield (
+                    f'{limit.replica} got {count} requests where '
+                    f'{allowed:g} are allowed'
+                )
+                break
+
+
 @PROMISES.register('stops-cut-nothing')
 def check_answered(world, callers):
     """Where nothing is wrong, a request that was sent has an answer."""
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -208,3 +208,13 @@
         late = build_attempt('added', 404, False, 18.0, path=f'{ROUTE}x')
         self.callers.attempts.append(late)
         self.assertEqual({'configuration-in-time'}, self.find_broken())
+
+    def test_replica_that_gets_more_than_its_limit(self):
+        """Each gateway kept the limit alone, all together did not."""
+        limit = platform_replica.RateLimit('p', 1.0, 10.0, 20.0)
+        self.world.books.limits.append(limit)
+        for number in range(11):
+            self.run_item(f'plain{number}', 'p', 14.0 + number / 10)
+        self.assertEqual(set(), self.find_broken())
+        self.run_item('plain11', 'p', 17.9)
+        self.assertEqual({'limit-kept'}, self.find_broken())
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -32,7 +32,11 @@
 )
 _HANG_UP = 'a hang-up ended a gateway that was still importing its modules'
 # Kinds of faults added after the cases below failed.
-_ADDED_LATER = (faults.HISTORY_LOST_BEHIND_CUT, faults.ALL_SILENT)
+_ADDED_LATER = (
+    faults.HISTORY_LOST_BEHIND_CUT,
+    faults.ALL_SILENT,
+    faults.LIMITED,
+)
 
 CASES: tuple[Case, ...] = (
     Case(1035, 12.0, _HANG_UP, (faults.LEAVING, *_ADDED_LATER)),
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -23,6 +23,7 @@
 from auburnroad_gateway.completion import scoring
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.log import service
+from auburnroad_gateway.members import permits as all_permits
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -53,6 +54,7 @@
         '_membership',
         '_configuration',
         '_directory',
+        '_permits',
         '_owned',
         '_claimer',
         '_resume_tasks',
@@ -74,6 +76,7 @@
         holder,
         replicas,
         reward_caller: reward_calls.RewardCaller,
+        permits: all_permits.Permits,
     ):
         self._settings = settings
         self._adapter = adapter
@@ -82,6 +85,7 @@
         self._membership = membership
         self._configuration = holder
         self._directory = replicas
+        self._permits = permits
         self._owned: dict[str, owned_batches.OwnedBatch] = {}
         self._wake = asyncio.Event()
         self._partial_runs = partial_runs.PartialRunCache()
@@ -268,8 +272,8 @@
                 continue
             owned.route = route
             self._scoring.start_waiting(owned)
-            if owned.waiting and placement.has_free_slot(
-                self._directory.list_ready(route.backends[0].service), now
+            if owned.waiting and self._has_free_slot(
+                route.backends[0].service, now
             ):
                 queue.extend(self._list_queue_entries(owned))
         queue.sort(key=lambda entry: entry[0])
@@ -291,6 +295,14 @@
                 continue
             self._start_attempt(owned, run, target)
 
+    def _has_free_slot(self, service_name: str, now: float) -> bool:
+        """Tell whether a replica could take an item; get missing permits."""
+        candidates = self._directory.list_ready(service_name)
+        limited = placement.list_limited_with_slot(candidates, now)
+        if limited:
+            self._permits.refill(service_name, limited, self._wake.set)
+        return placement.has_free_slot(candidates, now)
+
     def _build_need(
         self, owned, run: runs.ItemRun
     ) -> placement.ItemRequirements:
@@ -356,6 +368,10 @@
         run.progress_at = time.monotonic()
         run.started_at = run.progress_at
         target.in_flight += 1
+        if target.rate_limit is not None:
+            target.use_permit()
+            # More permits may be left for this replica.
+            self._wake.set()
         self._add_memory(owned, run)
         owned.running[run.index] = asyncio.ensure_future(
             self._run_attempt(owned, run)
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -30,6 +30,7 @@
 from auburnroad_gateway.model import settings
 from auburnroad_gateway.weights import duty
 from auburnroad_standins import partition_log
+from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
 
@@ -54,12 +55,14 @@
       version: Weight version that the engine reports.
       stop_after: Number of events of an attempt after which the connection
         breaks; None for a connection that does not break.
+      rate_limit: Rate limit that the engine names; None for no limit.
     """
 
     def __init__(self, pause_seconds=0.0, version=1):
         self.pause_seconds = pause_seconds
         self.version = version
         self.stop_after = None
+        self.rate_limit = None
 
     async def handle(self, request):
         first = int(request.headers.get('after', -1)) + 1
@@ -72,12 +75,16 @@
                 *parts[: self.stop_after],
                 client.BrokenError('reset'),
             ]
+        limited = {}
+        if self.rate_limit is not None:
+            limited['limit'] = str(self.rate_limit)
         return scripted_replicas.Reply(
             200,
             {
                 'signed': '1',
                 'id': request.headers['id'],
                 'version': str(self.version),
+                **limited,
             },
             scripted_replicas.iterate(parts, self.pause_seconds),
         )
@@ -140,6 +147,7 @@
             ),
             {'s': configuration.Service('s', models=('m',))},
         )
+        self.permits = permit_group.PermitGroup('own').permits['own']
         self.subject = owner.Owner(
             membership_test.build_settings(),
             self.adapter,
@@ -152,11 +160,16 @@
             reward_calls.RewardCaller(
                 self.adapter,
                 requests.Forwarder(
-                    self.adapter, self.client, self.replicas, 'a'
+                    self.adapter,
+                    self.client,
+                    self.replicas,
+                    'a',
+                    self.permits,
                 ),
                 self.holder,
                 self.replicas,
             ),
+            self.permits,
         )
         self.tasks = [
             asyncio.create_task(work())
@@ -257,6 +270,20 @@
         texts = await self.wait_texts(5)
         self.assertEqual(['0\n1\n2\n3\n4'] * 5, texts)
 
+    async def test_items_start_at_the_rate_that_a_replica_allows(self):
+        """Runs of items reached a replica far above its limit."""
+        engine = self.add_replica('one')
+        engine.rate_limit = 0.001
+        (target,) = self.replicas.list_all('s')
+        target.note_rate_limit(engine.rate_limit)
+        self.submit(build_submission(3))
+        await self.wait(lambda: self.subject.waiting_count == 3)
+        await self.wait(lambda: 'one' in self.permits._limiter._buckets)
+        self.assertEqual([], self.client.requests)
+        self.permits._limiter._buckets['one'].tokens = 1.0
+        await self.wait_results(1)
+        self.assertEqual(1, len(self.client.requests))
+
     async def test_broken_run_resumes_after_its_last_event(self):
         self.add_replica('one').stop_after = 2
         self.submit()
--- a/packages/gateway/auburnroad_gateway/completion/reward_calls_test.py
+++ b/packages/gateway/auburnroad_gateway/completion/reward_calls_test.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
 
@@ -46,7 +47,13 @@
         self.put_route()
         self.subject = reward_calls.RewardCaller(
             adapter,
-            requests.Forwarder(adapter, self.client, self.replicas, 'a'),
+            requests.Forwarder(
+                adapter,
+                self.client,
+                self.replicas,
+                'a',
+                permit_group.PermitGroup('own').permits['own'],
+            ),
             self.holder,
             self.replicas,
         )
@@ -70,6 +77,15 @@
             return answer
         return scripted_replicas.answer(200, b'', signed='mark')
 
+    async def test_call_waits_for_a_permit_of_a_limited_replica(self):
+        for target in self.replicas.list_all('s'):
+            target.note_rate_limit(0.001)
+        waiting = asyncio.create_task(self.fetch())
+        await asyncio.sleep(0.01)
+        self.assertEqual([], self.client.requests)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+
     async def fetch(self):
         async with asyncio.timeout(TIMEOUT_SECONDS):
             return await self.subject.fetch_score(REWARD, 0, MAX_FAILURES)
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -79,11 +79,30 @@
       None if all candidates were tried.
     """
     untried = [target for target in candidates if target.id not in avoided]
-    preferred = [target for target in untried if target.avoid_until <= now]
-    return min(
-        preferred or untried,
-        key=lambda target: _score_load(target, failure_domain, now),
-        default=None,
+    ordered = order_by_load(untried, failure_domain, now)
+    return ordered[0] if ordered else None
+
+
+def order_by_load(
+    candidates: list[replica.Replica], failure_domain: str, now: float
+) -> list[replica.Replica]:
+    """Order replicas for a single request, the best one first.
+
+    Args:
+      candidates: Replicas of the service that accept new work.
+      failure_domain: Failure domain of this gateway.
+      now: Monotonic time in seconds.
+
+    Returns:
+      The replicas by load; those that are avoided after a failure or refusal
+      come last.
+    """
+    return sorted(
+        candidates,
+        key=lambda target: (
+            target.avoid_until > now,
+            _score_load(target, failure_domain, now),
+        ),
     )
 
 
@@ -102,10 +121,10 @@
       now: Monotonic time in seconds.
 
     Returns:
-      The replica with the best expected pace among those with a free slot
-      and enough memory at present. Replicas that are expected to hold all
-      their runs in memory until completion come first. None if no replica
-      qualifies.
+      The replica with the best expected pace among those with a free slot,
+      enough memory at present and, if it limits its rate, a permit. Replicas
+      that are expected to hold all their runs in memory until completion come
+      first. None if no replica qualifies.
     """
     fresh = list_with_minimum_version(
         candidates, need.model, need.minimum_version
@@ -117,6 +136,7 @@
         if target.avoid_until <= now
         and not target.is_loading(now)
         and target.count_free(now) > 0
+        and target.may_send(now)
         and has_memory(target, need)
         and not is_too_slow(target, median, now)
     ]
@@ -144,10 +164,25 @@
         target.count_free(now) > 0
         and target.avoid_until <= now
         and not target.is_loading(now)
+        and target.may_send(now)
         for target in candidates
     )
 
 
+def list_limited_with_slot(
+    candidates: list[replica.Replica], now: float
+) -> list[replica.Replica]:
+    """List the replicas that limit their rate and could take an item now."""
+    return [
+        target
+        for target in candidates
+        if target.rate_limit is not None
+        and target.count_free(now) > 0
+        and target.avoid_until <= now
+        and not target.is_loading(now)
+    ]
+
+
 def is_faster(
     better: replica.Replica,
     current: replica.Replica,
--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -21,6 +21,8 @@
 # Time without runs after which a measured pace expires, since the replica may
 # have become faster or slower.
 PACE_TTL_SECONDS = 4.0
+# Time after which a permit that was not used is void.
+PERMIT_SECONDS = 0.5
 
 
 class Replica:
@@ -59,6 +61,7 @@
         'vacating',
         'leaving',
         'rate_limit',
+        '_permit_until',
         '_pace_ms',
         '_pace_at',
         '_other_load',
@@ -77,6 +80,7 @@
         self.vacating = False
         self.leaving = False
         self.rate_limit: float | None = None
+        self._permit_until = float('-inf')
         self._pace_ms = 0.0
         self._pace_at = 0.0
         self._other_load = 0
@@ -123,6 +127,25 @@
         """Tell whether the replica is loading weights or about to load."""
         return self.vacating or now < self.loading_until
 
+    def may_send(self, now: float) -> bool:
+        """Tell whether no limit forbids one more attempt now.
+
+        Args:
+          now: Monotonic time in seconds.
+
+        Returns:
+          Whether the replica names no rate limit, or a permit is in hand.
+        """
+        return self.rate_limit is None or now < self._permit_until
+
+    def note_permit(self, now: float) -> None:
+        """Keep a permit for the next attempt."""
+        self._permit_until = now + PERMIT_SECONDS
+
+    def use_permit(self) -> None:
+        """Use up the permit in hand, if any, for an attempt."""
+        self._permit_until = float('-inf')
+
     def note_load(self, load: call.Load | None, now: float) -> None:
         """Record the load that an answer reports.
 
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -15,8 +15,10 @@
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.directory import placement
+from auburnroad_gateway.directory import replica
 from auburnroad_gateway.forwarding import attempt
 from auburnroad_gateway.forwarding import refusals
+from auburnroad_gateway.members import permits as all_permits
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
@@ -43,6 +45,8 @@
       tried_replicas: Ids of the replicas that the request was sent to.
       possible_runs: Number of attempts that may have run the request.
       server_errors: Number of answers with status 500.
+      retry_seconds: Seconds after which the caller should return if the
+        request is refused.
     """
 
     __slots__ = (
@@ -54,6 +58,7 @@
         'tried_replicas',
         'possible_runs',
         'server_errors',
+        'retry_seconds',
         '_caller_deadline_at',
     )
 
@@ -76,6 +81,7 @@
         self.tried_replicas: set[str] = set()
         self.possible_runs = 0
         self.server_errors = 0
+        self.retry_seconds = refusals.RETRY_AFTER_SECONDS
 
     @property
     def may_repeat(self) -> bool:
@@ -102,7 +108,13 @@
 class Forwarder:
     """Forwards requests to replicas."""
 
-    __slots__ = ('_adapter', '_client', '_directory', '_failure_domain')
+    __slots__ = (
+        '_adapter',
+        '_client',
+        '_directory',
+        '_failure_domain',
+        '_permits',
+    )
 
     def __init__(
         self,
@@ -110,18 +122,57 @@
         http_client: client.HttpClient,
         replicas: directory.Directory,
         failure_domain: str,
+        permits: all_permits.Permits,
     ):
         self._adapter = adapter
         self._client = http_client
         self._directory = replicas
         self._failure_domain = failure_domain
+        self._permits = permits
+
+    async def choose_replica(
+        self, pending: PendingRequest
+    ) -> replica.Replica | None:
+        """Choose a replica that the request was not sent to yet, if any.
+
+        A replica that limits its rate is chosen only with a permit, and only
+        if all others are busy.
+        """
+        now = time.monotonic()
+        best = self._choose_unlimited(pending, now)
+        limited = [
+            target
+            for target in self._directory.list_ready(pending.service)
+            if target.rate_limit is not None
+            and target.id not in pending.tried_replicas
+        ]
+        is_free = best is not None and (
+            best.count_free(now) > 0 and best.avoid_until <= now
+        )
+        if is_free or not limited:
+            return best
+        target, retry_seconds = await self._permits.acquire(
+            pending.service,
+            placement.order_by_load(limited, self._failure_domain, now),
+        )
+        if target is not None and self._directory.is_ready(target):
+            return target
+        pending.retry_seconds = max(
+            refusals.RETRY_AFTER_SECONDS, retry_seconds
+        )
+        return best
 
-    def choose_replica(self, pending: PendingRequest):
-        """Choose a replica that the request was not sent to yet, if any."""
+    def _choose_unlimited(
+        self, pending: PendingRequest, now: float
+    ) -> replica.Replica | None:
         return placement.choose_replica(
-            self._directory.list_ready(pending.service),
+            [
+                target
+                for target in self._directory.list_ready(pending.service)
+                if target.rate_limit is None
+            ],
             self._failure_domain,
-            time.monotonic(),
+            now,
             pending.tried_replicas,
         )
 
@@ -176,7 +227,7 @@
         hedge_at = time.monotonic() + (
             HEDGE_LATENCY_SHARE * pending.route.target_latency_ms / 1000
         )
-        self._start_attempt(pending, attempts)
+        await self._start_next(pending, attempts)
         while attempts:
             now = time.monotonic()
             if now >= pending.deadline_at:
@@ -193,25 +244,33 @@
             attempts -= done
             if not done and may_hedge and time.monotonic() >= hedge_at:
                 hedge_at = pending.deadline_at
-                self._start_attempt(pending, attempts)
+                self._start_hedge(pending, attempts)
             for task in done:
                 outcome = task.result()
                 metrics.ATTEMPTS.labels(outcome.end.value).inc()
                 if outcome.succeeded:
                     return outcome.response
                 pending.server_errors += outcome.is_server_error
-                self._retry_if_allowed(pending, attempts, outcome)
+                await self._retry_if_allowed(pending, attempts, outcome)
         return self._build_failure(pending, outcome)
 
-    def _start_attempt(self, pending: PendingRequest, attempts) -> None:
-        if (
-            len(pending.tried_replicas)
-            >= pending.route.max_attempts + EXTRA_ATTEMPTS
-        ):
-            return
-        target = self.choose_replica(pending)
-        if target is None:
-            return
+    async def _start_next(self, pending: PendingRequest, attempts) -> None:
+        """Start an attempt while no other one is in flight."""
+        if _may_try(pending):
+            target = await self.choose_replica(pending)
+            if target is not None:
+                self._start_attempt(pending, attempts, target)
+
+    def _start_hedge(self, pending: PendingRequest, attempts) -> None:
+        """Start a hedged attempt; permits are left to first attempts."""
+        if _may_try(pending):
+            target = self._choose_unlimited(pending, time.monotonic())
+            if target is not None:
+                self._start_attempt(pending, attempts, target)
+
+    def _start_attempt(
+        self, pending: PendingRequest, attempts, target: replica.Replica
+    ) -> None:
         pending.tried_replicas.add(target.id)
         pending.possible_runs += 1
         request = self.build_request(
@@ -233,15 +292,15 @@
         task.add_done_callback(lambda _: target.note_end())
         attempts.add(task)
 
-    def _retry_if_allowed(
+    async def _retry_if_allowed(
         self, pending: PendingRequest, attempts, outcome: attempt.Outcome
     ) -> None:
         if outcome.end is attempt.AttemptOutcomeKind.NOT_RUN:
             pending.possible_runs -= 1
             if not attempts:
-                self._start_attempt(pending, attempts)
+                await self._start_next(pending, attempts)
         elif pending.may_repeat and not attempts:
-            self._start_attempt(pending, attempts)
+            await self._start_next(pending, attempts)
 
     def _build_failure(
         self, pending: PendingRequest, outcome
@@ -253,9 +312,7 @@
             and not pending.possible_runs
         ):
             self._write_failure(pending, 'refused', outcome.reason)
-            return refusals.build_refusal(
-                'no_replica', refusals.RETRY_AFTER_SECONDS
-            )
+            return refusals.build_refusal('no_replica', pending.retry_seconds)
         self._write_failure(pending, 'failed', outcome.reason)
         return refusals.build_error(502, 'no_answer')
 
@@ -277,3 +334,9 @@
             reason=reason,
             replicas=sorted(pending.tried_replicas),
         )
+
+
+def _may_try(pending: PendingRequest) -> bool:
+    """Tell whether a request may be sent to one more replica."""
+    limit = pending.route.max_attempts + EXTRA_ATTEMPTS
+    return len(pending.tried_replicas) < limit
--- a/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
 
@@ -53,7 +54,11 @@
             ) % (name, name, name)
             self.replicas.apply(service.KeyedRecord(name, value.encode(), 0))
         self.forwarder = requests.Forwarder(
-            self.adapter, self.client, self.replicas, 'near'
+            self.adapter,
+            self.client,
+            self.replicas,
+            'near',
+            permit_group.PermitGroup('own').permits['own'],
         )
         self.client.handle('far:1', self.answer)
 
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -44,7 +44,7 @@
         last_event_id = pending.head.last_event_id
         timeout_at = pending.deadline_at
         while time.monotonic() < timeout_at:
-            target = self._forwarder.choose_replica(pending)
+            target = await self._forwarder.choose_replica(pending)
             if target is None:
                 break
             try:
@@ -64,9 +64,7 @@
         events.write(
             'stream_refused', request=pending.head.request_id, reason=reason
         )
-        return refusals.build_refusal(
-            'no_replica', refusals.RETRY_AFTER_SECONDS
-        )
+        return refusals.build_refusal('no_replica', pending.retry_seconds)
 
     async def _open_stream(self, pending, target, last_event_id):
         pending.tried_replicas.add(target.id)
@@ -130,7 +128,7 @@
 
     async def _resume(self, pending, last_event_id):
         while pending.may_repeat and pending.route.resumable:
-            target = self._forwarder.choose_replica(pending)
+            target = await self._forwarder.choose_replica(pending)
             if target is None:
                 break
             opened = await self._open_stream(pending, target, last_event_id)
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -18,6 +18,7 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
 
@@ -38,7 +39,13 @@
                 '"failure_domain":"%s","slots":2,"state":"ready"}'
             ) % (name, name, name)
             replicas.apply(service.KeyedRecord(name, value.encode(), 0))
-        forwarder = requests.Forwarder(adapter, self.client, replicas, 'near')
+        forwarder = requests.Forwarder(
+            adapter,
+            self.client,
+            replicas,
+            'near',
+            permit_group.PermitGroup('own').permits['own'],
+        )
         self.stream_forwarder = streams.StreamForwarder(
             adapter, self.client, forwarder
         )
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -203,6 +203,13 @@
         """Tell whether an incarnation is alive and not leaving."""
         return incarnation in self.alive
 
+    def find_address(self, incarnation: str) -> str:
+        """Find the address of a gateway for others; empty if unknown."""
+        for member in self._members.values():
+            if member.heartbeat.incarnation == incarnation:
+                return member.heartbeat.address
+        return ''
+
     def list_peers(self) -> list[str]:
         """List the addresses of gateways that may relay calls to the log.
 
--- a/packages/gateway/auburnroad_gateway/members/membership_test.py
+++ b/packages/gateway/auburnroad_gateway/members/membership_test.py
@@ -218,6 +218,14 @@
             self.subject.incarnation, self.subject.choose_member('work')
         )
 
+    def test_address_of_a_member_is_found_by_its_incarnation(self):
+        heartbeat = membership.Heartbeat('young', 'b:1', False)
+        self.subject.apply(
+            service.KeyedRecord('b', msgspec.msgpack.encode(heartbeat), 0)
+        )
+        self.assertEqual('b:1', self.subject.find_address('young'))
+        self.assertEqual('', self.subject.find_address('gone'))
+
     def test_undecodable_heartbeat_adds_no_member(self):
         self.subject.apply(service.KeyedRecord('x', b'{"a": 1}', 0))
         self.assertEqual([], self.subject.list_peers())
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -23,6 +23,7 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
+from auburnroad_gateway.members import permits
 from auburnroad_gateway.members import relay
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
@@ -88,6 +89,9 @@
         self._duties = duty.Duties(
             self._members, self._log, settings.bounds.lease_ms
         )
+        self._permits = permits.Permits(
+            self._members, self._duties, self._peer_client
+        )
         self._build_tails()
         self._build_request_handling()
 
@@ -251,7 +255,11 @@
         )
         self._reader = reading.Reader(adapter, self._journal)
         self._forwarder = requests.Forwarder(
-            adapter, self._client, self._directory, settings.failure_domain
+            adapter,
+            self._client,
+            self._directory,
+            settings.failure_domain,
+            self._permits,
         )
         self._owner = owner.Owner(
             settings,
@@ -268,6 +276,7 @@
                 self._configuration,
                 self._directory,
             ),
+            self._permits,
         )
         self._streams = streams.StreamForwarder(
             adapter, self._client, self._forwarder
@@ -311,6 +320,8 @@
     async def _handle_peer(self, request) -> messages.Response:
         if request.path == relay.PATH:
             return await relay.serve(self._log.direct, request)
+        if request.path == permits.PATH:
+            return await self._permits.serve(request)
         return messages.Response(404)
 
     async def _handle_caller(self, request) -> messages.Response:
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -46,6 +46,12 @@
     ['end'],
     registry=REGISTRY,
 )
+PERMITS = prometheus_client.Counter(
+    'auburnroad_permits',
+    'Calls for permits of replicas that limit their rate, by their outcome.',
+    ['outcome'],
+    registry=REGISTRY,
+)
 RUNS = prometheus_client.Counter(
     'auburnroad_item_runs',
     'Attempts of batch items at replicas, by how they ended.',
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -128,6 +128,24 @@
             service
         )
 
+    def choose_granting(self, service: str) -> str:
+        """Choose the gateway that grants the permits of a service.
+
+        Without a holder of its own, a service shares the holder of another:
+        holders change least when gateways are restarted, and their loss is
+        noticed soonest.
+
+        Args:
+          service: Name of the service.
+
+        Returns:
+          Incarnation of the gateway; empty if no gateway can be chosen.
+        """
+        for name in (service, *sorted(self._duties)):
+            if holder := self.find_holder(name):
+                return holder
+        return self._membership.choose_member(service)
+
     def find_fence(self, service: str) -> int:
         """Find the fencing number of a service's duty."""
         return self._duties[service].fence
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -76,6 +76,20 @@
                 self.subject.choose_runner('s'),
             )
 
+    async def test_service_without_a_duty_shares_the_holder_of_another(self):
+        """Permits moved with each restart in turn, and none were granted."""
+        heartbeat = membership.Heartbeat('other', 'b:1', False)
+        self.members.apply(
+            service.KeyedRecord('b', msgspec.msgpack.encode(heartbeat), 0)
+        )
+        plain = self.subject.choose_granting('plain')
+        self.assertEqual(self.members.choose_member('plain'), plain)
+        for holder in (self.members.incarnation, 'other'):
+            self.log.put(duty.TOPIC, 's', build_holder(holder))
+            await self.tail.catch_up()
+            for name in ('s', 'plain'):
+                self.assertEqual(holder, self.subject.choose_granting(name))
+
     async def test_duty_without_previous_holder_is_claimed_immediately(self):
         await self.claim()
         self.assertEqual(
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -67,8 +67,9 @@
         return {'host': reward.host, 'id': reward.id}
 
     def decode_response_head(self, headers):
-        """Decode 'id', 'signed', 'not-run', 'version' and 'leaving'."""
+        """Decode 'id', 'signed', 'not-run', 'version', 'leaving', 'limit'."""
         version = headers.get('version')
+        limit = headers.get('limit')
         return call.AnswerHead(
             headers.get('id', ''),
             headers.get('signed', ''),
@@ -76,6 +77,7 @@
             None,
             int(version) if version else None,
             leaving='leaving' in headers,
+            rate_limit=float(limit) if limit else None,
         )
 
     def split_event_version(self, data):
--- a/packages/standins/auburnroad_standins/platform_replica.py
+++ b/packages/standins/auburnroad_standins/platform_replica.py
@@ -49,6 +49,22 @@
     version: int
 
 
+class RateLimit(msgspec.Struct):
+    """A time in which a replica limits its rate.
+
+    Attributes:
+      replica: Id of the replica.
+      per_second: Requests per second that it accepts.
+      start: Start in seconds of the event loop's clock.
+      end: End in the same; infinite until the limit has ended.
+    """
+
+    replica: str
+    per_second: float
+    start: float
+    end: float = float('inf')
+
+
 class Books(msgspec.Struct):
     """Records of all replicas in a soak.
 
@@ -61,6 +77,7 @@
         generated, by request id, in seconds of the event loop's clock.
       drained: Time of each replica's first registration as draining, by
         replica id, in seconds of the event loop's clock.
+      limits: Rate limits that replicas named in their answers.
     """
 
     runs: list[Run] = []
@@ -68,6 +85,7 @@
     generated: dict[tuple[str, int], set[int]] = {}
     last_events: dict[str, float] = {}
     drained: dict[str, float] = {}
+    limits: list[RateLimit] = []
 
 
 def count_events(item_id: str) -> int:
@@ -112,6 +130,7 @@
         self.pause_seconds = 0.01
         self.down = False
         self.leaving = False
+        self._limit: RateLimit | None = None
         self._service = service
         self._domain = domain
         self._slots = slots
@@ -137,6 +156,22 @@
         self.leaving = False
         self._started_ms = max(self._started_ms + 1, clock.time_now_ms())
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether answers name a rate limit."""
+        return self._limit is not None
+
+    def limit(self, per_second: float) -> None:
+        """Name a rate limit in all answers from now on."""
+        now = asyncio.get_running_loop().time()
+        self._limit = RateLimit(self.id, per_second, now)
+        self._books.limits.append(self._limit)
+
+    def end_limit(self) -> None:
+        """Name no rate limit any more."""
+        self._limit.end = asyncio.get_running_loop().time()
+        self._limit = None
+
     def drain(self) -> None:
         """Announce 'draining' from the next registration on."""
         self._draining = True
@@ -188,7 +223,17 @@
         }
         if self.leaving:
             headers['server-leaving'] = '1'
-        return headers
+        return {**headers, **self._build_limit_header()}
+
+    def _build_limit_header(self) -> dict[str, str]:
+        if self._limit is None:
+            return {}
+        return {'server-limit': str(self._limit.per_second)}
+
+    def _refuse(self) -> messages.Response:
+        return messages.Response(
+            503, {'not-executed': '1', **self._build_limit_header()}
+        )
 
     def _start_run(self, request) -> str | None:
         """Record a run and return its request id; None without a free slot."""
@@ -217,7 +262,7 @@
     async def _handle_request(self, request) -> messages.Response:
         request_id = self._start_run(request)
         if request_id is None:
-            return messages.Response(503, {'not-executed': '1'})
+            return self._refuse()
         self._running += 1
         try:
             await asyncio.sleep(self.pause_seconds)
@@ -270,7 +315,7 @@
             return self._handle_order(json.loads(request.body))
         request_id = None if self._is_loading else self._start_run(request)
         if request_id is None:
-            return messages.Response(503, {'not-executed': '1'})
+            return self._refuse()
         headers = self._build_headers(request_id)
         headers['weight-versions'] = str(self.version)
         if self._should_fail(request_id):
