Give up responses that have no end, with bounded memory

Cause: a body was collected without a limit until the deadline of its request, or until the process was killed for its memory; an event stream without a blank line likewise, at a cost that grows with the square of its size. Interim responses and responses to other requests were skipped without end. The body of a refusal was read to its end before the request was sent to another replica.

Change: bodies share an eighth of the process's memory; one may be as large as what is left for others. At most 16 responses are skipped. A body that isn't used is read for 64 KiB and 0.1 s at most. A stream breaks after 1 MiB without an event, and bytes that are no event are not passed on. The soak lets replicas answer without end and checks the peak memory of each gateway against the smallest host's 128 MB.

Ruled out: heads, which h11 limits to 16 KiB, chunk sizes included.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -8,6 +8,10 @@
 ones work. A request that is given up without a response on a pooled connection
 therefore discards the connections that were idle when it was sent, and a
 client may limit how long a connection is idle.
+
+A server may also send bytes without end. h11 limits the size of a head; this
+module limits interim responses, responses to other requests, and the memory
+for bodies.
 """
 
 import asyncio
@@ -29,6 +33,13 @@
 KEEP_ALIVE_FRACTION = 0.8
 # For servers that don't send their idle timeout.
 DEFAULT_IDLE_SECONDS = 30.0
+# Interim responses, or responses to other requests, before the one to a
+# request.
+MAX_SKIPPED_RESPONSES = 16
+# Size of a body that is read only so that its connection can be reused.
+MAX_DISCARDED_BYTES = 65536
+DISCARD_SECONDS = 0.1
+BODY_BUDGET_BYTES = 512 * 1024 * 1024
 # A request given up sooner tells nothing about its connection.
 SILENCE_SECONDS = 0.1
 
@@ -102,6 +113,41 @@
             self.writer.write(data)
 
 
+class BodyBudget:
+    """Memory for the bodies that a client is reading.
+
+    A body may be as large as the memory that is left. An endless one then
+    leaves room for others, and several of them share the memory evenly.
+
+    Attributes:
+      used_bytes: Total size of the bodies as read so far.
+    """
+
+    __slots__ = ('used_bytes', '_total_bytes')
+
+    def __init__(self, total_bytes: int):
+        self.used_bytes = 0
+        self._total_bytes = total_bytes
+
+    def add(self, part_bytes: int, body_bytes: int) -> None:
+        """Use memory for a part of a body.
+
+        Args:
+          part_bytes: Size of the part.
+          body_bytes: Size of the body with this part.
+
+        Raises:
+          BrokenError: If the body is larger than the memory that is left.
+        """
+        self.used_bytes += part_bytes
+        if body_bytes > self._total_bytes - self.used_bytes:
+            raise BrokenError(f'a body of {body_bytes} bytes is too large')
+
+    def release(self, body_bytes: int) -> None:
+        """Return the memory of a body."""
+        self.used_bytes -= body_bytes
+
+
 class Reply:
     """A response whose body may not have been received yet."""
 
@@ -146,9 +192,36 @@
           The body.
 
         Raises:
-          BrokenError: If the connection fails before the end of the body.
+          BrokenError: If the connection fails before the end of the body,
+            or the body is too large.
         """
-        return b''.join([part async for part in self.iterate()])
+        parts = []
+        size = 0
+        budget = self._client.body_budget
+        try:
+            async for part in self.iterate():
+                parts.append(part)
+                size += len(part)
+                budget.add(len(part), size)
+            return b''.join(parts)
+        finally:
+            budget.release(size)
+            self.close()
+
+    async def discard(self) -> None:
+        """Read a short body that is not used, or close the connection."""
+        size = 0
+        try:
+            async with asyncio.timeout(DISCARD_SECONDS):
+                async for part in self.iterate():
+                    size += len(part)
+                    if size > MAX_DISCARDED_BYTES:
+                        return
+        except (BrokenError, TimeoutError):
+            # The body is not used.
+            return
+        finally:
+            self.close()
 
     def close(self) -> None:
         """Close the connection if the body was not read to its end."""
@@ -158,14 +231,24 @@
 
 
 class HttpClient:
-    """Sends requests to any address over pooled connections."""
+    """Sends requests to any address over pooled connections.
+
+    Attributes:
+      body_budget: Memory for the bodies that are being read.
+    """
 
-    __slots__ = ('_idle', '_connect_timeout_seconds', '_max_idle_seconds')
+    __slots__ = (
+        'body_budget',
+        '_idle',
+        '_connect_timeout_seconds',
+        '_max_idle_seconds',
+    )
 
     def __init__(
         self,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
         max_idle_seconds: float = float('inf'),
+        body_budget_bytes: int = BODY_BUDGET_BYTES,
     ):
         """Create a client without connections.
 
@@ -173,7 +256,9 @@
           connect_timeout_seconds: Timeout of opening a connection.
           max_idle_seconds: Time after which an idle connection isn't reused,
             whatever the server allows.
+          body_budget_bytes: Memory for all bodies that are being read.
         """
+        self.body_budget = BodyBudget(body_budget_bytes)
         self._idle = collections.defaultdict(collections.deque)
         self._connect_timeout_seconds = connect_timeout_seconds
         self._max_idle_seconds = max_idle_seconds
@@ -296,15 +381,20 @@
         for event in events:
             connection.send(event)
         await connection.writer.drain()
-        reply = await self._read_head(address, connection)
-        while is_own is not None and not is_own(reply.headers):
-            await _skip_response(address, connection, events)
+        for _ in range(MAX_SKIPPED_RESPONSES):
             reply = await self._read_head(address, connection)
-        return reply
+            if is_own is None or is_own(reply.headers):
+                return reply
+            await _skip_response(address, connection, events)
+        raise BrokenError(f'{address}: too many stray responses')
 
     async def _read_head(self, address, connection) -> Reply:
         event = await connection.next_event()
+        skipped = 0
         while isinstance(event, h11.InformationalResponse):
+            skipped += 1
+            if skipped > MAX_SKIPPED_RESPONSES:
+                raise BrokenError(f'{address}: too many interim responses')
             event = await connection.next_event()
         if not isinstance(event, h11.Response):
             raise BrokenError(f'{address}: closed without a response')
@@ -336,7 +426,9 @@
 ) -> None:
     """Skip a response to another request and prepare h11 for the next."""
     event = await connection.next_event()
-    while isinstance(event, h11.Data):
+    size = 0
+    while isinstance(event, h11.Data) and size <= MAX_DISCARDED_BYTES:
+        size += len(event.data)
         event = await connection.next_event()
     if not isinstance(event, h11.EndOfMessage):
         raise BrokenError(f'{address}: a stray response ended early')
--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -17,6 +17,7 @@
 LEAVING = 'replica-leaving'
 PAUSED = 'gateway-paused'
 LIMITED = 'replica-limited'
+ENDLESS = 'replica-endless'
 ALL_SILENT = 'all-connections-silent'
 HISTORY_LOST_BEHIND_CUT = 'log-history-lost-behind-cut'
 SLOW_SECONDS = 0.15
@@ -263,6 +264,16 @@
             replica.end_limit()
 
 
+@KINDS.register(ENDLESS)
+async def answer_without_end(world, fault) -> None:
+    """Let a replica send bytes that are no answer until callers close."""
+    replica = choose(world.replicas, fault)
+    with disturb(world, fault.kind, replica.id):
+        replica.endless = True
+        await asyncio.sleep(fault.seconds)
+        replica.endless = False
+
+
 @KINDS.register('replica-slow')
 async def slow_replica(world, fault) -> None:
     replica = choose(world.replicas, fault)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -257,6 +257,16 @@
                 break
 
 
+@PROMISES.register('memory-bounded')
+def check_memory(world, callers):
+    """No gateway takes more memory than its host has."""
+    for gateway in world.gateways:
+        if gateway.process.running:
+            peak_mb = gateway.find_peak_mb()
+            if peak_mb > worlds.MEMORY_MB:
+                yield f'{gateway.name} took {peak_mb:.0f} MB'
+
+
 @PROMISES.register('stops-cut-nothing')
 def check_answered(world, callers):
     """Where nothing is wrong, a request that was sent has an answer."""
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -26,9 +26,13 @@
         self.disturbances = []
         self.routes_added = [(ROUTE, 0.0)]
         self.plain = []
+        self.peak_mb = 50.0
         self.gateways = [
             types.SimpleNamespace(
-                name='g', starts=1, process=types.SimpleNamespace(running=True)
+                name='g',
+                starts=1,
+                process=types.SimpleNamespace(running=True),
+                find_peak_mb=lambda: self.peak_mb,
             )
         ]
 
@@ -218,3 +222,7 @@
         self.assertEqual(set(), self.find_broken())
         self.run_item('plain11', 'p', 17.9)
         self.assertEqual({'limit-kept'}, self.find_broken())
+
+    def test_gateway_that_takes_more_memory_than_its_host_has(self):
+        self.world.peak_mb = worlds.MEMORY_MB + 1.0
+        self.assertEqual({'memory-bounded'}, self.find_broken())
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -36,6 +36,7 @@
     faults.HISTORY_LOST_BEHIND_CUT,
     faults.ALL_SILENT,
     faults.LIMITED,
+    faults.ENDLESS,
 )
 
 CASES: tuple[Case, ...] = (
--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -46,6 +46,8 @@
 # and from SIGTERM to SIGKILL.
 DRAIN_SECONDS = 2.0
 GRACE_SECONDS = 8.0
+# Memory of the smallest hosts of the users' deployments.
+MEMORY_MB = 128
 VARIABLE = 'AUBURNROAD_NODE_FILE'
 
 
@@ -104,10 +106,20 @@
             METRICS_PORT,
             self.relay.address,
             heartbeat_ms=int(REGISTER_SECONDS * 1000),
+            memory_mb=MEMORY_MB,
             bounds=gateway_settings.Bounds(grace_s=GRACE_SECONDS),
         )
         self._settings_path.write_bytes(msgspec.json.encode(settings))
 
+    def find_peak_mb(self) -> float:
+        """Find the peak memory of the process in megabytes."""
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        for line in status.splitlines():
+            name, _, value = line.partition(':')
+            if name == 'VmHWM':
+                return int(value.split()[0]) / 1024
+        return 0.0
+
     def start(self) -> None:
         """Start the process."""
         self.starts += 1
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -173,7 +173,7 @@
             opened.reply.close()
             return AttemptEnd.STALE
         return await _read_events(adapter, run, constraints, opened)
-    await opened.reply.read()
+    await opened.reply.discard()
     if status == UNPROCESSABLE_STATUS:
         return AttemptEnd.IMPOSSIBLE
     target.note_failure(time.monotonic())
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -164,7 +164,7 @@
     if head.leaving:
         target.note_leaving()
     if head.not_run:
-        await _discard_body(reply)
+        await reply.discard()
         target.note_refusal(now)
         return Outcome(
             AttemptOutcomeKind.NOT_RUN,
@@ -212,12 +212,3 @@
         f'status {status}',
         messages.Response(status, headers, body),
     )
-
-
-async def _discard_body(reply: client.Reply) -> None:
-    """Read a short body to its end, so that the connection can be reused."""
-    try:
-        await reply.read()
-    except client.HttpError:
-        # The body is not used, and the client has closed the connection.
-        return
--- a/packages/gateway/auburnroad_gateway/forwarding/event_stream.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/event_stream.py
@@ -1,7 +1,8 @@
 """Parses the event stream of a replica into complete events.
 
 A replica may fail in the middle of an event. The incomplete event is dropped,
-so that the stream can be resumed after the last complete event.
+so that the stream can be resumed after the last complete event. A replica may
+also send bytes without end that are no events.
 """
 
 import typing
@@ -12,6 +13,10 @@
 from auburnroad_gateway import adapter as adapters
 
 
+# Size of one event, with the bytes before it that are no events.
+MAX_EVENT_BYTES = 1 << 20
+
+
 class Event(msgspec.Struct, frozen=True):
     """One event of a stream.
 
@@ -41,14 +46,23 @@
       Complete events.
 
     Raises:
-      client.BrokenError: If the stream breaks before its end.
+      client.BrokenError: If the stream breaks before its end, or has too
+        many bytes without an event.
     """
     buffer = b''
+    skipped_bytes = 0
     async for chunk in reply.iterate():
         buffer += chunk.replace(b'\r\n', b'\n')
         *complete, buffer = buffer.split(b'\n\n')
         for raw in complete:
-            yield parse_event(raw, adapter)
+            event = parse_event(raw, adapter)
+            if event.id is None and not event.data:
+                skipped_bytes += len(event.raw)
+                continue
+            skipped_bytes = 0
+            yield event
+        if skipped_bytes + len(buffer) > MAX_EVENT_BYTES:
+            raise client.BrokenError('too many bytes without an event')
     if buffer.strip():
         raise client.BrokenError(
             'event stream ended in the middle of an event'
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -5,6 +5,7 @@
 error.
 """
 
+import itertools
 import time
 import unittest
 
@@ -108,6 +109,35 @@
         self.assertEqual('far:1', response.headers['from'])
 
 
+class EndlessStreamTest(unittest.IsolatedAsyncioTestCase):
+    """Streams of bytes that are no events."""
+
+    async def read(self, parts):
+        async def iterate():
+            for part in parts:
+                self.read_bytes += len(part)
+                yield part
+
+        self.read_bytes = 0
+        reply = scripted_replicas.Reply(200, {}, iterate())
+        return [
+            event.id
+            async for event in event_stream.iterate_events(
+                reply, plain_adapter.PlainAdapter()
+            )
+        ]
+
+    async def test_bytes_without_events_break_the_stream(self):
+        """They were collected until the process ran out of memory."""
+        limit = 2 * event_stream.MAX_EVENT_BYTES
+        for part in (b'x' * 5000, b': x\n\n' * 1000, b'\n' * 5000):
+            with self.subTest(part[:5]):
+                parts = itertools.repeat(part, 2 * limit // len(part))
+                with self.assertRaises(client.BrokenError):
+                    await self.read(itertools.chain(EVENTS[:1], parts))
+                self.assertLess(self.read_bytes, limit)
+
+
 class ParseEventTest(unittest.TestCase):
     """Parsing of the lines of one event."""
 
--- a/packages/gateway/auburnroad_gateway/model/settings.py
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -47,6 +47,7 @@
       log_address: 'IP:port' of the log service.
       cpu_share: Share of the host's processor that this process may use.
       cpu_speed: Speed of that processor relative to a reference core.
+      memory_mb: Memory in megabytes that this process may use.
       heartbeat_ms: Milliseconds between renewals of a replica's registration.
       log_limits: Limits of the log service.
       bounds: Time limits of the deployment.
@@ -62,6 +63,7 @@
     log_address: str
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
+    memory_mb: int = 512
     heartbeat_ms: int = 1200
     log_limits: LogLimits = LogLimits()
     bounds: Bounds = Bounds()
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -41,6 +41,10 @@
 EXPIRE_INTERVAL_SECONDS = 0.2
 # Within a site a connection opens in about 1 ms or not at all.
 CONNECT_TIMEOUT_SECONDS = 0.4
+# Share of the process's memory for bodies of replicas' responses. While its
+# parts are joined, a body takes twice its size.
+BODY_MEMORY_SHARE = 0.125
+BYTES_PER_MB = 1 << 20
 # Minimum time that a stopping gateway keeps serving requests. The balancer
 # checks readiness once a second and sends new connections until two checks
 # have failed.
@@ -76,7 +80,12 @@
         self._stopping = False
         self._response_deadline_at = float('inf')
         self._closed = asyncio.Event()
-        self._client = client.HttpClient(CONNECT_TIMEOUT_SECONDS)
+        self._client = client.HttpClient(
+            CONNECT_TIMEOUT_SECONDS,
+            body_budget_bytes=int(
+                BODY_MEMORY_SHARE * settings.memory_mb * BYTES_PER_MB
+            ),
+        )
         self._peer_client = client.HttpClient(
             CONNECT_TIMEOUT_SECONDS, service.MAX_IDLE_SECONDS
         )
--- a/packages/standins/auburnroad_standins/platform_replica.py
+++ b/packages/standins/auburnroad_standins/platform_replica.py
@@ -22,6 +22,7 @@
 # The shortest text has 3 events and the longest 29, about ten times as many.
 EVENT_COUNT_RANGE = 27
 LOAD_SECONDS = 0.3
+FILLER = b'x' * 65536
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -105,6 +106,13 @@
     )
 
 
+async def repeat_bytes():
+    """Yield bytes that are no answer until the caller closes."""
+    while True:
+        yield FILLER
+        await asyncio.sleep(0)
+
+
 class Replica:
     """Common base of engines and plain services.
 
@@ -118,6 +126,7 @@
         plain service, in seconds.
       down: Whether the replica stops responding, as after a crash.
       leaving: Whether answers state that the replica is about to exit.
+      endless: Whether the bodies of answers have no end.
     """
 
     def __init__(
@@ -130,6 +139,7 @@
         self.pause_seconds = 0.01
         self.down = False
         self.leaving = False
+        self.endless = False
         self._limit: RateLimit | None = None
         self._service = service
         self._domain = domain
@@ -269,6 +279,8 @@
         finally:
             self._running -= 1
         headers = self._build_headers(request_id)
+        if self.endless:
+            return messages.Response(200, headers, chunks=repeat_bytes())
         if self._should_fail(request_id):
             return messages.Response(500, headers, b'failed')
         return messages.Response(200, headers, request.body)
@@ -321,6 +333,8 @@
         if self._should_fail(request_id):
             return messages.Response(500, headers, b'failed')
         headers['content-type'] = messages.SSE_TYPE
+        if self.endless:
+            return messages.Response(200, headers, chunks=repeat_bytes())
         first = int(request.headers.get('last-event-id', -1)) + 1
         return messages.Response(
             200, headers, chunks=self._generate(request_id, first)
--- a/packages/standins/auburnroad_standins/scripted_replicas.py
+++ b/packages/standins/auburnroad_standins/scripted_replicas.py
@@ -30,6 +30,13 @@
         """Read the whole body."""
         return b''.join([part async for part in self.iterate()])
 
+    async def discard(self) -> None:
+        """Read the body to its end."""
+        try:
+            await self.read()
+        except client.HttpError:
+            return
+
     def close(self) -> None:
         """Record that the reader has closed the response."""
         self.closed = True
