Save up more permits for the items of a step, which come at once

Cause: permits were saved up for half a second only. A step's items come at once, so that the limited engines got two thirds of what they allow.

Change: permits are saved up for one second at the rate of the limit, and two more. With the 0.5 s for which a permit is valid that is at most 5.5 seconds of the limit and two requests in 4 s; six seconds and five are allowed.

Ruled out: a higher rate than the limit.

--- a/packages/gateway/auburnroad_gateway/directory/rate_limit.py
+++ b/packages/gateway/auburnroad_gateway/directory/rate_limit.py
@@ -15,9 +15,10 @@
 # Time after which all gateways ask the next gateway that grants permits: a
 # heartbeat and a read of it.
 HANDOVER_SECONDS = 1.0
-# Permits saved up while nobody asks, in seconds at the rate of the limit; at
-# least one permit.
-BURST_SECONDS = 0.5
+# Permits saved up while nobody asks, since the items of a step come at once:
+# those of some time at the rate of the limit, and a few.
+BURST_SECONDS = 1.0
+BURST_PERMITS = 2.0
 # A gateway that has had no answer for a while may still name an earlier,
 # higher limit. The lowest limit that was named within this time counts.
 LIMIT_MEMORY_SECONDS = 2.0
@@ -87,7 +88,7 @@
             self.per_second = per_second
             self.limited_at = now
         added = self.per_second * max(0.0, now - self.updated_at)
-        capacity = max(1.0, self.per_second * BURST_SECONDS)
+        capacity = self.per_second * BURST_SECONDS + BURST_PERMITS
         self.tokens = min(capacity, self.tokens + added)
         self.updated_at = now
 
