Separate the refill of permits from the search for a free slot

Cause: read as a newcomer, a method that tells something also got permits.

Change: two steps; no change of behaviour.

Measured: the owner's and the permits' unit tests pass.

--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -272,9 +272,10 @@
                 continue
             owned.route = route
             self._scoring.start_waiting(owned)
-            if owned.waiting and self._has_free_slot(
-                route.backends[0].service, now
-            ):
+            if not owned.waiting:
+                continue
+            candidates = self._refill_permits(route.backends[0].service, now)
+            if placement.has_free_slot(candidates, now):
                 queue.extend(self._list_queue_entries(owned))
         queue.sort(key=lambda entry: entry[0])
         unplaceable = set()
@@ -295,13 +296,13 @@
                 continue
             self._start_attempt(owned, run, target)
 
-    def _has_free_slot(self, service_name: str, now: float) -> bool:
-        """Tell whether a replica could take an item; get missing permits."""
+    def _refill_permits(self, service_name: str, now: float):
+        """Get permits for the replicas that need one; return all replicas."""
         candidates = self._directory.list_ready(service_name)
         limited = placement.list_limited_with_slot(candidates, now)
         if limited:
             self._permits.refill(service_name, limited, self._wake.set)
-        return placement.has_free_slot(candidates, now)
+        return candidates
 
     def _build_need(
         self, owned, run: runs.ItemRun
