Let the soak limit all plain replicas, and none that is limited already

Cause: whether all replicas of a service limit their rate was drawn by the same number as the replica, so that it was only ever the engines; and a fault that met limited replicas only was noted as one of the log service, which excused every gateway.

Change: drawn by other digits; such a fault does nothing.

Measured: two schedules written by hand (all plain replicas and all engines limited while 6 and 14 gateways are killed and stopped, the log is down, connections go silent) break no promise.

--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -251,11 +251,14 @@
     chosen = choose(world.replicas, fault)
     service = world.engines if chosen in world.engines else world.plain
     per_second = RATE_LIMITS[int(fault.draw * 97) % len(RATE_LIMITS)]
+    of_all = int(fault.draw * 1009) % 2 == 0
     limited = [
         replica
-        for replica in (service if fault.draw < 0.5 else [chosen])
+        for replica in (service if of_all else [chosen])
         if not replica.is_limited
     ]
+    if not limited:
+        return
     with disturb(world, fault.kind, *(replica.id for replica in limited)):
         for replica in limited:
             replica.limit(per_second)
