--- a/packages/gateway/auburnroad_gateway/process/gateway_test.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway_test.py
@@ -53,6 +53,21 @@
 )
 
 
+def build_settings(name: str) -> settings.Settings:
+    """Build the settings of a gateway on free ports of loopback."""
+    return settings.Settings(
+        name,
+        '127.0.0.1',
+        'a',
+        '127.0.0.1:0',
+        '127.0.0.1:0',
+        0,
+        0,
+        'unused',
+        bounds=settings.Bounds(grace_s=4.0),
+    )
+
+
 class Adapter(plain_adapter.PlainAdapter):
     """Plain adapter with a given log; decodes batch calls from headers."""
 
@@ -117,20 +132,7 @@
         )
 
     async def start(self, name):
-        subject = gateway.Gateway(
-            settings.Settings(
-                name,
-                '127.0.0.1',
-                'a',
-                '127.0.0.1:0',
-                '127.0.0.1:0',
-                0,
-                0,
-                'unused',
-                bounds=settings.Bounds(grace_s=4.0),
-            ),
-            Adapter(self.log),
-        )
+        subject = gateway.Gateway(build_settings(name), Adapter(self.log))
         await subject.start()
         self.addAsyncCleanup(subject.close)
         return subject
