Log which request was running when a replica ended

Cause to be told apart: whether the same request comes again at other hosts, or a gateway repeats it itself. No line could show it: request_failed names the id of the client attempt, which is new each time, and nothing said whether a replica had ended or only its connection.

Nothing is decided by it yet.

--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -29,6 +29,7 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings
 from auburnroad_gateway.weights import duty
+from auburnroad_standins import crash_watches
 from auburnroad_standins import partition_log
 from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
@@ -165,6 +166,7 @@
                     self.replicas,
                     'a',
                     self.permits,
+                    crash_watches.build_crash_watch(),
                 ),
                 self.holder,
                 self.replicas,
--- a/packages/gateway/auburnroad_gateway/completion/reward_calls_test.py
+++ b/packages/gateway/auburnroad_gateway/completion/reward_calls_test.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_standins import crash_watches
 from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
@@ -53,6 +54,7 @@
                 self.replicas,
                 'a',
                 permit_group.PermitGroup('own').permits['own'],
+                crash_watches.build_crash_watch(),
             ),
             self.holder,
             self.replicas,
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -54,11 +54,13 @@
       end: How the attempt ended.
       reason: Cause of the end, for logs.
       response: The replica's response if the end is ANSWERED, else None.
+      broken: Whether the connection failed after sending began.
     """
 
     end: AttemptOutcomeKind
     reason: str
     response: messages.Response | None = None
+    broken: bool = False
 
     @property
     def succeeded(self) -> bool:
@@ -149,7 +151,7 @@
         return Outcome(AttemptOutcomeKind.NOT_RUN, str(error))
     except client.HttpError as error:
         target.note_failure(time.monotonic())
-        return Outcome(AttemptOutcomeKind.UNKNOWN, str(error))
+        return _build_broken(error)
     head = adapter.decode_response_head(reply.headers)
     now = time.monotonic()
     target.note_load(head.load, now)
@@ -197,7 +199,7 @@
         body = await opened.reply.read()
     except client.HttpError as error:
         target.note_failure(time.monotonic())
-        return Outcome(AttemptOutcomeKind.UNKNOWN, str(error))
+        return _build_broken(error)
     status = opened.reply.status
     if status < FIRST_SERVER_ERROR_STATUS:
         if not opened.head.signed or opened.head.encoded:
@@ -212,3 +214,7 @@
         f'status {status}',
         messages.Response(status, headers, body),
     )
+
+
+def _build_broken(error: client.HttpError) -> Outcome:
+    return Outcome(AttemptOutcomeKind.UNKNOWN, str(error), broken=True)
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -17,6 +17,7 @@
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
 from auburnroad_gateway.forwarding import attempt
+from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.members import permits as all_permits
 from auburnroad_gateway.model import call
@@ -47,6 +48,8 @@
       server_errors: Number of answers with status 500.
       retry_seconds: Seconds after which the caller should return if the
         request is refused.
+      fingerprint: Fingerprint of the request; empty for a request of the
+        gateway itself, which is never suspected of crashing replicas.
     """
 
     __slots__ = (
@@ -59,6 +62,7 @@
         'possible_runs',
         'server_errors',
         'retry_seconds',
+        'fingerprint',
         '_caller_deadline_at',
     )
 
@@ -68,6 +72,7 @@
         head: call.CallHead,
         route: configuration.Route,
         now: float,
+        fingerprint: str = '',
     ):
         self.request = request
         self.head = head
@@ -82,6 +87,7 @@
         self.possible_runs = 0
         self.server_errors = 0
         self.retry_seconds = refusals.RETRY_AFTER_SECONDS
+        self.fingerprint = fingerprint
 
     @property
     def may_repeat(self) -> bool:
@@ -114,6 +120,7 @@
         '_directory',
         '_failure_domain',
         '_permits',
+        '_crash_watch',
     )
 
     def __init__(
@@ -123,12 +130,14 @@
         replicas: directory.Directory,
         failure_domain: str,
         permits: all_permits.Permits,
+        watch: crash_watch.CrashWatch,
     ):
         self._adapter = adapter
         self._client = http_client
         self._directory = replicas
         self._failure_domain = failure_domain
         self._permits = permits
+        self._crash_watch = watch
 
     async def choose_replica(
         self, pending: PendingRequest
@@ -277,14 +286,7 @@
             pending, target, pending.head.last_event_id
         )
         task = asyncio.ensure_future(
-            attempt.fetch_response(
-                self._client,
-                self._adapter,
-                target,
-                request,
-                pending.head.request_id,
-                not pending.route.repeatable,
-            )
+            self._fetch_response(pending, target, request)
         )
         # Counted before the task starts, so that other requests of the same
         # iteration of the event loop choose other replicas.
@@ -292,6 +294,21 @@
         task.add_done_callback(lambda _: target.note_end())
         attempts.add(task)
 
+    async def _fetch_response(
+        self, pending: PendingRequest, target: replica.Replica, request
+    ) -> attempt.Outcome:
+        outcome = await attempt.fetch_response(
+            self._client,
+            self._adapter,
+            target,
+            request,
+            pending.head.request_id,
+            not pending.route.repeatable,
+        )
+        if outcome.broken:
+            self._crash_watch.note_broken(pending.fingerprint, target)
+        return outcome
+
     async def _retry_if_allowed(
         self, pending: PendingRequest, attempts, outcome: attempt.Outcome
     ) -> None:
@@ -333,6 +350,8 @@
             outcome=outcome,
             reason=reason,
             replicas=sorted(pending.tried_replicas),
+            fingerprint=pending.fingerprint,
+            caller=pending.request.peer,
         )
 
 
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -7,6 +7,7 @@
 from auburnroad_core.http import messages
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.forwarding import attempt
+from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import event_stream
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
@@ -16,17 +17,19 @@
 class StreamForwarder:
     """Forwards requests whose response is a stream of events."""
 
-    __slots__ = ('_adapter', '_client', '_forwarder')
+    __slots__ = ('_adapter', '_client', '_forwarder', '_crash_watch')
 
     def __init__(
         self,
         adapter: adapters.Adapter,
         http_client: client.HttpClient,
         forwarder: requests.Forwarder,
+        watch: crash_watch.CrashWatch,
     ):
         self._adapter = adapter
         self._client = http_client
         self._forwarder = forwarder
+        self._crash_watch = watch
 
     async def forward(
         self, pending: requests.PendingRequest
@@ -71,7 +74,7 @@
         request = self._forwarder.build_request(pending, target, last_event_id)
         target.in_flight += 1
         try:
-            return await attempt.send_attempt(
+            opened = await attempt.send_attempt(
                 self._client,
                 self._adapter,
                 target,
@@ -81,6 +84,9 @@
             )
         finally:
             target.in_flight -= 1
+        if isinstance(opened, attempt.Outcome) and opened.broken:
+            self._crash_watch.note_broken(pending.fingerprint, target)
+        return opened
 
     async def _build_response(
         self, pending, target, opened
@@ -113,6 +119,7 @@
                 return
             except client.HttpError as error:
                 target.note_failure(time.monotonic())
+                self._crash_watch.note_broken(pending.fingerprint, target)
                 reason = str(error)
             finally:
                 target.in_flight -= 1
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -19,6 +19,7 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_standins import crash_watches
 from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
@@ -46,9 +47,13 @@
             replicas,
             'near',
             permit_group.PermitGroup('own').permits['own'],
+            crash_watches.build_crash_watch(),
         )
         self.stream_forwarder = streams.StreamForwarder(
-            adapter, self.client, forwarder
+            adapter,
+            self.client,
+            forwarder,
+            crash_watches.build_crash_watch(),
         )
         self.script('far:1', EVENTS)
 
--- a/packages/gateway/auburnroad_gateway/members/permits_test.py
+++ b/packages/gateway/auburnroad_gateway/members/permits_test.py
@@ -20,6 +20,7 @@
 from auburnroad_gateway.members import permits
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_standins import crash_watches
 from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
@@ -49,10 +50,18 @@
             )
         self.permits = group.permits[name]
         self.forwarder = requests.Forwarder(
-            adapter, http_client, self.replicas, 'a', self.permits
+            adapter,
+            http_client,
+            self.replicas,
+            'a',
+            self.permits,
+            crash_watches.build_crash_watch(),
         )
         self.streams = streams.StreamForwarder(
-            adapter, http_client, self.forwarder
+            adapter,
+            http_client,
+            self.forwarder,
+            crash_watches.build_crash_watch(),
         )
 
     def find(self, replica_id):
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -16,6 +16,8 @@
 from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
+from auburnroad_gateway.forwarding import crash_watch
+from auburnroad_gateway.forwarding import fingerprint
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.forwarding import streams
@@ -263,12 +265,14 @@
             self._configuration.match_route,
         )
         self._reader = reading.Reader(adapter, self._journal)
+        self._crash_watch = crash_watch.CrashWatch(lambda *_: None)
         self._forwarder = requests.Forwarder(
             adapter,
             self._client,
             self._directory,
             settings.failure_domain,
             self._permits,
+            self._crash_watch,
         )
         self._owner = owner.Owner(
             settings,
@@ -288,7 +292,7 @@
             self._permits,
         )
         self._streams = streams.StreamForwarder(
-            adapter, self._client, self._forwarder
+            adapter, self._client, self._forwarder, self._crash_watch
         )
         self._rollout = rollout.WeightRollout(
             settings,
@@ -404,6 +408,7 @@
             self._adapter.decode_call(request.headers),
             route,
             time.monotonic(),
+            fingerprint.build_fingerprint(request),
         )
         if route.kind is configuration.RouteKind.STREAM:
             return route.kind.value, self._streams.forward(pending)
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -52,6 +52,12 @@
     ['outcome'],
     registry=REGISTRY,
 )
+RUNS_BROKEN = prometheus_client.Counter(
+    'auburnroad_runs_broken',
+    'Runs of single requests that broke off, by what became of the replica.',
+    ['replica'],
+    registry=REGISTRY,
+)
 RUNS = prometheus_client.Counter(
     'auburnroad_item_runs',
     'Attempts of batch items at replicas, by how they ended.',
--- /dev/null
+++ b/packages/standins/auburnroad_standins/crash_watches.py
@@ -0,0 +1,14 @@
+"""Crash watches for tests whose subject is something else."""
+
+from auburnroad_core.http import listener
+from auburnroad_gateway.forwarding import crash_watch
+
+
+def build_crash_watch() -> crash_watch.CrashWatch:
+    """Build a watch to which all replicas seem to listen."""
+    return crash_watch.CrashWatch(lambda *_: None, find_listening)
+
+
+async def find_listening(address: str, timeout_seconds: float):
+    """Find that an address accepts connections, without a connection."""
+    return listener.Listener.LISTENING
