--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -91,6 +91,11 @@
         """Id of the replica; a restart may reuse it."""
         return self.registration.id
 
+    @property
+    def incarnation(self) -> str:
+        """Name of this start of the replica, unique over all starts."""
+        return f'{self.registration.id}/{self.registration.started_ms}'
+
     @property
     def address(self) -> str:
         """Address of the replica as 'IP:port'."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
@@ -0,0 +1,156 @@
+"""Decides which requests crash the replicas that run them, without I/O.
+
+When a replica ends, each request that it was running is recorded with it,
+although at most one of them is the cause. The cause differs from the others in
+that it is never answered and that more replicas end under it. A request is
+refused once enough replicas have ended under it, unless another request was
+running on each of them, too. It may then be sent again, once for each client
+attempt: either it is answered, or another replica ends without the other
+request.
+"""
+
+import collections
+import enum
+
+# Replicas that end under a request by chance, one after the other, before it
+# is suspected.
+SUSPECT_CRASHES = 3
+# Replicas that end under a request before it is refused whatever ran beside
+# it, since requests may always come in pairs.
+REFUSED_CRASHES = 5
+# Time from a record until it counts. Until then, other gateways may report
+# further requests that the replica was running.
+SETTLE_SECONDS = 0.5
+# Sizes of the memory; the oldest entries are forgotten first.
+MAX_RECORDED = 2000
+MAX_ANSWERED = 4000
+
+
+class Verdict(enum.Enum):
+    """Whether a request may be sent to replicas.
+
+    Attributes:
+      FREE: It may be sent as its route allows.
+      SUSPECT: It may be sent once for each client attempt.
+      REFUSED: It crashes replicas and must not be sent.
+    """
+
+    FREE = 'free'
+    SUSPECT = 'suspect'
+    REFUSED = 'refused'
+
+
+class _Record:
+    """Replicas that ended under one request.
+
+    Attributes:
+      counts_at: Monotonic time in seconds from which a crash counts, by the
+        replica that ended.
+      forget_at: Monotonic time in seconds at which the record is forgotten.
+    """
+
+    __slots__ = ('counts_at', 'forget_at')
+
+    def __init__(self):
+        self.counts_at: dict[str, float] = {}
+        self.forget_at = 0.0
+
+
+class CrashRecords:
+    """Records of crashes by the fingerprint of the request that was run."""
+
+    __slots__ = ('_records', '_answered')
+
+    def __init__(self):
+        self._records: collections.OrderedDict[str, _Record] = (
+            collections.OrderedDict()
+        )
+        self._answered: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def note_crash(
+        self, fingerprint: str, incarnation: str, now: float, forget_at: float
+    ) -> bool:
+        """Record that a replica ended while it ran a request.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          incarnation: Name of one start of the replica.
+          now: Monotonic time in seconds.
+          forget_at: The same, from which this is to be forgotten.
+
+        Returns:
+          Whether this was unknown, and the request was never answered.
+        """
+        self._forget_old(now)
+        if fingerprint in self._answered:
+            return False
+        record = self._records.setdefault(fingerprint, _Record())
+        record.forget_at = max(record.forget_at, forget_at)
+        if incarnation in record.counts_at:
+            return False
+        if len(record.counts_at) < REFUSED_CRASHES:
+            record.counts_at[incarnation] = now + SETTLE_SECONDS
+        if len(self._records) > MAX_RECORDED:
+            self._records.popitem(last=False)
+        return True
+
+    def note_answer(self, fingerprint: str) -> bool:
+        """Record that a replica has answered a request, and did not end.
+
+        Returns:
+          Whether crashes had been recorded for the request.
+        """
+        self._answered[fingerprint] = None
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+        return self._records.pop(fingerprint, None) is not None
+
+    def find_verdict(self, fingerprint: str, now: float) -> Verdict:
+        """Find whether a request may be sent.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          now: Monotonic time in seconds.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or record.forget_at <= now:
+            return Verdict.FREE
+        settled = {
+            incarnation
+            for incarnation, counts_at in record.counts_at.items()
+            if counts_at <= now
+        }
+        if len(settled) >= REFUSED_CRASHES or (
+            len(settled) >= SUSPECT_CRASHES
+            and not self._is_accompanied(fingerprint, settled, now)
+        ):
+            return Verdict.REFUSED
+        if len(record.counts_at) >= SUSPECT_CRASHES:
+            return Verdict.SUSPECT
+        return Verdict.FREE
+
+    def find_forget_at(self, fingerprint: str) -> float:
+        """Find when the crashes of a request are forgotten, zero if none."""
+        record = self._records.get(fingerprint)
+        return 0.0 if record is None else record.forget_at
+
+    def _is_accompanied(
+        self, fingerprint: str, incarnations: set[str], now: float
+    ) -> bool:
+        """Tell whether another request ran on each of several replicas."""
+        return any(
+            incarnations <= other.counts_at.keys()
+            for name, other in self._records.items()
+            if name != fingerprint and other.forget_at > now
+        )
+
+    def _forget_old(self, now: float) -> None:
+        for fingerprint in [
+            fingerprint
+            for fingerprint, record in self._records.items()
+            if record.forget_at <= now
+        ]:
+            del self._records[fingerprint]
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_records_test.py
@@ -0,0 +1,109 @@
+"""Tests of the decision which requests crash the replicas that run them."""
+
+import unittest
+
+from auburnroad_gateway.forwarding import crash_records
+
+SETTLED = crash_records.SETTLE_SECONDS
+FORGET_AT = 1000.0
+FREE = crash_records.Verdict.FREE
+SUSPECT = crash_records.Verdict.SUSPECT
+REFUSED = crash_records.Verdict.REFUSED
+
+
+class CrashRecordsTest(unittest.TestCase):
+    """Crashes of replicas 'a', 'b', ... under requests 'f' and 'g'."""
+
+    def setUp(self):
+        self.records = crash_records.CrashRecords()
+
+    def crash(self, fingerprint, incarnations, now=0.0):
+        return [
+            self.records.note_crash(fingerprint, incarnation, now, FORGET_AT)
+            for incarnation in incarnations
+        ]
+
+    def find(self, fingerprint='f', now=SETTLED):
+        return self.records.find_verdict(fingerprint, now)
+
+    def test_unknown_request_is_free(self):
+        self.assertIs(FREE, self.find())
+
+    def test_request_after_two_crashes_is_free(self):
+        self.crash('f', 'ab')
+        self.assertIs(FREE, self.find())
+
+    def test_request_after_three_crashes_is_refused(self):
+        self.crash('f', 'abc')
+        self.assertIs(REFUSED, self.find())
+
+    def test_one_crash_reported_three_times_counts_once(self):
+        """Gateways read their own reports from the log, too."""
+        self.assertEqual([True, False, False], self.crash('f', 'aaa'))
+        self.assertIs(FREE, self.find())
+
+    def test_request_is_not_refused_before_its_crashes_settle(self):
+        """Reports of a request that ran beside it may be on their way."""
+        self.crash('f', 'abc', now=5.0)
+        self.assertIs(SUSPECT, self.find(now=5.0 + SETTLED / 2))
+        self.assertIs(REFUSED, self.find(now=5.0 + SETTLED))
+
+    def test_request_beside_the_cause_at_each_crash_is_not_refused(self):
+        self.crash('f', 'abc')
+        self.crash('g', 'abc')
+        self.assertIs(SUSPECT, self.find('f'))
+        self.assertIs(SUSPECT, self.find('g'))
+
+    def test_request_that_crashes_one_more_alone_is_refused(self):
+        self.crash('f', 'abcd')
+        self.crash('g', 'abc')
+        self.assertIs(REFUSED, self.find('f'))
+        self.assertIs(SUSPECT, self.find('g'))
+
+    def test_request_beside_the_cause_at_some_crashes_excuses_nothing(self):
+        self.crash('f', 'abc')
+        self.crash('g', 'abd')
+        self.assertIs(REFUSED, self.find('f'))
+
+    def test_requests_that_always_come_together_are_refused(self):
+        self.crash('f', 'abcde')
+        self.crash('g', 'abcde')
+        self.assertIs(REFUSED, self.find('f'))
+        self.assertIs(REFUSED, self.find('g'))
+
+    def test_answer_clears_a_request(self):
+        self.crash('f', 'abc')
+        self.assertTrue(self.records.note_answer('f'))
+        self.assertIs(FREE, self.find())
+
+    def test_answer_to_a_request_without_crashes_is_no_news(self):
+        self.assertFalse(self.records.note_answer('f'))
+
+    def test_answered_request_is_never_suspected(self):
+        """Replicas that are killed while it runs end by another cause."""
+        self.records.note_answer('f')
+        self.assertEqual([False] * 5, self.crash('f', 'abcde'))
+        self.assertIs(FREE, self.find())
+
+    def test_answer_of_the_other_request_leaves_the_cause(self):
+        self.crash('f', 'abc')
+        self.crash('g', 'abc')
+        self.records.note_answer('g')
+        self.assertIs(REFUSED, self.find('f'))
+
+    def test_crashes_are_forgotten_at_their_deadline(self):
+        self.crash('f', 'abc')
+        self.assertEqual(FORGET_AT, self.records.find_forget_at('f'))
+        self.assertIs(FREE, self.find(now=FORGET_AT))
+        self.crash('g', 'a', now=FORGET_AT)
+        self.assertEqual(0.0, self.records.find_forget_at('f'))
+
+    def test_memory_is_bounded(self):
+        for number in range(crash_records.MAX_RECORDED + 1):
+            self.crash(str(number), 'abc')
+        self.assertIs(FREE, self.find('0'))
+        self.assertIs(SUSPECT, self.find('1'))
+        for number in range(crash_records.MAX_ANSWERED + 1):
+            self.records.note_answer(f'answered{number}')
+        self.assertEqual([True], self.crash('answered0', 'a'))
+        self.assertEqual([False], self.crash('answered1', 'a'))
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
@@ -1,15 +1,20 @@
-"""Finds out whether a replica ended while it ran a request.
+"""Finds the requests under which replicas end, and shares them.
 
 A run that breaks off may have lost its connection only. The replica's address
 then still accepts connections; that of a replica that has ended refuses them
-until its next start, which takes seconds.
+until its next start, which takes seconds. What is found is shared with all
+gateways, since a request may come again at any of them.
 """
 
 import asyncio
+import time
 import typing
 
+from auburnroad_core import clock
 from auburnroad_core.http import listener
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.forwarding import crash_records
+from auburnroad_gateway.members import facts as all_facts
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 
@@ -17,6 +22,9 @@
 # Pauses before the attempts to connect. A process that ends may close its
 # connections some time before its listener.
 PROBE_DELAYS_SECONDS = (0.0, 0.2)
+# Time for which crashes are remembered, and for which it is remembered that a
+# request is answered in spite of them.
+MEMORY_SECONDS = 3600.0
 
 FindListener = typing.Callable[
     [str, float], typing.Awaitable[listener.Listener]
@@ -24,31 +32,52 @@
 
 
 class CrashWatch:
-    """Probes each replica under which a run broke off."""
+    """Probes replicas under which runs broke off, and keeps the records."""
 
-    __slots__ = ('_on_crash', '_find_listener', '_probes')
+    __slots__ = ('_facts', '_find_listener', '_records', '_probes')
 
     def __init__(
         self,
-        on_crash: typing.Callable[[str, replica.Replica], None],
+        facts: all_facts.SharedFacts,
         find_listener: FindListener = listener.find_listener,
     ):
-        """Create a watch without probes.
+        """Create a watch without records.
 
         Args:
-          on_crash: Called with the fingerprint of a request and the replica
-            that ended while it ran the request.
+          facts: Facts of all gateways.
           find_listener: Tells whether an address accepts connections.
         """
-        self._on_crash = on_crash
+        self._facts = facts
         self._find_listener = find_listener
+        self._records = crash_records.CrashRecords()
         self._probes: dict[replica.Replica, asyncio.Task] = {}
+        facts.on_fact(all_facts.FactKind.CRASH, self._apply_crash)
+        facts.on_fact(all_facts.FactKind.ANSWER, self._apply_answer)
 
     @property
     def probing(self) -> bool:
         """Whether a probe has not ended yet."""
         return bool(self._probes)
 
+    def find_verdict(self, fingerprint: str) -> crash_records.Verdict:
+        """Find whether a request may be sent to replicas."""
+        return self._records.find_verdict(fingerprint, time.monotonic())
+
+    def find_retry_seconds(self, fingerprint: str) -> float:
+        """Find the time until the crashes of a request are forgotten."""
+        forget_at = self._records.find_forget_at(fingerprint)
+        return max(0.0, forget_at - time.monotonic())
+
+    def note_answer(self, fingerprint: str) -> None:
+        """Record that a replica answered a request, and did not end.
+
+        Args:
+          fingerprint: Fingerprint of the request; empty if it is never
+            suspected.
+        """
+        if fingerprint and self._records.note_answer(fingerprint):
+            self._share(all_facts.FactKind.ANSWER, fingerprint, '')
+
     def note_broken(self, fingerprint: str, target: replica.Replica) -> None:
         """Find out whether a replica under which a run broke off has ended.
 
@@ -92,4 +121,24 @@
             found=found.value,
         )
         if found is listener.Listener.ENDED:
-            self._on_crash(fingerprint, target)
+            self._share(
+                all_facts.FactKind.CRASH, fingerprint, target.incarnation
+            )
+
+    def _share(
+        self, kind: all_facts.FactKind, fingerprint: str, value: str
+    ) -> None:
+        until_ms = clock.time_now_ms() + int(MEMORY_SECONDS * 1000)
+        self._facts.share(all_facts.Fact(kind, fingerprint, value, until_ms))
+
+    def _apply_crash(self, fact: all_facts.Fact) -> None:
+        now = time.monotonic()
+        left_seconds = (fact.until_ms - clock.time_now_ms()) / 1000
+        forget_at = now + min(MEMORY_SECONDS, left_seconds)
+        if self._records.note_crash(fact.key, fact.value, now, forget_at):
+            events.write(
+                'crash_recorded', fingerprint=fact.key, incarnation=fact.value
+            )
+
+    def _apply_answer(self, fact: all_facts.Fact) -> None:
+        self._records.note_answer(fact.key)
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
@@ -5,8 +5,11 @@
 
 from auburnroad_core.http import listener
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.forwarding import crash_records
 from auburnroad_gateway.forwarding import crash_watch
+from auburnroad_gateway.members import facts
 from auburnroad_gateway.model import registration
+from auburnroad_standins import partition_log
 
 
 def build_replica(replica_id='r', started_ms=1):
@@ -27,15 +30,10 @@
     """Runs that broke off at replicas that listen, or have ended."""
 
     def setUp(self):
-        self.crashes = []
         self.probed = []
         self.found = [listener.Listener.ENDED]
-        self.watch = crash_watch.CrashWatch(
-            lambda fingerprint, target: self.crashes.append(
-                (fingerprint, target.id)
-            ),
-            self.find_listener,
-        )
+        self.facts = facts.SharedFacts('host', partition_log.PartitionLog())
+        self.watch = crash_watch.CrashWatch(self.facts, self.find_listener)
 
     async def find_listener(self, address, timeout_seconds):
         self.probed.append(address)
@@ -45,39 +43,74 @@
         while self.watch.probing:
             await asyncio.sleep(0.01)
 
+    @property
+    def shared(self):
+        return [
+            (fact.kind.value, fact.key, fact.value)
+            for queue in self.facts._queues.values()
+            for fact in queue
+        ]
+
     async def test_replica_that_refuses_connections_has_crashed(self):
         self.watch.note_broken('f', build_replica())
         await self.settle()
-        self.assertEqual([('f', 'r')], self.crashes)
+        self.assertEqual([('crash', 'f', 'r/1')], self.shared)
 
     async def test_replica_that_closes_its_listener_late_has_crashed(self):
         self.found = [listener.Listener.LISTENING, listener.Listener.ENDED]
         self.watch.note_broken('f', build_replica())
         await self.settle()
-        self.assertEqual([('f', 'r')], self.crashes)
+        self.assertEqual([('crash', 'f', 'r/1')], self.shared)
 
     async def test_replica_that_listens_has_not_crashed(self):
         """A connection that is reset ends a run, too."""
         self.found = [listener.Listener.LISTENING]
         self.watch.note_broken('f', build_replica())
         await self.settle()
-        self.assertEqual([], self.crashes)
+        self.assertEqual([], self.shared)
 
     async def test_unreachable_replica_has_not_crashed(self):
         self.found = [listener.Listener.UNREACHABLE]
         self.watch.note_broken('f', build_replica())
         await self.settle()
-        self.assertEqual([], self.crashes)
+        self.assertEqual([], self.shared)
 
     async def test_runs_that_break_together_share_a_probe(self):
         target = build_replica()
         self.watch.note_broken('f', target)
         self.watch.note_broken('g', target)
         await self.settle()
-        self.assertEqual([('f', 'r'), ('g', 'r')], self.crashes)
+        self.assertEqual(
+            [('crash', 'f', 'r/1'), ('crash', 'g', 'r/1')], self.shared
+        )
         self.assertEqual(['r:1'], self.probed)
 
     async def test_request_without_fingerprint_causes_no_probe(self):
         self.watch.note_broken('', build_replica())
         await self.settle()
         self.assertEqual([], self.probed)
+
+    async def test_request_under_which_three_replicas_ended_is_suspected(self):
+        for name in 'abc':
+            self.watch.note_broken('f', build_replica(name))
+        await self.settle()
+        self.assertIs(
+            crash_records.Verdict.SUSPECT, self.watch.find_verdict('f')
+        )
+        self.assertGreater(self.watch.find_retry_seconds('f'), 0.0)
+
+    async def test_starts_of_one_replica_count_each(self):
+        for started_ms in range(3):
+            self.watch.note_broken('f', build_replica('r', started_ms))
+        await self.settle()
+        self.assertEqual(3, len(self.shared))
+
+    async def test_answer_after_a_crash_is_shared_once(self):
+        self.watch.note_broken('f', build_replica())
+        await self.settle()
+        self.watch.note_answer('f')
+        self.watch.note_answer('f')
+        self.watch.note_answer('other')
+        self.assertEqual(
+            [('crash', 'f', 'r/1'), ('answer', 'f', '')], self.shared
+        )
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -17,6 +17,7 @@
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
 from auburnroad_gateway.forwarding import attempt
+from auburnroad_gateway.forwarding import crash_records
 from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.members import permits as all_permits
@@ -220,6 +221,8 @@
         Returns:
           The replica's response, or an error response of the gateway.
         """
+        if self.must_refuse(pending):
+            return self.refuse(pending)
         attempts: set[asyncio.Task] = set()
         try:
             return await self._run_attempts(pending, attempts)
@@ -227,6 +230,31 @@
             for task in attempts:
                 task.cancel()
 
+    def must_refuse(self, pending: PendingRequest) -> bool:
+        """Tell whether a request must not be sent, as it crashes replicas."""
+        verdict = self._crash_watch.find_verdict(pending.fingerprint)
+        return verdict is crash_records.Verdict.REFUSED
+
+    def refuse(self, pending: PendingRequest) -> messages.Response:
+        """Refuse a request that crashes replicas and was not sent now."""
+        metrics.REQUESTS_QUARANTINED.inc()
+        events.write(
+            'request_quarantined',
+            request=pending.head.request_id,
+            fingerprint=pending.fingerprint,
+        )
+        return refusals.build_refusal(
+            'crashes_replicas',
+            self._crash_watch.find_retry_seconds(pending.fingerprint),
+        )
+
+    def may_send(self, pending: PendingRequest) -> bool:
+        """Tell whether crashes allow that a request is sent once more."""
+        verdict = self._crash_watch.find_verdict(pending.fingerprint)
+        if verdict is crash_records.Verdict.SUSPECT:
+            return not pending.possible_runs
+        return verdict is crash_records.Verdict.FREE
+
     async def _run_attempts(
         self, pending: PendingRequest, attempts
     ) -> messages.Response:
@@ -265,18 +293,23 @@
 
     async def _start_next(self, pending: PendingRequest, attempts) -> None:
         """Start an attempt while no other one is in flight."""
-        if _may_try(pending):
+        if self._may_try(pending):
             target = await self.choose_replica(pending)
             if target is not None:
                 self._start_attempt(pending, attempts, target)
 
     def _start_hedge(self, pending: PendingRequest, attempts) -> None:
         """Start a hedged attempt; permits are left to first attempts."""
-        if _may_try(pending):
+        if self._may_try(pending):
             target = self._choose_unlimited(pending, time.monotonic())
             if target is not None:
                 self._start_attempt(pending, attempts, target)
 
+    def _may_try(self, pending: PendingRequest) -> bool:
+        """Tell whether a request may be sent to one more replica."""
+        limit = pending.route.max_attempts + EXTRA_ATTEMPTS
+        return len(pending.tried_replicas) < limit and self.may_send(pending)
+
     def _start_attempt(
         self, pending: PendingRequest, attempts, target: replica.Replica
     ) -> None:
@@ -307,8 +340,14 @@
         )
         if outcome.broken:
             self._crash_watch.note_broken(pending.fingerprint, target)
+        elif outcome.response is not None and self._is_signed(outcome):
+            self._crash_watch.note_answer(pending.fingerprint)
         return outcome
 
+    def _is_signed(self, outcome: attempt.Outcome) -> bool:
+        head = self._adapter.decode_response_head(outcome.response.headers)
+        return head.signed
+
     async def _retry_if_allowed(
         self, pending: PendingRequest, attempts, outcome: attempt.Outcome
     ) -> None:
@@ -353,9 +392,3 @@
             fingerprint=pending.fingerprint,
             caller=pending.request.peer,
         )
-
-
-def _may_try(pending: PendingRequest) -> bool:
-    """Tell whether a request may be sent to one more replica."""
-    limit = pending.route.max_attempts + EXTRA_ATTEMPTS
-    return len(pending.tried_replicas) < limit
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -43,10 +43,14 @@
           The replica's response, whose body yields events as they arrive, or
           an error response of the gateway.
         """
+        if self._forwarder.must_refuse(pending):
+            return self._forwarder.refuse(pending)
         reason = 'no replica'
         last_event_id = pending.head.last_event_id
         timeout_at = pending.deadline_at
-        while time.monotonic() < timeout_at:
+        while time.monotonic() < timeout_at and self._forwarder.may_send(
+            pending
+        ):
             target = await self._forwarder.choose_replica(pending)
             if target is None:
                 break
@@ -99,6 +103,8 @@
                 body = await opened.reply.read()
             except client.HttpError:
                 return refusals.build_error(502, 'no_answer')
+            if opened.head.signed:
+                self._crash_watch.note_answer(pending.fingerprint)
             return messages.Response(status, headers, body)
         chunks = self._relay_events(pending, target, opened)
         return messages.Response(status, headers, chunks=chunks)
@@ -116,6 +122,7 @@
                         last_event_id = event.id
                     yield event.raw
                 target.note_success()
+                self._crash_watch.note_answer(pending.fingerprint)
                 return
             except client.HttpError as error:
                 target.note_failure(time.monotonic())
@@ -134,7 +141,11 @@
             target, opened = await self._resume(pending, last_event_id)
 
     async def _resume(self, pending, last_event_id):
-        while pending.may_repeat and pending.route.resumable:
+        while (
+            pending.may_repeat
+            and pending.route.resumable
+            and self._forwarder.may_send(pending)
+        ):
             target = await self._forwarder.choose_replica(pending)
             if target is None:
                 break
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/members/facts.py
@@ -0,0 +1,163 @@
+"""Shares facts among the gateways through a keyed topic of the log service.
+
+Each gateway writes what it learns under keys of its own, a fixed number for
+each kind of fact, in turn: the newest facts take the place of the oldest, and
+the topic stays bounded. All gateways read all facts, also those that were
+written before they started. A fact is ignored after its deadline.
+"""
+
+import asyncio
+import collections
+import enum
+import typing
+
+import msgspec
+
+from auburnroad_core import clock
+from auburnroad_gateway.log import service
+from auburnroad_gateway.telemetry import events
+
+TOPIC = service.KEYED_PREFIX + 'facts'
+# Keys of one gateway for one kind of fact.
+SLOTS = 64
+# Facts learned within this time share a record.
+GROUP_DELAY_SECONDS = 0.05
+RETRY_SECONDS = 0.3
+MAX_FACTS_PER_RECORD = 200
+# Facts of a kind that wait while the log service is unavailable; any further
+# one takes the place of the oldest.
+MAX_QUEUED = 2000
+
+
+class FactKind(enum.StrEnum):
+    """Kind of a fact.
+
+    Attributes:
+      CRASH: The replica in the value ended while it ran the request whose
+        fingerprint is the key.
+      ANSWER: A replica answered the request whose fingerprint is the key.
+    """
+
+    CRASH = 'crash'
+    ANSWER = 'answer'
+
+
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """Something that all gateways are to know.
+
+    Attributes:
+      kind: Kind of the fact.
+      key: What the fact is about.
+      value: What is the case; empty if the kind says it all.
+      until_ms: Time in Unix milliseconds from which the fact is ignored.
+    """
+
+    kind: FactKind
+    key: str
+    value: str
+    until_ms: int
+
+
+Listener = typing.Callable[[Fact], None]
+
+
+class SharedFacts:
+    """Facts of all gateways."""
+
+    __slots__ = (
+        '_host',
+        '_log',
+        '_listeners',
+        '_queues',
+        '_queue_changed',
+        '_newest',
+        '_failing',
+    )
+
+    def __init__(self, host: str, log: service.LogService):
+        """Create the facts of a gateway.
+
+        Args:
+          host: Name of this gateway's host.
+          log: The log service.
+        """
+        self._host = host
+        self._log = log
+        self._listeners: dict[FactKind, Listener] = {}
+        self._queues: dict[FactKind, collections.deque[Fact]] = {
+            kind: collections.deque(maxlen=MAX_QUEUED) for kind in FactKind
+        }
+        self._queue_changed = asyncio.Event()
+        # Offset and slot of this host's newest record.
+        self._newest: dict[FactKind, tuple[int, int]] = {}
+        self._failing = False
+
+    def on_fact(self, kind: FactKind, listener: Listener) -> None:
+        """Call a function with each fact of a kind, also with own facts."""
+        self._listeners[kind] = listener
+
+    def share(self, fact: Fact) -> None:
+        """Let all gateways know a fact, this one at once."""
+        self._notify(fact)
+        self._queues[fact.kind].append(fact)
+        self._queue_changed.set()
+
+    def apply(self, record: service.KeyedRecord) -> None:
+        """Apply a record of the topic."""
+        name, _, place = record.key.partition('/')
+        host, _, slot = place.rpartition('/')
+        try:
+            facts = msgspec.msgpack.decode(record.value, type=list[Fact])
+            if host == self._host:
+                self._note_written(FactKind(name), record.offset, int(slot))
+        except (msgspec.DecodeError, ValueError):
+            # A record that was dropped, or is of another version of gateways.
+            return
+        for fact in facts:
+            self._notify(fact)
+
+    async def run(self, tail) -> None:
+        """Write the facts of this gateway until cancelled.
+
+        Args:
+          tail: The tail that passes records to apply(). It tells which key
+            this host has written last, possibly before a restart.
+        """
+        await tail.wait_until_loaded()
+        while True:
+            await self._queue_changed.wait()
+            self._queue_changed.clear()
+            await asyncio.sleep(GROUP_DELAY_SECONDS)
+            for kind in FactKind:
+                while self._queues[kind]:
+                    await self._write_group(kind)
+
+    async def _write_group(self, kind: FactKind) -> None:
+        """Append the oldest facts of a kind; wait after a failure."""
+        queue = self._queues[kind]
+        count = min(len(queue), MAX_FACTS_PER_RECORD)
+        group = [queue.popleft() for _ in range(count)]
+        slot = (self._newest.get(kind, (-1, -1))[1] + 1) % SLOTS
+        record = service.encode_keyed(
+            f'{kind}/{self._host}/{slot}', msgspec.msgpack.encode(group)
+        )
+        try:
+            offset = await self._log.append(TOPIC, 0, [record])
+        except service.LogError as error:
+            if not self._failing:
+                events.write('facts_not_written', error=str(error))
+            self._failing = True
+            queue.extendleft(reversed(group))
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        self._failing = False
+        self._note_written(kind, offset, slot)
+
+    def _note_written(self, kind: FactKind, offset: int, slot: int) -> None:
+        newest = self._newest.get(kind, (-1, -1))
+        self._newest[kind] = max(newest, (offset, slot))
+
+    def _notify(self, fact: Fact) -> None:
+        listener = self._listeners.get(fact.kind)
+        if listener is not None and fact.until_ms > clock.time_now_ms():
+            listener(fact)
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -24,6 +24,7 @@
 from auburnroad_gateway.log import detour
 from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
+from auburnroad_gateway.members import facts
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import permits
 from auburnroad_gateway.members import relay
@@ -103,6 +104,8 @@
         self._permits = permits.Permits(
             self._members, self._duties, self._peer_client
         )
+        self._facts = facts.SharedFacts(settings.name, self._log)
+        self._crash_watch = crash_watch.CrashWatch(self._facts)
         self._build_tails()
         self._build_request_handling()
 
@@ -161,6 +164,7 @@
             *self._journal.list_background_tasks(),
             self._members.run_heartbeats,
             functools.partial(self._members.run_checks, self._member_tail),
+            functools.partial(self._facts.run, self._fact_tail),
             self._owner.run,
             functools.partial(self._rollout.run, self._duty_tail),
             self._expire_replicas,
@@ -235,17 +239,22 @@
         self._duty_tail = tail.KeyedTail(
             log, duty.TOPIC, self._duties.apply, MEMBER_PACE_SECONDS
         )
+        self._fact_tail = tail.KeyedTail(
+            log, facts.TOPIC, self._facts.apply, MEMBER_PACE_SECONDS
+        )
         self._tails = [
             self._operator_tail,
             self._replica_tail,
             self._member_tail,
             self._duty_tail,
+            self._fact_tail,
         ]
         for topic, topic_tail in (
             ('operators', self._operator_tail),
             ('replicas', self._replica_tail),
             ('members', self._member_tail),
             ('duties', self._duty_tail),
+            ('facts', self._fact_tail),
         ):
             metrics.watch_tail(topic, topic_tail)
 
@@ -265,7 +274,6 @@
             self._configuration.match_route,
         )
         self._reader = reading.Reader(adapter, self._journal)
-        self._crash_watch = crash_watch.CrashWatch(lambda *_: None)
         self._forwarder = requests.Forwarder(
             adapter,
             self._client,
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -52,6 +52,11 @@
     ['outcome'],
     registry=REGISTRY,
 )
+REQUESTS_QUARANTINED = prometheus_client.Counter(
+    'auburnroad_requests_quarantined',
+    'Requests refused because they crash the replicas that run them.',
+    registry=REGISTRY,
+)
 RUNS_BROKEN = prometheus_client.Counter(
     'auburnroad_runs_broken',
     'Runs of single requests that broke off, by what became of the replica.',
