Tell a request that ran beside several crashes from their causes

A crash now counts only if no other request ran on that replica under which as many replicas have ended.

A request is suspect, and sent once for each client attempt, from the second crash on instead of the third: the loss of a gateway that has not shared a crash yet then leaves room within the three sends that are allowed.

--- a/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
@@ -2,22 +2,23 @@
 
 When a replica ends, each request that it was running is recorded with it,
 although at most one of them is the cause. The cause differs from the others in
-that it is never answered and that more replicas end under it. A request is
-refused once enough replicas have ended under it, unless another request was
-running on each of them, too. It may then be sent again, once for each client
-attempt: either it is answered, or another replica ends without the other
-request.
+that it is never answered and that more replicas end under it. A crash
+therefore counts against a request only if no other request ran on that replica
+under which as many replicas have ended. A request against which nothing counts
+may be sent again, once for each client attempt: either it is answered, or more
+replicas end under it than under the others.
 """
 
 import collections
 import enum
 
-# Replicas that end under a request by chance, one after the other, before it
-# is suspected.
-SUSPECT_CRASHES = 3
+# Replicas that end under a request before it is suspected.
+SUSPECT_CRASHES = 2
+# Crashes that count against a request before it is refused.
+REFUSED_CRASHES = 3
 # Replicas that end under a request before it is refused whatever ran beside
 # it, since requests may always come in pairs.
-REFUSED_CRASHES = 5
+MAX_CRASHES = 5
 # Time from a record until it counts. Until then, other gateways may report
 # further requests that the replica was running.
 SETTLE_SECONDS = 0.5
@@ -90,7 +91,7 @@
         record.forget_at = max(record.forget_at, forget_at)
         if incarnation in record.counts_at:
             return False
-        if len(record.counts_at) < REFUSED_CRASHES:
+        if len(record.counts_at) < MAX_CRASHES:
             record.counts_at[incarnation] = now + SETTLE_SECONDS
         if len(self._records) > MAX_RECORDED:
             self._records.popitem(last=False)
@@ -118,16 +119,17 @@
         record = self._records.get(fingerprint)
         if record is None or record.forget_at <= now:
             return Verdict.FREE
-        settled = {
+        settled = [
             incarnation
             for incarnation, counts_at in record.counts_at.items()
             if counts_at <= now
-        }
-        if len(settled) >= REFUSED_CRASHES or (
-            len(settled) >= SUSPECT_CRASHES
-            and not self._is_accompanied(fingerprint, settled, now)
-        ):
+        ]
+        if len(settled) >= MAX_CRASHES:
             return Verdict.REFUSED
+        if len(settled) >= REFUSED_CRASHES:
+            explained = self._find_explained(record, now)
+            if len(set(settled) - explained) >= REFUSED_CRASHES:
+                return Verdict.REFUSED
         if len(record.counts_at) >= SUSPECT_CRASHES:
             return Verdict.SUSPECT
         return Verdict.FREE
@@ -137,15 +139,16 @@
         record = self._records.get(fingerprint)
         return 0.0 if record is None else record.forget_at
 
-    def _is_accompanied(
-        self, fingerprint: str, incarnations: set[str], now: float
-    ) -> bool:
-        """Tell whether another request ran on each of several replicas."""
-        return any(
-            incarnations <= other.counts_at.keys()
-            for name, other in self._records.items()
-            if name != fingerprint and other.forget_at > now
-        )
+    def _find_explained(self, record: _Record, now: float) -> set[str]:
+        """Find the crashes of which another request may be the cause."""
+        return {
+            incarnation
+            for other in self._records.values()
+            if other is not record
+            and other.forget_at > now
+            and len(other.counts_at) >= len(record.counts_at)
+            for incarnation in other.counts_at
+        }
 
     def _forget_old(self, now: float) -> None:
         for fingerprint in [
