Know a request that comes again from another address (BUDGET)

What identifies a caller isn't on the wire at these deployments.

The fingerprint is made of method, host, target and body.

--- a/packages/core/auburnroad_core/http/messages.py
+++ b/packages/core/auburnroad_core/http/messages.py
@@ -18,14 +18,12 @@
       headers: Header values by lower-case name; values of a repeated header
         are joined by a comma.
       body: The complete body.
-      peer: IP address that the request came from; empty for an outgoing one.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes = b''
-    peer: str = ''
 
     @property
     def path(self) -> str:
--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -67,7 +67,7 @@
 class _Connection:
     """The server's end of one connection from a caller."""
 
-    __slots__ = ('_h11', '_reader', '_writer', '_server', '_peer', 'busy')
+    __slots__ = ('_h11', '_reader', '_writer', '_server', 'busy')
 
     def __init__(self, server, reader, writer):
         self._h11 = h11.Connection(
@@ -76,7 +76,6 @@
         self._reader = reader
         self._writer = writer
         self._server = server
-        self._peer = (writer.get_extra_info('peername') or ('',))[0]
         self.busy = False
 
     def close(self) -> None:
@@ -161,7 +160,7 @@
                 self._check_size(size)
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return _build_request(head, b''.join(body), self._peer)
+                return _build_request(head, b''.join(body))
             else:
                 return None
 
@@ -333,7 +332,7 @@
     )
 
 
-def _build_request(head, body: bytes, peer: str) -> messages.Request:
+def _build_request(head, body: bytes) -> messages.Request:
     headers: dict[str, str] = {}
     for raw_name, raw_value in head.headers:
         name = raw_name.decode('ascii')
@@ -346,7 +345,6 @@
         head.target.decode('latin-1'),
         headers,
         body,
-        peer,
     )
 
 
--- a/packages/gateway/auburnroad_gateway/forwarding/fingerprint.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/fingerprint.py
@@ -1,7 +1,8 @@
 """Fingerprints that tell which client attempts belong to one request.
 
 The id of a request is new for each client attempt, so that it can't tell that
-a request comes again. Its method, host, target, body and caller can.
+a request comes again. Its method, host, target and body can. The address that
+it comes from can't: a caller may have several.
 """
 
 import xxhash
@@ -24,7 +25,6 @@
         request.method,
         request.headers.get('host', ''),
         request.target,
-        request.peer,
     ):
         digest.update(f'{len(part)}:{part}'.encode())
     digest.update(request.body)
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -390,5 +390,4 @@
             reason=reason,
             replicas=sorted(pending.tried_replicas),
             fingerprint=pending.fingerprint,
-            caller=pending.request.peer,
         )
