--- a/packages/e2e/auburnroad_e2e/launch/relay.py
+++ b/packages/e2e/auburnroad_e2e/launch/relay.py
@@ -83,6 +83,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def stop_listening(self) -> None:
+        """Break all connections and refuse new ones until the next start."""
+        if self._server is not None:
+            self._server.close()
+        self._abort()
+
     def cut(self) -> None:
         """Break all connections and refuse new ones."""
         self._cut = True
--- a/packages/e2e/auburnroad_e2e/soak/callers.py
+++ b/packages/e2e/auburnroad_e2e/soak/callers.py
@@ -42,6 +42,7 @@
       whole: Whether the answer is the replica's to this very request.
       replica: Id of the replica that signed the answer, empty for none.
       leaving: Whether the answer states that this replica leaves.
+      refused_as: Error code of the gateway's own answer, empty for none.
     """
 
     kind: str
@@ -55,6 +56,7 @@
     whole: bool
     replica: str = ''
     leaving: bool = False
+    refused_as: str = ''
 
 
 class BatchBook(msgspec.Struct):
@@ -196,13 +198,14 @@
         started, gateway_start = loop.time(), gateway.starts
         request = platform_calls.build_single(path, request_id, PATIENCE_MS)
         status, whole = 0, False
-        replica, leaving = '', False
+        replica, leaving, refused_as = '', False, ''
         try:
             answer = await self._world.call(gateway, request)
             status = answer.status
             whole = platform_calls.is_own_answer(answer, request_id)
             replica = platform_calls.find_replica(answer)
             leaving = platform_calls.is_leaving(answer)
+            refused_as = platform_calls.find_error_code(answer)
         except client.HttpError:
             # Told by the status of zero.
             pass
@@ -218,6 +221,7 @@
             whole,
             replica,
             leaving,
+            refused_as,
         )
         self.attempts.append(attempt)
         return attempt
--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -12,6 +12,7 @@
 from auburnroad_e2e.launch import relay
 from auburnroad_e2e.soak import schedule as schedules
 from auburnroad_e2e.soak import world as worlds
+from auburnroad_standins import platform_replica
 
 KINDS: registry.Registry = registry.Registry('fault')
 LEAVING = 'replica-leaving'
@@ -20,6 +21,7 @@
 ENDLESS = 'replica-endless'
 ALL_SILENT = 'all-connections-silent'
 HISTORY_LOST_BEHIND_CUT = 'log-history-lost-behind-cut'
+CRASHING = 'request-crashes-replicas'
 SLOW_SECONDS = 0.15
 DELAY_SECONDS = 0.05
 SLOW_FACTOR = 8
@@ -29,6 +31,9 @@
 # Requests per second of a replica that limits its rate, and for how long.
 RATE_LIMITS = (0.5, 1.0, 2.0, 4.0)
 LIMITED_SECONDS = 4.0
+# How long a request that crashes replicas comes again, and its pauses.
+CRASHING_SECONDS = 8.0
+CRASHING_PAUSE_SECONDS = 0.4
 # A process that was killed is started again so much later.
 RESTART_SECONDS = 0.3
 
@@ -277,6 +282,20 @@
         replica.endless = False
 
 
+@KINDS.register(CRASHING)
+async def send_crashing_request(world, fault) -> None:
+    """Let a request come again at any gateway that ends each replica."""
+    path = f'{platform_replica.CRASHING_PREFIX}{int(fault.draw * 10**9)}'
+    now = asyncio.get_running_loop().time
+    until = now() + CRASHING_SECONDS + fault.seconds
+    number = int(fault.draw * 97)
+    while now() < until:
+        number += 1
+        gateway = world.gateways[number % len(world.gateways)]
+        await world.send_crashing(gateway, path)
+        await asyncio.sleep(CRASHING_PAUSE_SECONDS)
+
+
 @KINDS.register('replica-slow')
 async def slow_replica(world, fault) -> None:
     replica = choose(world.replicas, fault)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -17,6 +17,7 @@
 TIMED = frozenset(
     (
         'configuration-in-time',
+        'crashing-kept-away',
         'drained-left-alone',
         'leaving-left-alone',
         'stops-cut-nothing',
@@ -27,6 +28,11 @@
 # have gone silent are noticed late.
 AFTERMATH_SECONDS = 4.0
 CONFIGURATION_SECONDS = 2.0
+# From so long after a request has ended the third replica, gateways send it no
+# more than three times.
+CONTACT_SECONDS = 3.0
+KNOWN_CRASHES = 3
+ALLOWED_SENDS = 3
 # From so long after a replica first named its rate limit, it gets no more
 # requests in a window than the ratio of what the limit allows, and a few.
 LIMIT_SECONDS = 3.0
@@ -257,6 +263,36 @@
                 break
 
 
+@PROMISES.register('crashing-kept-away')
+def check_crashing(world, callers):
+    """A request that ended three replicas reaches at most three more."""
+    crashes: dict[str, list[platform_replica.Crash]] = {}
+    for crash in world.books.crashes:
+        crashes.setdefault(crash.path, []).append(crash)
+    for path, ends in crashes.items():
+        if len(ends) <= KNOWN_CRASHES + ALLOWED_SENDS:
+            continue
+        late_from = ends[KNOWN_CRASHES - 1].at + CONTACT_SECONDS
+        late = 0
+        for crash in ends:
+            send = world.crashing_sends[crash.request_id]
+            late += crash.at > late_from and world.is_calm(
+                _find(world, send.gateway),
+                send.started - CONTACT_SECONDS,
+                crash.at,
+            )
+        if late > ALLOWED_SENDS:
+            yield f'{path} ended {len(ends)} replicas, {late} too late'
+
+
+@PROMISES.register('harmless-not-refused')
+def check_harmless(world, callers):
+    """Only requests that crash replicas are refused for that."""
+    for attempt in callers.attempts:
+        if attempt.refused_as == platform_calls.CRASHES_REPLICAS:
+            yield f'{attempt.request_id} was refused by {attempt.gateway}'
+
+
 @PROMISES.register('memory-bounded')
 def check_memory(world, callers):
     """No gateway takes more memory than its host has."""
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -25,6 +25,7 @@
         self.books = platform_replica.Books()
         self.disturbances = []
         self.routes_added = [(ROUTE, 0.0)]
+        self.crashing_sends = {}
         self.plain = []
         self.peak_mb = 50.0
         self.gateways = [
@@ -226,3 +227,32 @@
     def test_gateway_that_takes_more_memory_than_its_host_has(self):
         self.world.peak_mb = worlds.MEMORY_MB + 1.0
         self.assertEqual({'memory-bounded'}, self.find_broken())
+
+    def test_request_that_goes_on_ending_replicas(self):
+        """Each gateway knew only the replicas that it had sent it to."""
+        for at in (10.0, 10.1, 10.2, 12.0, 14.0, 15.0, 16.0):
+            self.crash(at)
+        self.assertEqual(set(), self.find_broken())
+        self.crash(17.0)
+        self.assertEqual({'crashing-kept-away'}, self.find_broken())
+        self.world.disturbances.append(
+            worlds.Disturbance('log-path-cut', 'g', 12.0, 15.5)
+        )
+        self.assertEqual(set(), self.find_broken())
+
+    def crash(self, at):
+        books = self.world.books.crashes
+        request_id = f'crash{len(books)}'
+        self.world.crashing_sends[request_id] = worlds.CrashingSend('g', at)
+        books.append(platform_replica.Crash('/crash', request_id, 'p', at))
+
+    def test_harmless_request_that_is_refused_as_a_crashing_one(self):
+        refused = build_attempt(status=503, whole=False)
+        self.callers.attempts.append(refused)
+        self.assertEqual(set(), self.find_broken())
+        self.callers.attempts.append(
+            msgspec.structs.replace(
+                refused, refused_as=platform_calls.CRASHES_REPLICAS
+            )
+        )
+        self.assertEqual({'harmless-not-refused'}, self.find_broken())
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -37,6 +37,7 @@
     faults.ALL_SILENT,
     faults.LIMITED,
     faults.ENDLESS,
+    faults.CRASHING,
 )
 
 CASES: tuple[Case, ...] = (
--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -41,6 +41,8 @@
 REGISTER_SECONDS = 0.4
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
+# Time until a replica that a request has ended is started again.
+CRASHED_SECONDS = 1.5
 CALL_SECONDS = 3.0
 # Of the deployment's promises: until a replica that drains gets no new work,
 # and from SIGTERM to SIGKILL.
@@ -67,6 +69,18 @@
     end: float = float('inf')
 
 
+class CrashingSend(msgspec.Struct, frozen=True):
+    """A client attempt of a request that crashes replicas.
+
+    Attributes:
+      gateway: Name of the gateway.
+      started: Monotonic seconds.
+    """
+
+    gateway: str
+    started: float
+
+
 class Gateway:
     """One gateway process and what is around it.
 
@@ -138,6 +152,7 @@
       relays: Relay before each replica, by the replica's id.
       books: What the replicas did.
       disturbances: What was wrong, and when.
+      crashing_sends: Client attempts of requests that crash replicas, by id.
       routes_added: Path prefixes of the routes that were added, oldest
         first, and when.
     """
@@ -150,6 +165,7 @@
         self.plain: list[platform_replica.Plain] = []
         self.relays: dict[str, relay.Relay] = {}
         self.disturbances: list[Disturbance] = []
+        self.crashing_sends: dict[str, CrashingSend] = {}
         self.routes_added: list[tuple[str, float]] = []
         self.http = client.HttpClient()
         self._network = loopback.Network()
@@ -181,6 +197,7 @@
                 DOMAINS[number % len(DOMAINS)],
                 PLAIN_SLOTS,
                 self.books,
+                on_crash=self._end_replica,
             )
             await self._place(replica)
             self.plain.append(replica)
@@ -286,6 +303,33 @@
             if disturbance.subject in ('', gateway.name)
         )
 
+    async def send_crashing(self, gateway: Gateway, path: str) -> None:
+        """Send a request that crashes the replicas that run it."""
+        request_id = f'crash{len(self.crashing_sends)}'
+        now = asyncio.get_running_loop().time()
+        self.crashing_sends[request_id] = CrashingSend(gateway.name, now)
+        headers = {platform_calls.REQUEST_ID: request_id}
+        request = messages.Request('POST', path, headers, b'crash')
+        try:
+            await self.call(gateway, request)
+        except client.HttpError:
+            # It has no answer that anybody waits for.
+            return
+
+    def _end_replica(self, replica: platform_replica.Plain) -> None:
+        self._tasks.append(asyncio.create_task(self._restart_replica(replica)))
+
+    async def _restart_replica(self, replica: platform_replica.Plain) -> None:
+        now = asyncio.get_running_loop().time
+        crash = Disturbance('replica-crashed', replica.id, now())
+        self.disturbances.append(crash)
+        self.relays[replica.id].stop_listening()
+        await asyncio.sleep(CRASHED_SECONDS)
+        replica.restart()
+        await self.relays[replica.id].start()
+        replica.down = False
+        crash.end = now()
+
     async def _is_ready(self, gateway: Gateway) -> bool:
         request = messages.Request('GET', platform_calls.READY_PATH, {})
         try:
--- a/packages/gateway/auburnroad_gateway/process/crashing_request_test.py
+++ b/packages/gateway/auburnroad_gateway/process/crashing_request_test.py
@@ -17,6 +17,8 @@
 from auburnroad_standins import partition_log
 from auburnroad_standins import plain_adapter
 
+# More than can learn of the request by crashes of their own.
+GATEWAYS = 'abcde'
 REPLICAS = 4
 POISON = '/q/poison'
 # Crashes after which the request is known, and sends that are allowed later.
@@ -74,7 +76,7 @@
 
 
 class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
-    """Two gateways and four replicas, each of which is replaced."""
+    """Five gateways and four replicas, each of which is replaced."""
 
     async def asyncSetUp(self):
         self.log = partition_log.PartitionLog()
@@ -135,7 +137,7 @@
 
     async def test_request_that_crashed_three_replicas_is_hardly_sent(self):
         """Each gateway sent it to two more replicas whenever it came."""
-        gateways = [await self.start_gateway(name) for name in ('one', 'two')]
+        gateways = [await self.start_gateway(name) for name in GATEWAYS]
         while len(self.crashed) < KNOWN_CRASHES:
             await self.play_wave(gateways)
         await asyncio.sleep(CONTACT_SECONDS)
@@ -146,12 +148,12 @@
 
     async def test_gateway_that_starts_later_hardly_sends_it(self):
         """A gateway that was started anew knew nothing of the crashes."""
-        first = await self.start_gateway('one')
+        first = await self.start_gateway('a')
         while len(self.crashed) < KNOWN_CRASHES:
             await self.play_wave([first])
         await asyncio.sleep(CONTACT_SECONDS)
         await first.close()
-        second = await self.start_gateway('two')
+        second = await self.start_gateway('b')
         await asyncio.sleep(CONTACT_SECONDS)
         before = len(self.crashed)
         for _ in range(LATER_WAVES):
--- a/packages/standins/auburnroad_standins/platform_calls.py
+++ b/packages/standins/auburnroad_standins/platform_calls.py
@@ -14,6 +14,8 @@
 CONFIGURATION_KEY = 'config'
 OPERATOR_TOPIC = 'keyed.op'
 REQUEST_ID = 'request-id'
+# Error code of a request that is refused because it crashes replicas.
+CRASHES_REPLICAS = 'crashes_replicas'
 
 
 class Submission(msgspec.Struct, frozen=True):
@@ -113,6 +115,16 @@
     return messages.Request('POST', path, headers, request_id.encode())
 
 
+def find_error_code(response: messages.Response) -> str:
+    """Find the error code of a gateway's own answer, empty for any other."""
+    if response.status < 400 or response.headers.get('response-stamp'):
+        return ''
+    try:
+        return msgspec.json.decode(response.body)['error']['code']
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return ''
+
+
 def is_own_answer(response: messages.Response, request_id: str) -> bool:
     """Tell whether a response was signed by a replica for this request."""
     signature = response.headers.get('response-stamp', '')
--- a/packages/standins/auburnroad_standins/platform_replica.py
+++ b/packages/standins/auburnroad_standins/platform_replica.py
@@ -23,6 +23,8 @@
 EVENT_COUNT_RANGE = 27
 LOAD_SECONDS = 0.3
 FILLER = b'x' * 65536
+# A plain service ends when it runs a request of such a path.
+CRASHING_PREFIX = '/plain/crash'
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -66,6 +68,22 @@
     end: float = float('inf')
 
 
+class Crash(msgspec.Struct, frozen=True):
+    """The end of a replica under a request.
+
+    Attributes:
+      path: Path of the request.
+      request_id: Id of the client attempt.
+      replica: Id of the replica.
+      at: Time in seconds of the event loop's clock.
+    """
+
+    path: str
+    request_id: str
+    replica: str
+    at: float
+
+
 class Books(msgspec.Struct):
     """Records of all replicas in a soak.
 
@@ -79,6 +97,7 @@
       drained: Time of each replica's first registration as draining, by
         replica id, in seconds of the event loop's clock.
       limits: Rate limits that replicas named in their answers.
+      crashes: Ends of replicas under requests, oldest first.
     """
 
     runs: list[Run] = []
@@ -87,6 +106,7 @@
     last_events: dict[str, float] = {}
     drained: dict[str, float] = {}
     limits: list[RateLimit] = []
+    crashes: list[Crash] = []
 
 
 def count_events(item_id: str) -> int:
@@ -267,12 +287,33 @@
 
 
 class Plain(Replica):
-    """A plain service that responds to a request with the request's body."""
+    """A plain service that responds to a request with the request's body.
+
+    Attributes:
+      on_crash: Called with the replica when a request has ended it; closes
+        its connections and its listener.
+    """
+
+    def __init__(self, *arguments, on_crash=lambda replica: None):
+        super().__init__(*arguments)
+        self.on_crash = on_crash
 
     async def _handle_request(self, request) -> messages.Response:
         request_id = self._start_run(request)
         if request_id is None:
             return self._refuse()
+        if request.path.startswith(CRASHING_PREFIX):
+            self._books.crashes.append(
+                Crash(
+                    request.path,
+                    request_id,
+                    self.id,
+                    asyncio.get_running_loop().time(),
+                )
+            )
+            self.down = True
+            self.on_crash(self)
+            await asyncio.Event().wait()
         self._running += 1
         try:
             await asyncio.sleep(self.pause_seconds)
