Decode the software version of replicas, and log where a text changes it

The line release_changed is written when a text is about to go on at a replica of another software version. Nothing is decided by it yet.

--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -12,6 +12,8 @@
 from auburnroad_gateway.forwarding import attempt
 from auburnroad_gateway.forwarding import event_stream
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import registration
+from auburnroad_gateway.telemetry import events
 
 UNPROCESSABLE_STATUS = 422
 
@@ -46,6 +48,8 @@
       texts: Data of the events received so far.
       last_event: Id of the last event; None before the first event.
       versions: Weight versions that generated the events.
+      release: Software that generated the newest event; None before the first
+        event.
       failures: Number of attempts that count towards the route's limit.
       progress_at: Monotonic time in seconds of the last event, or of the start
         of the attempt before its first event.
@@ -63,6 +67,7 @@
         'texts',
         'last_event',
         'versions',
+        'release',
         'failures',
         'progress_at',
         'started_at',
@@ -78,6 +83,7 @@
         self.texts: list[str] = []
         self.last_event: int | None = None
         self.versions: set[int] = set()
+        self.release: registration.Release | None = None
         self.failures = 0
         self.progress_at = 0.0
         self.started_at = 0.0
@@ -96,6 +102,7 @@
         self.texts = other.texts
         self.last_event = other.last_event
         self.versions = other.versions
+        self.release = other.release
         self.complete = other.complete
 
     def reset_text(self) -> None:
@@ -142,6 +149,15 @@
       How the attempt ended.
     """
     target = run.replica
+    if run.release not in (None, target.release):
+        events.write(
+            'release_changed',
+            item=run.item.id,
+            replica=target.id,
+            events=len(run.texts),
+            before=run.release.software_version,
+            after=target.release.software_version,
+        )
     headers = adapter.build_attempt_headers(
         adapter.build_item_headers(run.item, constraints.host),
         target.id,
@@ -211,6 +227,7 @@
     if run.texts:
         run.replica.note_pace((now - run.progress_at) * 1000, now)
     run.last_event = event.id
+    run.release = run.replica.release
     run.texts.append(event.data)
     run.progress_at = now
     return True
--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -101,6 +101,11 @@
         """Address of the replica as 'IP:port'."""
         return self.registration.address
 
+    @property
+    def release(self) -> registration.Release:
+        """Software that the replica runs."""
+        return self.registration.release
+
     @property
     def is_ready(self) -> bool:
         """Whether the replica accepts new work."""
--- a/packages/gateway/auburnroad_gateway/model/registration.py
+++ b/packages/gateway/auburnroad_gateway/model/registration.py
@@ -12,6 +12,21 @@
     DRAINING = 'draining'
 
 
+class Release(msgspec.Struct, frozen=True, array_like=True):
+    """Software that replicas run.
+
+    What replicas of two releases generate doesn't fit together in one text.
+
+    Attributes:
+      service: Name of the service.
+      software_version: Version of the software, not of the weights; empty if
+        not stated.
+    """
+
+    service: str
+    software_version: str
+
+
 class Registration(msgspec.Struct, frozen=True):
     """Registry entry of a replica.
 
@@ -26,6 +41,8 @@
       cold_ms: Remaining warm-up time in milliseconds, during which the replica
         is slow.
       versions: Weight version by model.
+      software_version: Version of the replica's software; empty if not
+        stated.
     """
 
     id: str
@@ -37,3 +54,9 @@
     started_ms: int = 0
     cold_ms: int = 0
     versions: dict[str, int] = {}
+    software_version: str = ''
+
+    @property
+    def release(self) -> Release:
+        """Software that the replica runs."""
+        return Release(self.service, self.software_version)
