Reproduce ORDER: texts and streams go on at another software version

Callers could get answers that hold events of two software versions of one service, which don't fit together.

Nine tests fail: runs that break off, move, drain or are repeated in the next step; streams within one answer; streams that a caller takes up at another gateway, at one out of touch and at one that starts later.

--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/batches/owner_release_test.py
@@ -0,0 +1,62 @@
+"""Tests that a text holds events from replicas of one software version.
+
+Replicas don't check which version began a text. Here the data of an event
+begins with the version of its replica.
+"""
+
+from auburnroad_gateway.batches import owner_test
+from auburnroad_gateway.batches import records
+
+OLD_TEXT = '\n'.join(f'v1.{n}' for n in range(owner_test.EVENTS))
+NEW_TEXT = '\n'.join(f'v2.{n}' for n in range(owner_test.EVENTS))
+
+
+class ReleaseTest(owner_test.OwnerTestCase):
+    """Replicas of software versions 'v1' and 'v2'."""
+
+    def add(self, name, software, **fields):
+        return self.add_replica(
+            name, software, prefix=f'{software}.', **fields
+        )
+
+    async def break_at_two_events(self):
+        """Run an item at the replica 'one' until it breaks."""
+        engine = self.add('one', 'v1')
+        engine.stop_after = 2
+        self.submit()
+        await self.wait(lambda: self.count_events() >= 2)
+        self.register_replica('one', 'draining', software='v1')
+
+    async def test_broken_text_goes_on_at_its_own_version(self):
+        """Texts went on at whichever replica had a free slot."""
+        await self.break_at_two_events()
+        self.add('two', 'v2').pause_seconds = 60
+        self.add('three', 'v1')
+        self.assertEqual([OLD_TEXT], await self.wait_texts())
+
+    async def test_broken_text_starts_anew_at_another_version(self):
+        """Texts held events of two versions of the software."""
+        await self.break_at_two_events()
+        self.add('two', 'v2')
+        self.assertEqual([NEW_TEXT], await self.wait_texts())
+
+    async def test_run_stays_at_a_replica_that_drains(self):
+        """Another version is no place to move a run to."""
+        self.add('one', 'v1', pause_seconds=0.03)
+        self.submit()
+        await self.wait(lambda: self.count_events() >= 2)
+        self.add('two', 'v2')
+        self.register_replica('one', 'draining', software='v1')
+        self.assertEqual([OLD_TEXT], await self.wait_texts())
+
+    async def test_text_of_an_ended_batch_starts_anew_at_another_version(self):
+        """The next step repeats the item, and the old version is gone."""
+        await self.break_at_two_events()
+        end = records.encode(records.End(owner_test.BATCH_ID))
+        self.log.write(records.TOPIC, owner_test.PARTITION, [end])
+        await self.wait(
+            lambda: self.journal.fold.batches[owner_test.BATCH_ID].ended
+        )
+        self.add('two', 'v2')
+        self.submit_next(owner_test.build_submission())
+        self.assertEqual([NEW_TEXT], await self.wait_next_texts())
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -57,18 +57,20 @@
       stop_after: Number of events of an attempt after which the connection
         breaks; None for a connection that does not break.
       rate_limit: Rate limit that the engine names; None for no limit.
+      prefix: Beginning of the data of each event.
     """
 
-    def __init__(self, pause_seconds=0.0, version=1):
+    def __init__(self, pause_seconds=0.0, version=1, prefix=''):
         self.pause_seconds = pause_seconds
         self.version = version
         self.stop_after = None
         self.rate_limit = None
+        self.prefix = prefix
 
     async def handle(self, request):
         first = int(request.headers.get('after', -1)) + 1
         parts = [
-            scripted_replicas.build_event(number)
+            scripted_replicas.build_event(number, f'{self.prefix}{number}')
             for number in range(first, EVENTS)
         ]
         if self.stop_after is not None and len(parts) > self.stop_after:
@@ -189,17 +191,18 @@
         for name in ('STALL_SECONDS', 'FIRST_EVENT_TIMEOUT_SECONDS'):
             self.enterContext(mock.patch.object(moves, name, seconds))
 
-    def register_replica(self, name, state='ready', version=1):
+    def register_replica(self, name, state='ready', version=1, software=''):
         value = (
             '{"id":"%s","service":"s","address":"%s:1","failure_domain":"a",'
-            '"slots":1,"state":"%s","versions":{"m":%d}}'
-        ) % (name, name, state, version)
+            '"slots":1,"state":"%s","versions":{"m":%d},'
+            '"software_version":"%s"}'
+        ) % (name, name, state, version, software)
         self.replicas.apply(service.KeyedRecord(name, value.encode(), 0))
 
-    def add_replica(self, name, **fields):
+    def add_replica(self, name, software='', **fields):
         engine = Replica(**fields)
         self.client.handle(f'{name}:1', engine.handle)
-        self.register_replica(name, version=engine.version)
+        self.register_replica(name, version=engine.version, software=software)
         return engine
 
     def submit(self, submission=None, incarnation=None):
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -114,6 +114,79 @@
         self.assertEqual('far:1', response.headers['from'])
 
 
+class ReleaseTest(unittest.IsolatedAsyncioTestCase):
+    """Replicas of two software versions; the data of events tells which."""
+
+    def setUp(self):
+        adapter = plain_adapter.PlainAdapter()
+        self.client = scripted_replicas.ScriptedClient()
+        self.replicas = directory.Directory(adapter)
+        forwarder = requests.Forwarder(
+            adapter,
+            self.client,
+            self.replicas,
+            'one',
+            permit_group.PermitGroup('own').permits['own'],
+            crash_watches.build_crash_watch(),
+        )
+        self.streams = streams.StreamForwarder(
+            adapter, self.client, forwarder, crash_watches.build_crash_watch()
+        )
+
+    def add(self, name, software, break_after=len(EVENTS)):
+        value = (
+            '{"id":"%s","service":"s","address":"%s:1","slots":2,'
+            '"failure_domain":"%s","state":"ready","software_version":"%s"}'
+        ) % (name, name, name, software)
+        self.replicas.apply(service.KeyedRecord(name, value.encode(), 0))
+        events = [
+            scripted_replicas.build_event(number, f'{software}.{number}')
+            for number in range(len(EVENTS))
+        ]
+
+        async def handle(request):
+            first = int(request.headers.get('after', -1)) + 1
+            parts = events[first:]
+            if len(parts) > break_after:
+                parts = [*parts[:break_after], client.BrokenError('reset')]
+            return scripted_replicas.Reply(
+                200, {'signed': '1'}, scripted_replicas.iterate(parts)
+            )
+
+        self.client.handle(f'{name}:1', handle)
+        return b''.join(events)
+
+    async def read(self):
+        pending = requests.PendingRequest(
+            messages.Request('POST', '/x', {'host': 'h'}),
+            call.CallHead('q'),
+            requests_test.build_route(STREAM, resumable=True, max_attempts=4),
+            time.monotonic(),
+        )
+        response = await self.streams.forward(pending)
+        return b''.join([part async for part in response.chunks])
+
+    async def test_broken_stream_goes_on_at_its_own_version(self):
+        """Streams went on at whichever replica had the lowest load."""
+        events = self.add('one', 'v1', break_after=2)
+        self.add('two', 'v2')
+        self.add('three', 'v1')
+        self.assertEqual(events, await self.read())
+        self.assertEqual(0, self.client.count('two:1'))
+
+    async def test_broken_stream_without_its_version_raises(self):
+        self.add('one', 'v1', break_after=2)
+        self.add('two', 'v2')
+        with self.assertRaises(ConnectionResetError):
+            await self.read()
+        self.assertEqual(0, self.client.count('two:1'))
+
+    async def test_stream_that_broke_before_an_event_may_begin_anywhere(self):
+        self.add('one', 'v1', break_after=0)
+        events = self.add('two', 'v2')
+        self.assertEqual(events, await self.read())
+
+
 class EndlessStreamTest(unittest.IsolatedAsyncioTestCase):
     """Streams of bytes that are no events."""
 
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/process/resumed_stream_test.py
@@ -0,0 +1,201 @@
+"""Tests of streams that callers take up again at another gateway.
+
+Gateways on loopback share a log. Replicas run two versions of their software;
+the data of an event tells which. A stream stops after its first events until
+its caller leaves.
+"""
+
+import asyncio
+import json
+import unittest
+
+import msgspec
+
+from auburnroad_core.http import messages
+from auburnroad_core.http import server
+from auburnroad_gateway.model import configuration
+from auburnroad_gateway.process import gateway
+from auburnroad_gateway.process import gateway_test
+from auburnroad_standins import partition_log
+from auburnroad_standins import plain_adapter
+from auburnroad_standins import scripted_replicas
+
+VERSIONS = ('v1', 'v2')
+EVENTS = 6
+FIRST_EVENTS = 2
+STREAMS = 8
+REFUSED_STATUS = 503
+CONFIGURATION = configuration.Configuration(
+    1,
+    (
+        configuration.Route(
+            'stream',
+            'h',
+            '/s/',
+            configuration.RouteKind.STREAM,
+            (configuration.Backend('s'),),
+            timeout_ms=2000,
+            max_attempts=2,
+            resumable=True,
+        ),
+    ),
+    {'s': configuration.Service('s')},
+)
+
+
+class Replica:
+    """A replica of one software version."""
+
+    def __init__(self, replica_id, software, logs):
+        self._id = replica_id
+        self._software = software
+        self._logs = logs
+        self._server = server.HttpServer(self._answer)
+
+    async def start(self):
+        host, port = await self._server.start('127.0.0.1', 0)
+        entry = {
+            'id': self._id,
+            'service': 's',
+            'address': f'{host}:{port}',
+            'failure_domain': 'a',
+            'slots': 32,
+            'state': 'ready',
+            'software_version': self._software,
+        }
+        for log in self._logs:
+            log.put(
+                plain_adapter.PlainAdapter.replica_topic,
+                self._id,
+                json.dumps(entry).encode(),
+            )
+
+    async def close(self):
+        await self._server.close()
+
+    async def _answer(self, request):
+        headers = {'signed': '1', 'id': request.headers.get('id', '')}
+        first = int(request.headers.get('after', -1)) + 1
+        return messages.Response(200, headers, chunks=self._generate(first))
+
+    async def _generate(self, first):
+        for number in range(first, EVENTS):
+            if number == FIRST_EVENTS and not first:
+                await asyncio.Event().wait()
+            data = f'{self._software}.{number}'
+            yield scripted_replicas.build_event(number, data)
+
+
+class ResumedStreamTest(unittest.IsolatedAsyncioTestCase):
+    """Two gateways and two replicas of each software version.
+
+    By their load the first gateway prefers replicas of the first version, the
+    other one those of the second.
+    """
+
+    async def asyncSetUp(self):
+        self.log = partition_log.PartitionLog()
+        # Nothing that a gateway writes there reaches the others.
+        self.own_log = partition_log.PartitionLog()
+        logs = (self.log, self.own_log)
+        for log in logs:
+            log.put(
+                plain_adapter.PlainAdapter.operator_topic,
+                'configuration',
+                msgspec.json.encode(CONFIGURATION),
+            )
+        for software in VERSIONS:
+            for number in range(2):
+                replica = Replica(f'{software}-{number}', software, logs)
+                await replica.start()
+                self.addAsyncCleanup(replica.close)
+
+    async def start_gateway(self, name, busy_version, log=None):
+        subject = gateway.Gateway(
+            gateway_test.build_settings(name),
+            gateway_test.Adapter(log or self.log),
+        )
+        await subject.start()
+        self.addAsyncCleanup(subject.close)
+        async with asyncio.timeout(gateway_test.TIMEOUT_SECONDS):
+            while len(subject._directory.list_ready('s')) < 4:
+                await asyncio.sleep(0.01)
+        for target in subject._directory.list_ready('s'):
+            if target.release.software_version == busy_version:
+                target.in_flight += STREAMS
+        return subject
+
+    async def read(self, subject, count, **headers):
+        """Read a status and the first events of a stream, and leave."""
+        host, _, port = subject.addresses['callers'].rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        fields = ''.join(f'{k}: {v}\r\n' for k, v in headers.items())
+        writer.write(f'GET /s/x HTTP/1.1\r\nhost: h\r\n{fields}\r\n'.encode())
+        data = []
+        async with asyncio.timeout(gateway_test.TIMEOUT_SECONDS):
+            head = await reader.readuntil(b'\r\n\r\n')
+            status = int(head.split()[1])
+            while status == 200 and len(data) < count:
+                line = await reader.readline()
+                if line.startswith(b'data: '):
+                    data.append(line.decode().split()[1])
+                elif not line:
+                    break
+        writer.close()
+        return status, data
+
+    async def take_up(self, first, second, number):
+        """Begin a stream at one gateway and go on at another.
+
+        Returns:
+          The status of the second answer, and the software versions of all
+          events.
+        """
+        begun = f'begun{number}'
+        _, data = await self.read(first, FIRST_EVENTS, id=begun)
+        status, rest = await self.read(
+            second,
+            EVENTS - FIRST_EVENTS,
+            id=f'again{number}',
+            resumes=begun,
+            after=FIRST_EVENTS - 1,
+        )
+        return status, {entry.partition('.')[0] for entry in data + rest}
+
+    async def take_up_all(self, first, second):
+        return await asyncio.gather(
+            *(self.take_up(first, second, n) for n in range(STREAMS))
+        )
+
+    async def test_stream_goes_on_at_the_version_that_began_it(self):
+        """The other gateway chose a replica by its load alone."""
+        first = await self.start_gateway('one', 'v2')
+        second = await self.start_gateway('two', 'v1')
+        for status, versions in await self.take_up_all(first, second):
+            self.assertEqual((200, {'v1'}), (status, versions))
+
+    async def test_gateway_out_of_touch_refuses_what_it_does_not_know(self):
+        """It joined events of two versions, as it knew of none."""
+        first = await self.start_gateway('one', 'v2')
+        second = await self.start_gateway('two', 'v1', self.own_log)
+        self.own_log.down = True
+        for status, versions in await self.take_up_all(first, second):
+            self.assertEqual((REFUSED_STATUS, {'v1'}), (status, versions))
+
+    async def test_gateway_that_starts_later_knows_the_version(self):
+        """Versions must be known to gateways that did not hear of them."""
+        first = await self.start_gateway('one', 'v2')
+        _, data = await self.read(first, FIRST_EVENTS, id='begun')
+        await self.read(first, FIRST_EVENTS, id='other')
+        await asyncio.sleep(0.5)
+        await first.close()
+        second = await self.start_gateway('two', 'v1')
+        status, rest = await self.read(
+            second,
+            EVENTS - FIRST_EVENTS,
+            id='again',
+            resumes='begun',
+            after=FIRST_EVENTS - 1,
+        )
+        versions = {entry.partition('.')[0] for entry in data + rest}
+        self.assertEqual((200, {'v1'}), (status, versions))
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -41,10 +41,13 @@
             return None
 
     def decode_call(self, headers):
-        """Decode the headers 'id' and 'patience'."""
+        """Decode the headers 'id', 'patience' and 'after'."""
         patience = headers.get('patience')
+        after = headers.get('after')
         return call.CallHead(
-            headers.get('id', ''), int(patience) if patience else None
+            headers.get('id', ''),
+            int(patience) if patience else None,
+            int(after) if after else None,
         )
 
     def build_attempt_headers(
