Resume texts of items only at the software version that began them (ORDER)

Cause: a text went on at any replica with new enough weights, since nothing told which software had made it. The class of the fault: state that is passed on without what it depends on.

A run and its saved text name their release (service and software version). Placement and moves regard only replicas of that release; texts of two releases are not joined in the log. Without a replica of it the item starts anew at once; without a free slot there, after the time that the text took, so that an item never waits longer than it could lose. A registration whose software version changes is another start of its replica.

Texts saved by gateways before this change name no release and go on anywhere, as before.

--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -184,7 +184,13 @@
     if record.after < 0:
         known.clear()
     # If two owners saved overlapping texts, the first text in the log counts.
-    if record.after == (known[-1].last_event if known else -1):
+    if not known:
+        follows = record.after < 0
+    else:
+        follows = record.after == known[-1].last_event and known[
+            -1
+        ].release in (None, record.release)
+    if follows:
         known.append(record)
 
 
--- a/packages/gateway/auburnroad_gateway/batches/fold_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold_test.py
@@ -8,6 +8,7 @@
 from auburnroad_gateway.batches import fold
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import registration
 
 RECORD_BYTES = 2000
 
@@ -109,6 +110,25 @@
             [4, 7, 8], [part.last_event for part in state.progress[0]]
         )
 
+    def test_saved_texts_of_two_releases_are_not_joined(self):
+        """A former owner saves on while the next one has started anew."""
+        state = self.submit()
+        old, new = (registration.Release('s', name) for name in ('v1', 'v2'))
+        for after, last, release in (
+            (-1, 4, old),
+            (-1, 4, new),
+            (4, 7, old),
+            (4, 8, new),
+        ):
+            record = records.Progress(
+                'b', 0, after, last, b'', [1], 0, release=release
+            )
+            self.apply(records.encode(record))
+        self.assertEqual(
+            [(4, new), (8, new)],
+            [(part.last_event, part.release) for part in state.progress[0]],
+        )
+
     def test_text_saved_after_the_complete_text_is_ignored(self):
         state = self.submit()
         whole = records.Progress('b', 0, -1, 5, b'', [1], 0, complete=True)
--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -70,23 +70,25 @@
       'vacating' if the replica is not ready or about to load weights and
       another replica has a free slot, 'slow' if a faster replica has a free
       slot, 'crawling' if the run ends sooner by waiting for a slot at another
-      replica, or an empty string if the run stays.
+      replica, or an empty string if the run stays. A replica of another
+      release than the text's is no other replica.
     """
     current = run.replica
     must_vacate = current.vacating or not replicas.is_ready(current)
     may_move = bool(run.texts) and now - run.started_at >= MIN_STAY_SECONDS
     if not must_vacate and not may_move:
         return ''
+    ready = replicas.list_ready(current.registration.service)
     if not must_vacate and placement.is_too_slow(
         current, paces.median_ms, now
     ):
-        return 'crawling'
+        others = placement.list_with_release(ready, need.release)
+        return 'crawling' if set(others) - {current} else ''
     if not must_vacate and (
         has_waiting_items
         or current.find_pace(now) <= find_min_speedup(run) * paces.fastest_ms
     ):
         return ''
-    ready = replicas.list_ready(current.registration.service)
     candidate = placement.choose_for_item(ready, failure_domain, need, now)
     if candidate is None or candidate is current:
         return ''
--- a/packages/gateway/auburnroad_gateway/batches/moves_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves_test.py
@@ -12,6 +12,7 @@
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import registration
 from auburnroad_standins import plain_adapter
 
 NOW_SECONDS = 100.0
@@ -50,10 +51,10 @@
         for name in ('two', 'three'):
             self.replicas[name].in_flight = SLOTS
 
-    def find(self, has_waiting_items=False):
+    def find(self, has_waiting_items=False, release=None):
         return moves.find_move_reason(
             self.run_of_item,
-            placement.ItemRequirements('m', 1),
+            placement.ItemRequirements('m', 1, release=release),
             self.directory,
             'a',
             has_waiting_items,
@@ -77,6 +78,19 @@
         self.fill_others()
         self.assertEqual('crawling', self.find(has_waiting_items=True))
 
+    def test_crawling_run_stays_without_a_replica_of_its_release(self):
+        """Away from it, the run could only start anew."""
+        self.slow_down(4)
+        own = registration.Release('s', 'v1')
+        self.assertEqual('', self.find(release=own))
+
+    def test_run_does_not_move_to_another_release(self):
+        own = registration.Release('s', 'v1')
+        self.slow_down(1.8)
+        self.assertEqual('', self.find(release=own))
+        self.replicas['one'].vacating = True
+        self.assertEqual('', self.find(release=own))
+
     def test_run_that_has_just_started_stays(self):
         self.slow_down(4)
         self.run_of_item.started_at = NOW_SECONDS
--- a/packages/gateway/auburnroad_gateway/batches/owned_batches.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned_batches.py
@@ -180,6 +180,7 @@
         run.last_event = run.saved_event = saved[-1].last_event
         run.saved_texts = len(run.texts)
         run.versions = set(saved[-1].versions)
+        run.release = saved[-1].release
         run.complete = saved[-1].complete
     return run
 
@@ -239,6 +240,7 @@
         sorted(run.versions),
         run.failures,
         complete=run.complete,
+        release=run.release,
     )
     run.saved_event = last
     run.saved_texts = len(run.texts)
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -18,6 +18,7 @@
 from auburnroad_gateway.batches import partial_runs
 from auburnroad_gateway.batches import reuse
 from auburnroad_gateway.batches import run as runs
+from auburnroad_gateway.batches import slot_search
 from auburnroad_gateway.completion import finisher
 from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.completion import scoring
@@ -31,9 +32,6 @@
 
 # Interval of the checks for stalled runs, expired items and orphaned batches.
 TICK_SECONDS = 0.1
-# Assumed time between two events before the first measurement: the value of a
-# replica in the present deployments with half of its slots in use.
-DEFAULT_PACE_MS = 48.0
 # Time for which batches stay readable after the promised read life.
 EXPIRY_MARGIN_MS = 10_000
 
@@ -278,23 +276,29 @@
             if placement.has_free_slot(candidates, now):
                 queue.extend(self._list_queue_entries(owned))
         queue.sort(key=lambda entry: entry[0])
-        unplaceable = set()
+        search = slot_search.SlotSearch(
+            self._directory, self._settings.failure_domain, now
+        )
         for _, owned, run in queue:
             service = owned.route.backends[0].service
             need = self._build_need(owned, run)
-            key = (service, need.model, need.minimum_version)
-            if key in unplaceable:
-                continue
-            target = placement.choose_for_item(
-                self._directory.list_ready(service),
-                self._settings.failure_domain,
-                need,
-                now,
-            )
+            target = search.find(service, need)
             if target is None:
-                unplaceable.add(key)
-                continue
-            self._start_attempt(owned, run, target)
+                target = search.find_for_restart(service, need, run)
+                if target is not None:
+                    self._give_up_text(owned, run)
+            if target is not None:
+                self._start_attempt(owned, run, target)
+
+    def _give_up_text(self, owned, run: runs.ItemRun) -> None:
+        events.write(
+            'item_restarted',
+            batch=owned.state.id,
+            item=run.item.id,
+            release=run.release.software_version,
+            events=len(run.texts),
+        )
+        run.reset_text()
 
     def _refill_permits(self, service_name: str, now: float):
         """Get permits for the replicas that need one; return all replicas."""
@@ -315,6 +319,7 @@
             owned_batches.count_tokens(run, service.tokens_per_event),
             owned_batches.estimate_final_tokens(run, service.tokens_per_event),
             service.memory_tokens,
+            run.release,
         )
 
     def _find_service(self, owned) -> configuration.Service:
@@ -348,7 +353,9 @@
             self._directory.list_ready(service.name), time.monotonic()
         )
         groups = owned_batches.estimate_groups(
-            owned, service.tokens_per_event, pace_ms or DEFAULT_PACE_MS
+            owned,
+            service.tokens_per_event,
+            pace_ms or slot_search.DEFAULT_PACE_MS,
         )
         for run in owned.waiting.values():
             group = groups[run.item.group]
@@ -368,6 +375,7 @@
         run.replica = target
         run.progress_at = time.monotonic()
         run.started_at = run.progress_at
+        run.restart_at = float('inf')
         target.in_flight += 1
         if target.rate_limit is not None:
             target.use_permit()
--- a/packages/gateway/auburnroad_gateway/batches/owner_release_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_release_test.py
@@ -6,6 +6,7 @@
 
 from auburnroad_gateway.batches import owner_test
 from auburnroad_gateway.batches import records
+from auburnroad_gateway.model import registration
 
 OLD_TEXT = '\n'.join(f'v1.{n}' for n in range(owner_test.EVENTS))
 NEW_TEXT = '\n'.join(f'v2.{n}' for n in range(owner_test.EVENTS))
@@ -19,6 +20,25 @@
             name, software, prefix=f'{software}.', **fields
         )
 
+    def submit_saved_text(self, software):
+        """Submit a batch of a gateway that has died, with a saved text."""
+        self.submit(incarnation='dead')
+        saved = records.Progress(
+            owner_test.BATCH_ID,
+            0,
+            -1,
+            1,
+            records.pack_text(f'{software}.0\n{software}.1'),
+            [1],
+            0,
+            release=registration.Release('s', software),
+        )
+        self.log.write(
+            records.TOPIC, owner_test.PARTITION, [records.encode(saved)]
+        )
+        self.members._observing_since = 1.0
+        self.members._checked_at = 10.0
+
     async def break_at_two_events(self):
         """Run an item at the replica 'one' until it breaks."""
         engine = self.add('one', 'v1')
@@ -49,6 +69,20 @@
         self.register_replica('one', 'draining', software='v1')
         self.assertEqual([OLD_TEXT], await self.wait_texts())
 
+    async def test_saved_text_of_another_version_is_not_resumed(self):
+        """The text in the log did not tell which version made it."""
+        self.add('one', 'v2')
+        self.submit_saved_text('v1')
+        self.assertEqual([NEW_TEXT], await self.wait_texts())
+
+    async def test_saved_text_is_resumed_at_its_own_version(self):
+        self.add('one', 'v2').pause_seconds = 60
+        self.add('two', 'v1')
+        self.submit_saved_text('v1')
+        self.assertEqual([OLD_TEXT], await self.wait_texts())
+        _, sent = self.client.requests[-1]
+        self.assertEqual('1', sent.headers['after'])
+
     async def test_text_of_an_ended_batch_starts_anew_at_another_version(self):
         """The next step repeats the item, and the old version is gone."""
         await self.break_at_two_events()
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -11,6 +11,7 @@
 
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import call
+from auburnroad_gateway.model import registration
 
 TOPIC = 'batches'
 # Texts and bodies in large deployments, where not every gateway can read
@@ -74,6 +75,8 @@
       place: Location of the text if this record doesn't contain it.
       part: Index of the text at that location, in the order of pack_texts.
       complete: Whether the item's text is complete and waits for its score.
+      release: Software that generated the item's text up to last_event; None
+        if not recorded.
     """
 
     batch_id: str
@@ -86,6 +89,7 @@
     place: batch.RecordLocation | None = None
     part: int = 0
     complete: bool = False
+    release: registration.Release | None = None
 
 
 class End(msgspec.Struct, frozen=True, array_like=True, tag='e'):
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -13,7 +13,6 @@
 from auburnroad_gateway.forwarding import event_stream
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import registration
-from auburnroad_gateway.telemetry import events
 
 UNPROCESSABLE_STATUS = 422
 
@@ -48,8 +47,9 @@
       texts: Data of the events received so far.
       last_event: Id of the last event; None before the first event.
       versions: Weight versions that generated the events.
-      release: Software that generated the newest event; None before the first
-        event.
+      release: Software that generated the text; None before the first event.
+      restart_at: Monotonic time in seconds from which the text is given up if
+        its release has no free slot; infinite if no slot was sought yet.
       failures: Number of attempts that count towards the route's limit.
       progress_at: Monotonic time in seconds of the last event, or of the start
         of the attempt before its first event.
@@ -68,6 +68,7 @@
         'last_event',
         'versions',
         'release',
+        'restart_at',
         'failures',
         'progress_at',
         'started_at',
@@ -84,6 +85,7 @@
         self.last_event: int | None = None
         self.versions: set[int] = set()
         self.release: registration.Release | None = None
+        self.restart_at = float('inf')
         self.failures = 0
         self.progress_at = 0.0
         self.started_at = 0.0
@@ -109,6 +111,7 @@
         """Discard the text, so that the next attempt starts anew."""
         self.texts.clear()
         self.versions.clear()
+        self.release = None
         self.last_event = None
         self.saved_event = -1
         self.saved_texts = 0
@@ -149,15 +152,6 @@
       How the attempt ended.
     """
     target = run.replica
-    if run.release not in (None, target.release):
-        events.write(
-            'release_changed',
-            item=run.item.id,
-            replica=target.id,
-            events=len(run.texts),
-            before=run.release.software_version,
-            after=target.release.software_version,
-        )
     headers = adapter.build_attempt_headers(
         adapter.build_item_headers(run.item, constraints.host),
         target.id,
--- a/packages/gateway/auburnroad_gateway/directory/directory.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory.py
@@ -184,5 +184,5 @@
     return (
         previous.started_ms != new.started_ms
         or previous.address != new.address
-        or previous.service != new.service
+        or previous.release != new.release
     )
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.model import registration
 
 # Relative increase of the time per event from an empty to a full replica.
 FULL_LOAD_SLOWDOWN = 0.15
@@ -38,6 +39,7 @@
       final_tokens: Tokens that the item is expected to hold at its end.
       memory_tokens: Capacity of a replica's KV cache in tokens; zero for no
         limit.
+      release: Software that generated the text so far; None for any.
     """
 
     model: str
@@ -45,6 +47,7 @@
     tokens: int = 0
     final_tokens: int = 0
     memory_tokens: int = 0
+    release: registration.Release | None = None
 
 
 class Paces(msgspec.Struct, frozen=True):
@@ -132,7 +135,7 @@
     median = find_median_pace(fresh, now)
     usable = [
         target
-        for target in fresh
+        for target in list_with_release(fresh, need.release)
         if target.avoid_until <= now
         and not target.is_loading(now)
         and target.count_free(now) > 0
@@ -264,6 +267,17 @@
     ]
 
 
+def list_with_release(
+    candidates: list[replica.Replica], release: registration.Release | None
+) -> list[replica.Replica]:
+    """List the replicas that run a release; all if it is None."""
+    return [
+        target
+        for target in candidates
+        if release is None or target.release == release
+    ]
+
+
 def find_median_pace(candidates: list[replica.Replica], now: float) -> float:
     """Find the median pace of replicas in milliseconds per event.
 
