--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -415,6 +415,7 @@
                 replica=target.id,
                 events=len(run.texts),
                 versions=sorted(run.versions),
+                software_version=target.release.software_version,
                 took_ms=int((time.monotonic() - run.started_at) * 1000),
                 reward=run.item.reward.id if run.item.reward else '',
             )
--- a/packages/gateway/auburnroad_gateway/directory/directory.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory.py
@@ -164,6 +164,7 @@
             address=new.address,
             state=new.state,
             versions=new.versions,
+            software_version=new.software_version,
         )
 
     def _notify(self) -> None:
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -23,6 +23,7 @@
 from auburnroad_gateway.members import permits as all_permits
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_gateway.model import registration
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 
@@ -49,6 +50,8 @@
       server_errors: Number of answers with status 500.
       retry_seconds: Seconds after which the caller should return if the
         request is refused.
+      release: Release at which the request has to run, since it has events of
+        it; None for any.
       fingerprint: Fingerprint of the request; empty for a request of the
         gateway itself, which is never suspected of crashing replicas.
     """
@@ -63,6 +66,7 @@
         'possible_runs',
         'server_errors',
         'retry_seconds',
+        'release',
         'fingerprint',
         '_caller_deadline_at',
     )
@@ -88,6 +92,7 @@
         self.possible_runs = 0
         self.server_errors = 0
         self.retry_seconds = refusals.RETRY_AFTER_SECONDS
+        self.release: registration.Release | None = None
         self.fingerprint = fingerprint
 
     @property
@@ -152,7 +157,7 @@
         best = self._choose_unlimited(pending, now)
         limited = [
             target
-            for target in self._directory.list_ready(pending.service)
+            for target in self.list_candidates(pending)
             if target.rate_limit is not None
             and target.id not in pending.tried_replicas
         ]
@@ -172,13 +177,31 @@
         )
         return best
 
+    def list_candidates(
+        self, pending: PendingRequest
+    ) -> list[replica.Replica]:
+        """List the replicas that accept work and may run a request."""
+        return placement.list_with_release(
+            self._directory.list_ready(pending.service), pending.release
+        )
+
+    def find_only_release(
+        self, pending: PendingRequest
+    ) -> registration.Release | None:
+        """Find the release of all replicas of a service; None if several."""
+        releases = {
+            target.release
+            for target in self._directory.list_all(pending.service)
+        }
+        return releases.pop() if len(releases) == 1 else None
+
     def _choose_unlimited(
         self, pending: PendingRequest, now: float
     ) -> replica.Replica | None:
         return placement.choose_replica(
             [
                 target
-                for target in self._directory.list_ready(pending.service)
+                for target in self.list_candidates(pending)
                 if target.rate_limit is None
             ],
             self._failure_domain,
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -11,13 +11,20 @@
 from auburnroad_gateway.forwarding import event_stream
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
+from auburnroad_gateway.forwarding import stream_releases
 from auburnroad_gateway.telemetry import events
 
 
 class StreamForwarder:
     """Forwards requests whose response is a stream of events."""
 
-    __slots__ = ('_adapter', '_client', '_forwarder', '_crash_watch')
+    __slots__ = (
+        '_adapter',
+        '_client',
+        '_forwarder',
+        '_crash_watch',
+        '_releases',
+    )
 
     def __init__(
         self,
@@ -25,11 +32,13 @@
         http_client: client.HttpClient,
         forwarder: requests.Forwarder,
         watch: crash_watch.CrashWatch,
+        releases: stream_releases.StreamReleases,
     ):
         self._adapter = adapter
         self._client = http_client
         self._forwarder = forwarder
         self._crash_watch = watch
+        self._releases = releases
 
     async def forward(
         self, pending: requests.PendingRequest
@@ -45,6 +54,8 @@
         """
         if self._forwarder.must_refuse(pending):
             return self._forwarder.refuse(pending)
+        if pending.head.resumes and not await self._find_release(pending):
+            return self._refuse_to_resume(pending)
         reason = 'no replica'
         last_event_id = pending.head.last_event_id
         timeout_at = pending.deadline_at
@@ -73,6 +84,39 @@
         )
         return refusals.build_refusal('no_replica', pending.retry_seconds)
 
+    async def _find_release(self, pending: requests.PendingRequest) -> bool:
+        """Find the release that began a stream which a caller takes up.
+
+        Returns:
+          Whether the stream may go on: its release is known, and a replica of
+          it accepts work.
+        """
+        head = pending.head
+        if head.begun_by:
+            release = await self._releases.fetch(head.begun_by)
+        else:
+            release = self._forwarder.find_only_release(pending)
+        if release is None:
+            return False
+        services = {backend.service for backend in pending.route.backends}
+        pending.release = release
+        if release.service in services:
+            pending.service = release.service
+        return bool(self._forwarder.list_candidates(pending))
+
+    def _refuse_to_resume(
+        self, pending: requests.PendingRequest
+    ) -> messages.Response:
+        events.write(
+            'stream_not_resumed',
+            request=pending.head.request_id,
+            begun_by=pending.head.begun_by,
+            release=pending.release,
+        )
+        return refusals.build_refusal(
+            'release_unavailable', refusals.RETRY_AFTER_OUTAGE_SECONDS
+        )
+
     async def _open_stream(self, pending, target, last_event_id):
         pending.tried_replicas.add(target.id)
         request = self._forwarder.build_request(pending, target, last_event_id)
@@ -120,6 +164,8 @@
                 ):
                     if event.id is not None:
                         last_event_id = event.id
+                    if pending.release is None:
+                        self._note_begun(pending, target)
                     yield event.raw
                 target.note_success()
                 self._crash_watch.note_answer(pending.fingerprint)
@@ -140,6 +186,11 @@
             )
             target, opened = await self._resume(pending, last_event_id)
 
+    def _note_begun(self, pending, target) -> None:
+        pending.release = target.release
+        if pending.route.resumable:
+            self._releases.share(pending.head.request_id, target.release)
+
     async def _resume(self, pending, last_event_id):
         while (
             pending.may_repeat
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -19,10 +19,12 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
+from auburnroad_gateway.model import registration
 from auburnroad_standins import crash_watches
 from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
+from auburnroad_standins import stream_memories
 
 EVENTS = [scripted_replicas.build_event(number) for number in range(4)]
 STREAM = configuration.RouteKind.STREAM
@@ -54,6 +56,7 @@
             self.client,
             forwarder,
             crash_watches.build_crash_watch(),
+            stream_memories.build_stream_releases(),
         )
         self.script('far:1', EVENTS)
 
@@ -129,8 +132,13 @@
             permit_group.PermitGroup('own').permits['own'],
             crash_watches.build_crash_watch(),
         )
+        self.memory = stream_memories.build_stream_releases()
         self.streams = streams.StreamForwarder(
-            adapter, self.client, forwarder, crash_watches.build_crash_watch()
+            adapter,
+            self.client,
+            forwarder,
+            crash_watches.build_crash_watch(),
+            self.memory,
         )
 
     def add(self, name, software, break_after=len(EVENTS)):
@@ -156,14 +164,17 @@
         self.client.handle(f'{name}:1', handle)
         return b''.join(events)
 
-    async def read(self):
+    async def forward(self, head=call.CallHead('q')):
         pending = requests.PendingRequest(
             messages.Request('POST', '/x', {'host': 'h'}),
-            call.CallHead('q'),
+            head,
             requests_test.build_route(STREAM, resumable=True, max_attempts=4),
             time.monotonic(),
         )
-        response = await self.streams.forward(pending)
+        return await self.streams.forward(pending)
+
+    async def read(self, head=call.CallHead('q')):
+        response = await self.forward(head)
         return b''.join([part async for part in response.chunks])
 
     async def test_broken_stream_goes_on_at_its_own_version(self):
@@ -181,6 +192,43 @@
             await self.read()
         self.assertEqual(0, self.client.count('two:1'))
 
+    async def test_stream_that_is_taken_up_goes_on_at_its_version(self):
+        self.add('one', 'v1')
+        events = self.add('two', 'v2')
+        self.memory.share('begun', registration.Release('s', 'v2'))
+        head = call.CallHead('q', None, 1, 'begun')
+        self.assertTrue(events.endswith(await self.read(head)))
+        self.assertEqual(0, self.client.count('one:1'))
+
+    async def test_stream_of_unknown_version_is_refused(self):
+        self.add('one', 'v1')
+        response = await self.forward(call.CallHead('q', None, 1, 'begun'))
+        self.assertEqual(503, response.status)
+        self.assertEqual([], self.client.requests)
+
+    async def test_stream_whose_version_is_gone_is_refused_at_once(self):
+        self.add('one', 'v1')
+        self.memory.share('begun', registration.Release('s', 'v2'))
+        response = await self.forward(call.CallHead('q', None, 1, 'begun'))
+        self.assertEqual(503, response.status)
+        self.assertEqual([], self.client.requests)
+
+    async def test_stream_without_its_first_attempt_needs_one_version(self):
+        """Such a caller doesn't tell which stream it takes up."""
+        events = self.add('one', 'v1')
+        head = call.CallHead('q', None, 1)
+        self.assertTrue(events.endswith(await self.read(head)))
+        self.add('two', 'v2')
+        self.assertEqual(503, (await self.forward(head)).status)
+
+    async def test_first_event_shares_the_version_of_a_stream(self):
+        self.add('one', 'v1')
+        self.assertIsNone(self.memory.find('q'))
+        await self.read()
+        self.assertEqual(
+            registration.Release('s', 'v1'), self.memory.find('q')
+        )
+
     async def test_stream_that_broke_before_an_event_may_begin_anywhere(self):
         self.add('one', 'v1', break_after=0)
         events = self.add('two', 'v2')
--- a/packages/gateway/auburnroad_gateway/members/facts.py
+++ b/packages/gateway/auburnroad_gateway/members/facts.py
@@ -18,10 +18,10 @@
 from auburnroad_gateway.telemetry import events
 
 TOPIC = service.KEYED_PREFIX + 'facts'
-# Keys of one gateway for one kind of fact.
-SLOTS = 64
-# Facts learned within this time share a record.
+# Facts learned within this time share a record. All gateways append to one
+# partition, one after the other, so that the time grows with their number.
 GROUP_DELAY_SECONDS = 0.05
+GROUP_DELAY_PER_GATEWAY_SECONDS = 0.01
 RETRY_SECONDS = 0.3
 MAX_FACTS_PER_RECORD = 200
 # Facts of a kind that wait while the log service is unavailable; any further
@@ -36,10 +36,18 @@
       CRASH: The replica in the value ended while it ran the request whose
         fingerprint is the key.
       ANSWER: A replica answered the request whose fingerprint is the key.
+      STREAM: The release in the value began the stream whose first attempt
+        has the key as its id.
     """
 
     CRASH = 'crash'
     ANSWER = 'answer'
+    STREAM = 'stream'
+
+
+# Keys of one gateway for each kind of fact. A gateway that starts finds the
+# facts of as many records.
+SLOTS = {FactKind.CRASH: 64, FactKind.ANSWER: 16, FactKind.STREAM: 256}
 
 
 class Fact(msgspec.Struct, frozen=True, array_like=True):
@@ -67,6 +75,7 @@
     __slots__ = (
         '_host',
         '_log',
+        '_count_gateways',
         '_listeners',
         '_queues',
         '_queue_changed',
@@ -74,15 +83,22 @@
         '_failing',
     )
 
-    def __init__(self, host: str, log: service.LogService):
+    def __init__(
+        self,
+        host: str,
+        log: service.LogService,
+        count_gateways: typing.Callable[[], int] = lambda: 1,
+    ):
         """Create the facts of a gateway.
 
         Args:
           host: Name of this gateway's host.
           log: The log service.
+          count_gateways: Returns the number of gateways that are alive.
         """
         self._host = host
         self._log = log
+        self._count_gateways = count_gateways
         self._listeners: dict[FactKind, Listener] = {}
         self._queues: dict[FactKind, collections.deque[Fact]] = {
             kind: collections.deque(maxlen=MAX_QUEUED) for kind in FactKind
@@ -127,7 +143,12 @@
         while True:
             await self._queue_changed.wait()
             self._queue_changed.clear()
-            await asyncio.sleep(GROUP_DELAY_SECONDS)
+            await asyncio.sleep(
+                max(
+                    GROUP_DELAY_SECONDS,
+                    GROUP_DELAY_PER_GATEWAY_SECONDS * self._count_gateways(),
+                )
+            )
             for kind in FactKind:
                 while self._queues[kind]:
                     await self._write_group(kind)
@@ -137,7 +158,7 @@
         queue = self._queues[kind]
         count = min(len(queue), MAX_FACTS_PER_RECORD)
         group = [queue.popleft() for _ in range(count)]
-        slot = (self._newest.get(kind, (-1, -1))[1] + 1) % SLOTS
+        slot = (self._newest.get(kind, (-1, -1))[1] + 1) % SLOTS[kind]
         record = service.encode_keyed(
             f'{kind}/{self._host}/{slot}', msgspec.msgpack.encode(group)
         )
--- a/packages/gateway/auburnroad_gateway/members/facts_test.py
+++ b/packages/gateway/auburnroad_gateway/members/facts_test.py
@@ -114,13 +114,14 @@
 
     async def test_topic_is_bounded(self):
         one = self.start('a')
-        for number in range(facts.SLOTS + 2):
+        for number in range(facts.SLOTS[CRASH] + 2):
             one.facts._queues[CRASH].append(build_fact(f'f{number}'))
             await one.facts._write_group(CRASH)
         one.facts.share(build_fact('f', ANSWER))
         await self.start('b').hear('f')
-        self.assertEqual(facts.SLOTS + 1, len(set(self.list_keys())))
-        self.assertEqual('crash/a/1', self.list_keys()[facts.SLOTS + 1])
+        slots = facts.SLOTS[CRASH]
+        self.assertEqual(slots + 1, len(set(self.list_keys())))
+        self.assertEqual('crash/a/1', self.list_keys()[slots + 1])
 
     async def test_queue_is_bounded_while_the_log_is_down(self):
         self.log.down = True
--- a/packages/gateway/auburnroad_gateway/members/permits_test.py
+++ b/packages/gateway/auburnroad_gateway/members/permits_test.py
@@ -24,6 +24,7 @@
 from auburnroad_standins import permit_group
 from auburnroad_standins import plain_adapter
 from auburnroad_standins import scripted_replicas
+from auburnroad_standins import stream_memories
 
 NAMES = tuple(f'g{number}' for number in range(6))
 LOW_LIMIT = '0.001'
@@ -62,6 +63,7 @@
             http_client,
             self.forwarder,
             crash_watches.build_crash_watch(),
+            stream_memories.build_stream_releases(),
         )
 
     def find(self, replica_id):
--- a/packages/gateway/auburnroad_gateway/model/call.py
+++ b/packages/gateway/auburnroad_gateway/model/call.py
@@ -14,11 +14,19 @@
         request; None if not stated.
       last_event_id: Id of the last event that the caller received before it
         resumed a stream; None for a new request.
+      begun_by: Id of the caller's attempt that brought the first event of the
+        resumed stream; empty for a new request, or if not stated.
     """
 
     request_id: str
     patience_ms: int | None = None
     last_event_id: int | None = None
+    begun_by: str = ''
+
+    @property
+    def resumes(self) -> bool:
+        """Whether the caller takes up a stream of which it has events."""
+        return self.last_event_id is not None or bool(self.begun_by)
 
 
 class Load(msgspec.Struct, frozen=True):
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -20,6 +20,7 @@
 from auburnroad_gateway.forwarding import fingerprint
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
+from auburnroad_gateway.forwarding import stream_releases
 from auburnroad_gateway.forwarding import streams
 from auburnroad_gateway.log import detour
 from auburnroad_gateway.log import service
@@ -104,7 +105,9 @@
         self._permits = permits.Permits(
             self._members, self._duties, self._peer_client
         )
-        self._facts = facts.SharedFacts(settings.name, self._log)
+        self._facts = facts.SharedFacts(
+            settings.name, self._log, lambda: len(self._members.alive)
+        )
         self._crash_watch = crash_watch.CrashWatch(self._facts)
         self._build_tails()
         self._build_request_handling()
@@ -300,7 +303,13 @@
             self._permits,
         )
         self._streams = streams.StreamForwarder(
-            adapter, self._client, self._forwarder, self._crash_watch
+            adapter,
+            self._client,
+            self._forwarder,
+            self._crash_watch,
+            stream_releases.StreamReleases(
+                self._facts, self._fact_tail.catch_up
+            ),
         )
         self._rollout = rollout.WeightRollout(
             settings,
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -41,13 +41,14 @@
             return None
 
     def decode_call(self, headers):
-        """Decode the headers 'id', 'patience' and 'after'."""
+        """Decode the headers 'id', 'patience', 'after' and 'resumes'."""
         patience = headers.get('patience')
         after = headers.get('after')
         return call.CallHead(
             headers.get('id', ''),
             int(patience) if patience else None,
             int(after) if after else None,
+            headers.get('resumes', ''),
         )
 
     def build_attempt_headers(
