Answer 502 to a stream that may have run at a replica that broke off

A stream whose runs broke off before their head, and for which no further replica was left, was answered 503, which promises that it has not run. Found by reading; the test got 503 before.

--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -82,6 +82,8 @@
         events.write(
             'stream_refused', request=pending.head.request_id, reason=reason
         )
+        if pending.possible_runs:
+            return refusals.build_error(502, 'no_answer')
         return refusals.build_refusal('no_replica', pending.retry_seconds)
 
     async def _find_release(self, pending: requests.PendingRequest) -> bool:
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -108,6 +108,17 @@
         with self.assertRaises(ConnectionResetError):
             await self.read(response)
 
+    async def test_stream_that_may_have_run_is_not_refused(self):
+        """A 503 says that the request has not run."""
+
+        async def break_off(request):
+            raise client.BrokenError('reset')
+
+        for address in ('near:1', 'far:1'):
+            self.client.handle(address, break_off)
+        response = await self.forward(resumable=True, max_attempts=3)
+        self.assertEqual(502, response.status)
+
     async def test_refused_stream_opens_on_other_replica(self):
         async def refuse(request):
             return scripted_replicas.refuse()
