--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -56,6 +56,12 @@
             return self._forwarder.refuse(pending)
         if pending.head.resumes and not await self._find_release(pending):
             return self._refuse_to_resume(pending)
+        return await self._open_at_any(pending)
+
+    async def _open_at_any(
+        self, pending: requests.PendingRequest
+    ) -> messages.Response:
+        """Open a stream at the first replica that accepts it."""
         reason = 'no replica'
         last_event_id = pending.head.last_event_id
         timeout_at = pending.deadline_at
