--- a/packages/e2e/auburnroad_e2e/soak/callers.py
+++ b/packages/e2e/auburnroad_e2e/soak/callers.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from auburnroad_core.http import client
+from auburnroad_e2e.soak import stream_reader
 from auburnroad_e2e.soak import world as worlds
 from auburnroad_standins import platform_calls
 
@@ -98,12 +99,18 @@
         self.attempts: list[Attempt] = []
         self._world = world
         self._random = random.Random(seed)
+        self._reader = stream_reader.StreamReader(world, seed)
         # Items of every other seed have reward calls.
         self._scored = seed % 2 == 1
         self._count = 0
         self._named = 1
         self._tasks: list[asyncio.Task] = []
 
+    @property
+    def streams(self) -> list[stream_reader.StreamBook]:
+        """Books of streams."""
+        return self._reader.books
+
     def start(self) -> None:
         """Begin to call."""
         for work in (
@@ -112,6 +119,7 @@
             self._look_up,
             self._ask_once,
             self._probe_added,
+            self._reader.run,
         ):
             self._tasks.append(asyncio.create_task(work()))
 
--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -21,6 +21,7 @@
 ENDLESS = 'replica-endless'
 ALL_SILENT = 'all-connections-silent'
 HISTORY_LOST_BEHIND_CUT = 'log-history-lost-behind-cut'
+RELEASED = 'software-released'
 CRASHING = 'request-crashes-replicas'
 SLOW_SECONDS = 0.15
 DELAY_SECONDS = 0.05
@@ -337,9 +338,23 @@
 async def replace_replica(world, fault) -> None:
     """A new engine comes; the old one drains and leaves."""
     old = choose(world.engines, fault)
+    await _replace(world, fault, old, old.software)
+
+
+@KINDS.register(RELEASED)
+async def release_software(world, fault) -> None:
+    """The same, and the new engine has another software version."""
+    old = choose(world.engines, fault)
+    first, second = platform_replica.SOFTWARE_VERSIONS
+    await _replace(
+        world, fault, old, second if old.software == first else first
+    )
+
+
+async def _replace(world, fault, old, software: str) -> None:
     if old.id in world.books.drained:
         return
-    await world.add_engine(f'{old.id}+', old.version)
+    await world.add_engine(f'{old.id}+', old.version, software)
     old.drain()
     old.register(world.store.log)
     await asyncio.sleep(worlds.DRAIN_SECONDS + fault.seconds)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -20,6 +20,7 @@
         'crashing-kept-away',
         'drained-left-alone',
         'leaving-left-alone',
+        'streams-go-on',
         'stops-cut-nothing',
     )
 )
@@ -33,6 +34,10 @@
 CONTACT_SECONDS = 3.0
 KNOWN_CRASHES = 3
 ALLOWED_SENDS = 3
+# Of so many streams that are taken up, the share that goes on is at least this
+# part of the share of new streams that begin.
+MIN_TAKEN_UP = 12
+GO_ON_RATIO = 0.5
 # From so long after a replica first named its rate limit, it gets no more
 # requests in a window than the ratio of what the limit allows, and a few.
 LIMIT_SECONDS = 3.0
@@ -83,14 +88,47 @@
 
 @PROMISES.register('texts-whole')
 def check_texts_whole(world, callers):
-    """A text that succeeded is the whole text of its item."""
+    """A text that succeeded is the whole text of one software version."""
     for book in callers.batches:
         for result in book.results.values():
-            whole = platform_replica.build_text(result['id'])
-            if result['state'] == 'succeeded' and result['text'] != whole:
+            whole = [
+                platform_replica.build_text(result['id'], software)
+                for software in platform_replica.SOFTWARE_VERSIONS
+            ]
+            if result['state'] == 'succeeded' and result['text'] not in whole:
                 yield f'{result["id"]} has another text'
 
 
+@PROMISES.register('streams-fit')
+def check_streams(world, callers):
+    """A stream has each event once, and all of one software version."""
+    for book in callers.streams:
+        if book.events and not any(
+            book.events == _build_events(book, software)
+            for software in platform_replica.SOFTWARE_VERSIONS
+        ):
+            yield f'{book.text_id} has {book.events}'
+
+
+@PROMISES.register('streams-go-on')
+def check_streams_go_on(world, callers):
+    """Where nothing is wrong, streams are taken up about as they begin."""
+    begun, taken_up = [], []
+    for book in callers.streams:
+        for number, attempt in enumerate(book.attempts):
+            gateway = _find(world, attempt.gateway)
+            begin = attempt.started - AFTERMATH_SECONDS
+            if world.is_calm(gateway, begin, attempt.ended) and _are_calm(
+                world.engines, world, begin, attempt.ended
+            ):
+                (taken_up if number else begun).append(attempt.status == 200)
+    if len(taken_up) < MIN_TAKEN_UP or not begun:
+        return
+    share = sum(taken_up) / len(taken_up)
+    if share < GO_ON_RATIO * sum(begun) / len(begun):
+        yield f'{share:.2f} of {len(taken_up)} streams went on'
+
+
 @PROMISES.register('versions-true')
 def check_versions(world, callers):
     """Versions are those that generated the text, and new enough."""
@@ -368,6 +406,17 @@
     )
 
 
+def _build_events(book, software: str) -> list[tuple[int, str]]:
+    """Build the first events of a stream, as many as its book has."""
+    return [
+        (
+            number,
+            platform_replica.build_event(book.text_id, number, software),
+        )
+        for number in range(len(book.events))
+    ]
+
+
 def _find_prefix(attempt: all_callers.Attempt) -> str:
     return f'/{attempt.path.split("/")[1]}/'
 
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -8,6 +8,7 @@
 from auburnroad_e2e.soak import callers
 from auburnroad_e2e.soak import faults
 from auburnroad_e2e.soak import promises
+from auburnroad_e2e.soak import stream_reader
 from auburnroad_e2e.soak import world as worlds
 from auburnroad_standins import platform_calls
 from auburnroad_standins import platform_replica
@@ -27,6 +28,7 @@
         self.routes_added = [(ROUTE, 0.0)]
         self.crashing_sends = {}
         self.plain = []
+        self.engines = []
         self.peak_mb = 50.0
         self.gateways = [
             types.SimpleNamespace(
@@ -49,7 +51,9 @@
 
     def setUp(self):
         self.world = StubWorld()
-        self.callers = types.SimpleNamespace(batches=[], attempts=[])
+        self.callers = types.SimpleNamespace(
+            batches=[], attempts=[], streams=[]
+        )
         self.run_item()
         self.result = {
             'id': ITEM,
@@ -256,3 +260,52 @@
             )
         )
         self.assertEqual({'harmless-not-refused'}, self.find_broken())
+
+    def read_stream(self, *software):
+        """Note a stream whose events are of these software versions."""
+        book = stream_reader.StreamBook(f'stream{len(self.callers.streams)}')
+        for number, version in enumerate(software):
+            data = platform_replica.build_event(book.text_id, number, version)
+            book.events.append((number, data))
+        self.callers.streams.append(book)
+        return book
+
+    def test_stream_of_two_software_versions(self):
+        """A gateway knew nothing of the version that began a stream."""
+        self.read_stream('1', '1')
+        self.read_stream('2', '2')
+        self.assertEqual(set(), self.find_broken())
+        self.read_stream('1', '2')
+        self.assertEqual({'streams-fit'}, self.find_broken())
+
+    def test_stream_with_an_event_twice_or_missing(self):
+        for numbers in ((0, 0), (0, 2)):
+            book = self.read_stream('1')
+            book.events = [
+                (n, platform_replica.build_event(book.text_id, n, '1'))
+                for n in numbers
+            ]
+            self.assertEqual({'streams-fit'}, self.find_broken())
+            self.callers.streams.clear()
+
+    def test_text_of_two_software_versions(self):
+        other = platform_replica.build_text(ITEM, '2').split('\n')
+        self.result['text'] = '\n'.join(other)
+        self.assertEqual(set(), self.find_broken())
+        own = self.result['text'].split('\n')
+        own[0] = platform_replica.build_event(ITEM, 0, '1')
+        self.result['text'] = '\n'.join(own)
+        self.assertEqual({'texts-whole'}, self.find_broken())
+
+    def test_streams_that_are_taken_up_and_mostly_refused(self):
+        """To refuse whatever is taken up keeps all streams of one version."""
+        for number in range(promises.MIN_TAKEN_UP):
+            book = self.read_stream('1')
+            book.attempts = [
+                stream_reader.StreamAttempt('g', 50.0, 50.1, status)
+                for status in (200, 503 if number % 3 else 200)
+            ]
+        self.assertEqual({'streams-go-on'}, self.find_broken())
+        self.assertEqual(set(), self.find_broken(timed=False))
+        self.callers.streams.pop()
+        self.assertEqual(set(), self.find_broken())
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -38,6 +38,7 @@
     faults.LIMITED,
     faults.ENDLESS,
     faults.CRASHING,
+    faults.RELEASED,
 )
 
 CASES: tuple[Case, ...] = (
--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -189,7 +189,9 @@
     async def start(self) -> None:
         """Start everything and wait until all gateways are ready."""
         for number in range(self.schedule.engines):
-            await self.add_engine(f'e{number}')
+            await self.add_engine(
+                f'e{number}', software=self._choose_software(number)
+            )
         for number in range(PLAIN_REPLICAS):
             replica = platform_replica.Plain(
                 f'p{number}',
@@ -231,7 +233,10 @@
         self._network.close()
 
     async def add_engine(
-        self, replica_id: str, version: int = 1
+        self,
+        replica_id: str,
+        version: int = 1,
+        software: str = platform_replica.SOFTWARE_VERSIONS[0],
     ) -> platform_replica.Engine:
         """Add a model engine."""
         engine = platform_replica.Engine(
@@ -243,6 +248,7 @@
             model=MODEL,
         )
         engine.version = version
+        engine.software = software
         await self._place(engine)
         self.engines.append(engine)
         return engine
@@ -281,6 +287,22 @@
             CALL_SECONDS,
         )
 
+    async def open(
+        self, gateway: Gateway, request: messages.Request
+    ) -> client.Reply:
+        """Call a gateway whose answer is a stream.
+
+        Raises:
+          client.HttpError: If there is no answer.
+        """
+        headers = {'host': HOST, **request.headers}
+        return await self.http.open(
+            gateway.address,
+            messages.Request(
+                request.method, request.target, headers, request.body
+            ),
+        )
+
     async def wait_ready(self, gateway: Gateway) -> bool:
         """Wait until a gateway says that it is ready.
 
@@ -340,6 +362,11 @@
             return False
         return response.status == 200
 
+    def _choose_software(self, number: int) -> str:
+        """Choose an engine's software; all have the same in half of runs."""
+        versions = platform_replica.SOFTWARE_VERSIONS
+        return versions[number % len(versions) * (self.schedule.seed % 2)]
+
     async def _place(self, replica) -> None:
         ip = f'{self._network.prefix}.{self._next_ip}'
         self._next_ip += 1
@@ -368,6 +395,13 @@
                 HOST, '/once/', 'non_idempotent', PLAIN_SERVICE
             ),
             platform_calls.build_batch_route(HOST, '/batch/', MODEL_SERVICE),
+            platform_calls.build_route(
+                HOST,
+                platform_replica.STREAM_PREFIX,
+                'streaming',
+                MODEL_SERVICE,
+                resumable=True,
+            ),
             *(
                 platform_calls.build_route(
                     HOST, prefix, 'idempotent', PLAIN_SERVICE
--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -184,16 +184,21 @@
     if record.after < 0:
         known.clear()
     # If two owners saved overlapping texts, the first text in the log counts.
-    if not known:
-        follows = record.after < 0
-    else:
-        follows = record.after == known[-1].last_event and known[
-            -1
-        ].release in (None, record.release)
-    if follows:
+    if _follows(record, known):
         known.append(record)
 
 
+def _follows(record: records.Progress, known: list[records.Progress]) -> bool:
+    """Tell whether a saved text continues the texts known so far."""
+    if not known:
+        return record.after < 0
+    last = known[-1]
+    return record.after == last.last_event and last.release in (
+        None,
+        record.release,
+    )
+
+
 def _apply_end(target: BatchState, record: records.End) -> None:
     target.ended = True
     target.progress.clear()
--- a/packages/standins/auburnroad_standins/platform_calls.py
+++ b/packages/standins/auburnroad_standins/platform_calls.py
@@ -115,6 +115,40 @@
     return messages.Request('POST', path, headers, request_id.encode())
 
 
+def build_stream(
+    path: str,
+    request_id: str,
+    text_id: str,
+    begun_by: str,
+    last_event: int | None,
+) -> messages.Request:
+    """Build the request that reads a stream, or takes it up.
+
+    Args:
+      path: Path of the request.
+      request_id: Id of the attempt.
+      text_id: Id of the stream's text, which is the body.
+      begun_by: Id of the attempt that brought the first event; empty if none
+        did.
+      last_event: Number of the last event that came; None for none.
+    """
+    headers = {REQUEST_ID: request_id}
+    if begun_by:
+        headers['resumes'] = begun_by
+        headers['last-event-id'] = str(last_event)
+    return messages.Request('POST', path, headers, text_id.encode())
+
+
+def parse_event(event: bytes) -> tuple[int, str]:
+    """Parse the number and the data of an event."""
+    fields = dict(
+        line.split(': ', 1)
+        for line in event.decode().split('\n')
+        if ': ' in line
+    )
+    return int(fields['id']), fields['data']
+
+
 def find_error_code(response: messages.Response) -> str:
     """Find the error code of a gateway's own answer, empty for any other."""
     if response.status < 400 or response.headers.get('response-stamp'):
--- a/packages/standins/auburnroad_standins/platform_replica.py
+++ b/packages/standins/auburnroad_standins/platform_replica.py
@@ -2,8 +2,8 @@
 
 Both use the platform's protocol and record their runs in books, against which
 the soak checks the gateways' guarantees. An engine's text depends on the
-item's id alone, so the expected text is known whichever replicas generated
-the events.
+item's id and the engine's software alone, so the expected texts are known
+whichever replicas generated the events.
 """
 
 import asyncio
@@ -22,6 +22,10 @@
 # The shortest text has 3 events and the longest 29, about ten times as many.
 EVENT_COUNT_RANGE = 27
 LOAD_SECONDS = 0.3
+SOFTWARE_VERSIONS = ('1', '2')
+# The body of a request of such a path is the id of its text, since each
+# attempt to read it has a request id of its own.
+STREAM_PREFIX = '/stream/'
 FILLER = b'x' * 65536
 # A plain service ends when it runs a request of such a path.
 CRASHING_PREFIX = '/plain/crash'
@@ -114,15 +118,16 @@
     return MIN_EVENTS + zlib.crc32(item_id.encode()) % EVENT_COUNT_RANGE
 
 
-def build_event(item_id: str, number: int) -> str:
+def build_event(item_id: str, number: int, software: str) -> str:
     """Build the data of one event."""
-    return f'{item_id}.{number}'
+    return f'{item_id}.{number}.{software}'
 
 
-def build_text(item_id: str) -> str:
-    """Build the complete text of an item."""
+def build_text(item_id: str, software: str = SOFTWARE_VERSIONS[0]) -> str:
+    """Build the complete text of an item, as one software version makes it."""
     return '\n'.join(
-        build_event(item_id, number) for number in range(count_events(item_id))
+        build_event(item_id, number, software)
+        for number in range(count_events(item_id))
     )
 
 
@@ -147,6 +152,7 @@
       down: Whether the replica stops responding, as after a crash.
       leaving: Whether answers state that the replica is about to exit.
       endless: Whether the bodies of answers have no end.
+      software: Version of the replica's software.
     """
 
     def __init__(
@@ -160,6 +166,7 @@
         self.down = False
         self.leaving = False
         self.endless = False
+        self.software = SOFTWARE_VERSIONS[0]
         self._limit: RateLimit | None = None
         self._service = service
         self._domain = domain
@@ -226,7 +233,7 @@
             'service': self._service,
             'address': self.seen_address,
             'zone': self._domain,
-            'version': '1',
+            'version': self.software,
             'slots': self._slots,
             'state': 'draining' if self._draining else 'ready',
             'coldRemainingMs': 0,
@@ -377,15 +384,18 @@
         if self.endless:
             return messages.Response(200, headers, chunks=repeat_bytes())
         first = int(request.headers.get('last-event-id', -1)) + 1
+        text_id = request_id
+        if request.path.startswith(STREAM_PREFIX):
+            text_id = request.body.decode()
         return messages.Response(
-            200, headers, chunks=self._generate(request_id, first)
+            200, headers, chunks=self._generate(text_id, first)
         )
 
-    async def _generate(self, request_id: str, first: int):
+    async def _generate(self, text_id: str, first: int):
         self._running += 1
         sent_version = self.version
         try:
-            for number in range(first, count_events(request_id)):
+            for number in range(first, count_events(text_id)):
                 await asyncio.sleep(self.pause_seconds)
                 if self.down:
                     await asyncio.Event().wait()
@@ -393,14 +403,14 @@
                 if self.version != sent_version:
                     sent_version = self.version
                     line = f'weight-versions:{sent_version}\n'
-                self._books.generated.setdefault(
-                    (request_id, number), set()
-                ).add(sent_version)
-                if number == count_events(request_id) - 1:
+                self._books.generated.setdefault((text_id, number), set()).add(
+                    sent_version
+                )
+                if number == count_events(text_id) - 1:
                     self._books.last_events.setdefault(
-                        request_id, asyncio.get_running_loop().time()
+                        text_id, asyncio.get_running_loop().time()
                     )
-                data = build_event(request_id, number)
+                data = build_event(text_id, number, self.software)
                 yield f'{line}id: {number}\ndata: {data}\n\n'.encode()
         finally:
             self._running -= 1
