Explain refusals of requests that crash replicas, and of streams

explain names the cause of the two refusals that have no attempt to show, and summarize counts them.

--- a/packages/client/auburnroad_client/logs/causes.py
+++ b/packages/client/auburnroad_client/logs/causes.py
@@ -18,6 +18,8 @@
     'terminated',
     'not_configured',
     'batch_refused',
+    'crashes_replicas',
+    'release_unavailable',
     'no_replica',
     'reward_call',
     'reward_route',
@@ -101,6 +103,34 @@
     return f'no attempt was answered ({reason}); replicas tried: {tried}'
 
 
+@CAUSES.register('crashes_replicas')
+def _explain_quarantined(lines: Lines, context: Lines) -> str:
+    line = _find_event(lines, 'request_quarantined')
+    if line is None:
+        return ''
+    return (
+        'the request crashes the replicas that run it; see run_broken and '
+        f'crash_recorded with fingerprint {line.fields.get("fingerprint")}'
+    )
+
+
+@CAUSES.register('release_unavailable')
+def _explain_not_resumed(lines: Lines, context: Lines) -> str:
+    line = _find_event(lines, 'stream_not_resumed')
+    if line is None:
+        return ''
+    begun_by = line.fields.get('begun_by')
+    if line.fields.get('release') is None:
+        return (
+            f'{line.host} did not know which software version began the '
+            f'stream of attempt {begun_by}'
+        )
+    return (
+        f'no replica of the software version that began the stream of '
+        f'attempt {begun_by} accepted work'
+    )
+
+
 @CAUSES.register('silent_replica')
 def _explain_silent_replica(lines: Lines, context: Lines) -> str:
     line = _find_event(lines, 'request_failed')
--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -107,6 +107,24 @@
         )
         self.assertIn('1 reward calls failed (x)', built.causes[0])
 
+    def test_refusals_without_an_attempt_are_explained(self):
+        """Such a request has no replica that could tell the cause."""
+        for event, fields, expected in (
+            ('request_quarantined', {'fingerprint': 'f7'}, 'fingerprint f7'),
+            ('stream_not_resumed', {'begun_by': 'q0'}, 'did not know'),
+            (
+                'stream_not_resumed',
+                {'begun_by': 'q0', 'release': ['s', 'v1']},
+                'no replica of the software version',
+            ),
+        ):
+            with self.subTest(event, **fields):
+                line = build_line(1000, event, request='q9', **fields)
+                (self.path / 'h3.log').write_bytes(line)
+                log = reading.read_log([str(self.path)])
+                built = timeline.build_timeline(log, 'q9')
+                self.assertIn(expected, built.causes[0])
+
     def test_unknown_id_has_no_lines(self):
         self.assertEqual([], timeline.build_timeline(self.log, 'no').lines)
 
