Let a gateway that has answered a request clear it for all others

A request that many callers send may never have reached one gateway. Replicas that are killed together while they run it there were recorded as ended under it, and all gateways but those that had answered it refused it for an hour; these had no record of it, and told nobody. Found by reading; both tests failed before.

A gateway reports no crash under a request that it has answered, and answers such a report of another one with the fact that the request was answered. The memory of answered requests is larger, since it is what keeps a harmless one from being refused.

--- a/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
@@ -24,7 +24,7 @@
 SETTLE_SECONDS = 0.5
 # Sizes of the memory; the oldest entries are forgotten first.
 MAX_RECORDED = 2000
-MAX_ANSWERED = 4000
+MAX_ANSWERED = 10_000
 
 
 class Verdict(enum.Enum):
@@ -97,6 +97,10 @@
             self._records.popitem(last=False)
         return True
 
+    def is_answered(self, fingerprint: str) -> bool:
+        """Tell whether a request is known to have been answered."""
+        return fingerprint in self._answered
+
     def note_answer(self, fingerprint: str) -> bool:
         """Record that a replica has answered a request, and did not end.
 
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
@@ -120,7 +120,9 @@
             address=target.address,
             found=found.value,
         )
-        if found is listener.Listener.ENDED:
+        if found is not listener.Listener.ENDED:
+            return
+        if not self._records.is_answered(fingerprint):
             self._share(
                 all_facts.FactKind.CRASH, fingerprint, target.incarnation
             )
@@ -132,6 +134,10 @@
         self._facts.share(all_facts.Fact(kind, fingerprint, value, until_ms))
 
     def _apply_crash(self, fact: all_facts.Fact) -> None:
+        if self._records.is_answered(fact.key):
+            # The gateway that reports it has not answered this request.
+            self._share(all_facts.FactKind.ANSWER, fact.key, '')
+            return
         now = time.monotonic()
         left_seconds = (fact.until_ms - clock.time_now_ms()) / 1000
         forget_at = now + min(MEMORY_SECONDS, left_seconds)
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
@@ -3,10 +3,13 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from auburnroad_core.http import listener
 from auburnroad_gateway.directory import replica
 from auburnroad_gateway.forwarding import crash_records
 from auburnroad_gateway.forwarding import crash_watch
+from auburnroad_gateway.log import service
 from auburnroad_gateway.members import facts
 from auburnroad_gateway.model import registration
 from auburnroad_standins import partition_log
@@ -105,6 +108,26 @@
         await self.settle()
         self.assertEqual(3, len(self.shared))
 
+    async def test_crash_under_an_answered_request_is_not_shared(self):
+        self.watch.note_answer('f')
+        self.watch.note_broken('f', build_replica())
+        await self.settle()
+        self.assertEqual([], self.shared)
+
+    async def test_crash_that_others_report_is_answered_by_an_answer(self):
+        """Only the gateway that has answered a request knows it harmless."""
+        self.watch.note_answer('f')
+        self.report_crash('f')
+        self.assertEqual([('answer', 'f', '')], self.shared)
+
+    def report_crash(self, fingerprint):
+        """Report a crash as another gateway does."""
+        fact = facts.Fact(facts.FactKind.CRASH, fingerprint, 'r/1', 10**15)
+        record = service.KeyedRecord(
+            'crash/other/0', msgspec.msgpack.encode([fact]), 0
+        )
+        self.facts.apply(record)
+
     async def test_answer_after_a_crash_is_shared_once(self):
         self.watch.note_broken('f', build_replica())
         await self.settle()
