Don't take up again a text that was given up with its release

An item whose saved text is of a software version without replicas starts anew at another one. The longer text in the log was then taken up again with each result of its batch, and the new run was stopped: 6 starts instead of 1 in the test, so that an item might never end while its batch has results. A run names the release that it gave up, and ignores saved texts of it that aren't complete.

--- a/packages/gateway/auburnroad_gateway/batches/owned_batches.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned_batches.py
@@ -213,10 +213,12 @@
 def _is_run_behind(run: runs.ItemRun, saved: records.Progress) -> bool:
     if run.complete:
         return False
+    if saved.complete:
+        return True
+    if saved.release is not None and saved.release == run.given_up_release:
+        return False
     saved_events = saved.last_event + 1
-    return saved.complete or (
-        saved_events > count_events(run) + MIN_RESUME_GAIN_EVENTS
-    )
+    return saved_events > count_events(run) + MIN_RESUME_GAIN_EVENTS
 
 
 def resume_from_log(owned: OwnedBatch, run: runs.ItemRun) -> None:
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -298,7 +298,7 @@
             release=run.release.software_version,
             events=len(run.texts),
         )
-        run.reset_text()
+        run.give_up_text()
 
     def _refill_permits(self, service_name: str, now: float):
         """Get permits for the replicas that need one; return all replicas."""
--- a/packages/gateway/auburnroad_gateway/batches/owner_release_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_release_test.py
@@ -4,6 +4,10 @@
 begins with the version of its replica.
 """
 
+import asyncio
+from unittest import mock
+
+from auburnroad_gateway.batches import owned_batches
 from auburnroad_gateway.batches import owner_test
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.model import registration
@@ -75,6 +79,20 @@
         self.submit_saved_text('v1')
         self.assertEqual([NEW_TEXT], await self.wait_texts())
 
+    async def test_saved_text_that_was_given_up_is_not_taken_up_again(self):
+        """Each result of the batch brought the old text back."""
+        self.enterContext(
+            mock.patch.object(owned_batches, 'MIN_RESUME_GAIN_EVENTS', 0)
+        )
+        self.add('one', 'v2', pause_seconds=60)
+        self.submit_saved_text('v1')
+        await self.wait(lambda: self.client.requests)
+        state = self.journal.fold.batches[owner_test.BATCH_ID]
+        for _ in range(5):
+            self.subject._handle_change(state)
+            await asyncio.sleep(0.02)
+        self.assertEqual(1, len(self.client.requests))
+
     async def test_saved_text_is_resumed_at_its_own_version(self):
         self.add('one', 'v2').pause_seconds = 60
         self.add('two', 'v1')
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -48,6 +48,7 @@
       last_event: Id of the last event; None before the first event.
       versions: Weight versions that generated the events.
       release: Software that generated the text; None before the first event.
+      given_up_release: Release whose text was given up last; None for none.
       restart_at: Monotonic time in seconds from which the text is given up if
         its release has no free slot; infinite if no slot was sought yet.
       failures: Number of attempts that count towards the route's limit.
@@ -68,6 +69,7 @@
         'last_event',
         'versions',
         'release',
+        'given_up_release',
         'restart_at',
         'failures',
         'progress_at',
@@ -85,6 +87,7 @@
         self.last_event: int | None = None
         self.versions: set[int] = set()
         self.release: registration.Release | None = None
+        self.given_up_release: registration.Release | None = None
         self.restart_at = float('inf')
         self.failures = 0
         self.progress_at = 0.0
@@ -107,6 +110,11 @@
         self.release = other.release
         self.complete = other.complete
 
+    def give_up_text(self) -> None:
+        """Discard the text, and don't take it up again from the log."""
+        self.given_up_release = self.release
+        self.reset_text()
+
     def reset_text(self) -> None:
         """Discard the text, so that the next attempt starts anew."""
         self.texts.clear()
