Tell crashes of one replica name apart by their time

Cause: until the new registration of a restarted replica is read, the replica goes by the name of its earlier start. Ruled out: the time of arrival tells starts apart only while the log service is up; a report that waited in an outage, or is read again, would count twice. The time is therefore the one at which the end was found. It stands in the fact already (until_ms less the time of memory), so that the wire stays as it is. Change: a crash is an incarnation name and a time; reports of one name no more than 1.0 s apart are of one end. Clocks of hosts that differ by more than that let one end that two of them report count twice; this makes a request suspect earlier, and its first answer clears it.

--- a/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
@@ -12,6 +12,8 @@
 import collections
 import enum
 
+import msgspec
+
 # Replicas that end under a request before it is suspected.
 SUSPECT_CRASHES = 2
 # Crashes that count against a request before it is refused.
@@ -22,6 +24,10 @@
 # Time from a record until it counts. Until then, other gateways may report
 # further requests that the replica was running.
 SETTLE_SECONDS = 0.5
+# Reports of one end of a replica are less far apart, and its next start takes
+# longer to end. The name alone does not tell starts apart, since it is taken
+# from a registration that may be older than the start.
+SAME_END_SECONDS = 1.0
 # Sizes of the memory; the oldest entries are forgotten first.
 MAX_RECORDED = 2000
 MAX_ANSWERED = 10_000
@@ -41,21 +47,45 @@
     REFUSED = 'refused'
 
 
+class Crash(msgspec.Struct, frozen=True):
+    """The end of one start of a replica.
+
+    Attributes:
+      incarnation: Name of the start by the last registration that was read.
+      ended_at: Unix time in seconds at which the end was found, by the clock
+        of the gateway that found it.
+    """
+
+    incarnation: str
+    ended_at: float
+
+    def is_same(self, other: 'Crash') -> bool:
+        """Tell whether two reports are of the same end."""
+        return (
+            self.incarnation == other.incarnation
+            and abs(self.ended_at - other.ended_at) <= SAME_END_SECONDS
+        )
+
+
 class _Record:
     """Replicas that ended under one request.
 
     Attributes:
       counts_at: Monotonic time in seconds from which a crash counts, by the
-        replica that ended.
+        crash.
       forget_at: Monotonic time in seconds at which the record is forgotten.
     """
 
     __slots__ = ('counts_at', 'forget_at')
 
     def __init__(self):
-        self.counts_at: dict[str, float] = {}
+        self.counts_at: dict[Crash, float] = {}
         self.forget_at = 0.0
 
+    def has_same(self, crash: Crash) -> bool:
+        """Tell whether an end of a replica is recorded."""
+        return any(crash.is_same(known) for known in self.counts_at)
+
 
 class CrashRecords:
     """Records of crashes by the fingerprint of the request that was run."""
@@ -71,13 +101,13 @@
         )
 
     def note_crash(
-        self, fingerprint: str, incarnation: str, now: float, forget_at: float
+        self, fingerprint: str, crash: Crash, now: float, forget_at: float
     ) -> bool:
         """Record that a replica ended while it ran a request.
 
         Args:
           fingerprint: Fingerprint of the request.
-          incarnation: Name of one start of the replica.
+          crash: End of the replica.
           now: Monotonic time in seconds.
           forget_at: The same, from which this is to be forgotten.
 
@@ -89,10 +119,10 @@
             return False
         record = self._records.setdefault(fingerprint, _Record())
         record.forget_at = max(record.forget_at, forget_at)
-        if incarnation in record.counts_at:
+        if record.has_same(crash):
             return False
         if len(record.counts_at) < MAX_CRASHES:
-            record.counts_at[incarnation] = now + SETTLE_SECONDS
+            record.counts_at[crash] = now + SETTLE_SECONDS
         if len(self._records) > MAX_RECORDED:
             self._records.popitem(last=False)
         return True
@@ -124,15 +154,20 @@
         if record is None or record.forget_at <= now:
             return Verdict.FREE
         settled = [
-            incarnation
-            for incarnation, counts_at in record.counts_at.items()
+            crash
+            for crash, counts_at in record.counts_at.items()
             if counts_at <= now
         ]
         if len(settled) >= MAX_CRASHES:
             return Verdict.REFUSED
         if len(settled) >= REFUSED_CRASHES:
-            explained = self._find_explained(record, now)
-            if len(set(settled) - explained) >= REFUSED_CRASHES:
+            others = self._list_possible_causes(record, now)
+            unexplained = [
+                crash
+                for crash in settled
+                if not any(other.has_same(crash) for other in others)
+            ]
+            if len(unexplained) >= REFUSED_CRASHES:
                 return Verdict.REFUSED
         if len(record.counts_at) >= SUSPECT_CRASHES:
             return Verdict.SUSPECT
@@ -143,16 +178,17 @@
         record = self._records.get(fingerprint)
         return 0.0 if record is None else record.forget_at
 
-    def _find_explained(self, record: _Record, now: float) -> set[str]:
-        """Find the crashes of which another request may be the cause."""
-        return {
-            incarnation
+    def _list_possible_causes(
+        self, record: _Record, now: float
+    ) -> list[_Record]:
+        """List the other requests under which as many replicas ended."""
+        return [
+            other
             for other in self._records.values()
             if other is not record
             and other.forget_at > now
             and len(other.counts_at) >= len(record.counts_at)
-            for incarnation in other.counts_at
-        }
+        ]
 
     def _forget_old(self, now: float) -> None:
         for fingerprint in [
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_records_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_records_test.py
@@ -17,9 +17,15 @@
     def setUp(self):
         self.records = crash_records.CrashRecords()
 
-    def crash(self, fingerprint, incarnations, now=0.0):
+    def crash(self, fingerprint, incarnations, now=0.0, ended_at=None):
+        ended_at = now if ended_at is None else ended_at
         return [
-            self.records.note_crash(fingerprint, incarnation, now, FORGET_AT)
+            self.records.note_crash(
+                fingerprint,
+                crash_records.Crash(incarnation, ended_at),
+                now,
+                FORGET_AT,
+            )
             for incarnation in incarnations
         ]
 
@@ -46,6 +52,36 @@
         self.assertEqual([True, False, False], self.crash('f', 'aaa'))
         self.assertIs(FREE, self.find())
 
+    def test_late_reports_of_one_crash_count_once(self):
+        """A report that waited for the log service arrives seconds later."""
+        self.crash('f', 'a')
+        self.assertEqual([False], self.crash('f', 'a', 0.5))
+        self.assertEqual([False], self.crash('f', 'a', 9.0, ended_at=0.5))
+        self.assertIs(FREE, self.find(now=9.0 + SETTLED))
+
+    def test_crashes_of_a_replica_restarted_under_its_name_count_each(self):
+        """Its new registration may not have been read by the second one."""
+        self.assertEqual([True], self.crash('f', 'a', 0.0))
+        self.assertEqual([True], self.crash('f', 'a', 1.6))
+        self.assertIs(SUSPECT, self.find(now=1.6 + SETTLED))
+        self.assertEqual([True], self.crash('f', 'a', 3.2))
+        self.assertIs(REFUSED, self.find(now=3.2 + SETTLED))
+
+    def test_crashes_of_two_causes_by_turns_do_not_explain_each_other(self):
+        """Both requests ended a replica of one name, at different starts."""
+        for now, fingerprint in enumerate('fgfgfg'):
+            self.crash(fingerprint, 'a', 1.6 * now)
+        self.assertIs(REFUSED, self.find('f', now=20.0))
+        self.assertIs(REFUSED, self.find('g', now=20.0))
+
+    def test_reports_of_one_end_under_two_requests_explain_each_other(self):
+        """Gateways find the end of a replica up to 0.5 s apart."""
+        for now in (0.0, 1.6, 3.2):
+            self.crash('f', 'a', now)
+            self.crash('g', 'a', now + 0.5)
+        self.assertIs(SUSPECT, self.find('f', now=20.0))
+        self.assertIs(SUSPECT, self.find('g', now=20.0))
+
     def test_request_is_not_refused_before_its_crashes_settle(self):
         """Reports of a request that ran beside it may be on their way."""
         self.crash('f', 'abc', now=5.0)
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
@@ -141,7 +141,10 @@
         now = time.monotonic()
         left_seconds = (fact.until_ms - clock.time_now_ms()) / 1000
         forget_at = now + min(MEMORY_SECONDS, left_seconds)
-        if self._records.note_crash(fact.key, fact.value, now, forget_at):
+        crash = crash_records.Crash(
+            fact.value, fact.until_ms / 1000 - MEMORY_SECONDS
+        )
+        if self._records.note_crash(fact.key, crash, now, forget_at):
             events.write(
                 'crash_recorded', fingerprint=fact.key, incarnation=fact.value
             )
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
@@ -120,9 +120,24 @@
         self.report_crash('f')
         self.assertEqual([('answer', 'f', '')], self.shared)
 
-    def report_crash(self, fingerprint):
+    async def test_reports_of_starts_of_one_name_count_each(self):
+        """A replica may restart before its new registration is read."""
+        until_ms = 10**15
+        for seconds in (0, 2, 4):
+            self.report_crash('f', until_ms + 1000 * seconds)
+        self.assertIs(
+            crash_records.Verdict.SUSPECT, self.watch.find_verdict('f')
+        )
+
+    async def test_report_that_is_read_again_counts_once(self):
+        """A gateway reads its own reports from the log, too."""
+        for _ in range(3):
+            self.report_crash('f')
+        self.assertIs(crash_records.Verdict.FREE, self.watch.find_verdict('f'))
+
+    def report_crash(self, fingerprint, until_ms=10**15):
         """Report a crash as another gateway does."""
-        fact = facts.Fact(facts.FactKind.CRASH, fingerprint, 'r/1', 10**15)
+        fact = facts.Fact(facts.FactKind.CRASH, fingerprint, 'r/1', until_ms)
         record = service.KeyedRecord(
             'crash/other/0', msgspec.msgpack.encode([fact]), 0
         )
