Keep a suspect request from the last half of a service

Cause: a request under which a replica ended was sent on while the probe of that replica was in progress, and its client attempts went on to all replicas before three ends had been settled; all four replicas of a service were down within 0.2 s. Ruled out: waiting for the whole probe, since the second attempt to connect comes 0.2 s later and would delay each harmless request whose connection was reset. Refusing for an hour once half have ended: in a service of two or three replicas each request that ran on a replica killed by something else would be refused for an hour. Change: the first attempt to connect holds the request back at this gateway, 0.4 s at most, for retries, hedged attempts and further client attempts; what was once answered is not held. The end is recorded before the request may go on. From the first end on, a request is sent only if the replicas that ended under it and are not back, and those that its runs may end, are at most half of the service, or one. Else it gets 503 no_replica with Retry-After 0.5 (event request_held) until replicas are back.

--- a/packages/client/auburnroad_client/logs/causes.py
+++ b/packages/client/auburnroad_client/logs/causes.py
@@ -19,6 +19,7 @@
     'not_configured',
     'batch_refused',
     'crashes_replicas',
+    'held',
     'release_unavailable',
     'no_replica',
     'reward_call',
@@ -114,6 +115,19 @@
     )
 
 
+@CAUSES.register('held')
+def _explain_held(lines: Lines, context: Lines) -> str:
+    line = _find_event(lines, 'request_held')
+    if line is None:
+        return ''
+    return (
+        'a replica ended under the request, which is kept away from the last '
+        f'half of the replicas of {line.fields.get("service")} until those '
+        'that ended are back; see run_broken with fingerprint '
+        f'{line.fields.get("fingerprint")}'
+    )
+
+
 @CAUSES.register('release_unavailable')
 def _explain_not_resumed(lines: Lines, context: Lines) -> str:
     line = _find_event(lines, 'stream_not_resumed')
--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -111,6 +111,11 @@
         """Such a request has no replica that could tell the cause."""
         for event, fields, expected in (
             ('request_quarantined', {'fingerprint': 'f7'}, 'fingerprint f7'),
+            (
+                'request_held',
+                {'service': 's', 'fingerprint': 'f7'},
+                'last half of the replicas of s',
+            ),
             ('stream_not_resumed', {'begun_by': 'q0'}, 'did not know'),
             (
                 'stream_not_resumed',
--- a/packages/client/auburnroad_client/logs/summary.py
+++ b/packages/client/auburnroad_client/logs/summary.py
@@ -13,6 +13,7 @@
     'stream_broken': 'reason',
     'stream_not_resumed': '',
     'request_quarantined': 'fingerprint',
+    'request_held': 'service',
     'run_broken': 'found',
     'item_restarted': 'release',
     'batch_refused': '',
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -18,6 +18,7 @@
     (
         'configuration-in-time',
         'crashing-kept-away',
+        'crashing-spares-half',
         'drained-left-alone',
         'leaving-left-alone',
         'streams-go-on',
@@ -323,6 +324,27 @@
             yield f'{path} ended {len(ends)} replicas, {late} too late'
 
 
+@PROMISES.register('crashing-spares-half')
+def check_spared(world, callers):
+    """A gateway ends no second replica of three before the first is back."""
+    newest: dict[tuple[str, str], float] = {}
+    for crash in world.books.crashes:
+        send = world.crashing_sends[crash.request_id]
+        since = newest.get((crash.path, send.gateway), float('-inf'))
+        newest[crash.path, send.gateway] = crash.at
+        if crash.at >= since + worlds.CRASHED_SECONDS:
+            continue
+        begin = since - AFTERMATH_SECONDS
+        if world.is_calm(
+            _find(world, send.gateway), begin, crash.at
+        ) and not any(
+            entry.start < crash.at and entry.end > begin
+            for entry in _list_replica_faults(world)
+        ):
+            took = crash.at - since
+            yield f'{crash.path} ended {crash.replica} after {took:.2f} s'
+
+
 @PROMISES.register('harmless-not-refused')
 def check_harmless(world, callers):
     """Only requests that crash replicas are refused for that."""
@@ -396,6 +418,16 @@
             yield f'{attempt.gateway} went back behind {attempt.path}'
 
 
+def _list_replica_faults(world: worlds.World) -> list[worlds.Disturbance]:
+    """List the disturbances of plain replicas, without crashes."""
+    names = {replica.id for replica in world.plain}
+    return [
+        entry
+        for entry in world.disturbances
+        if entry.subject in names and entry.kind != worlds.CRASHED
+    ]
+
+
 def _was_paused(world: worlds.World, attempt, since: float) -> bool:
     return any(
         entry.kind == faults.PAUSED
--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -41,6 +41,8 @@
 REGISTER_SECONDS = 0.4
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
+# Kind of the disturbance of a replica that a request has ended.
+CRASHED = 'replica-crashed'
 # Time until a replica that a request has ended is started again.
 CRASHED_SECONDS = 1.5
 CALL_SECONDS = 3.0
@@ -343,7 +345,7 @@
 
     async def _restart_replica(self, replica: platform_replica.Plain) -> None:
         now = asyncio.get_running_loop().time
-        crash = Disturbance('replica-crashed', replica.id, now())
+        crash = Disturbance(CRASHED, replica.id, now())
         self.disturbances.append(crash)
         self.relays[replica.id].stop_listening()
         await asyncio.sleep(CRASHED_SECONDS)
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_records.py
@@ -7,6 +7,10 @@
 under which as many replicas have ended. A request against which nothing counts
 may be sent again, once for each client attempt: either it is answered, or more
 replicas end under it than under the others.
+
+A request under which a replica has ended may take down a whole service before
+it is known. It is therefore never sent to the last half of the replicas that
+are up, but waits until those that ended are back.
 """
 
 import collections
@@ -28,6 +32,8 @@
 # longer to end. The name alone does not tell starts apart, since it is taken
 # from a registration that may be older than the start.
 SAME_END_SECONDS = 1.0
+# Time after which a replica that ended and is not back is taken for removed.
+RESTORE_SECONDS = 30.0
 # Sizes of the memory; the oldest entries are forgotten first.
 MAX_RECORDED = 2000
 MAX_ANSWERED = 10_000
@@ -59,6 +65,11 @@
     incarnation: str
     ended_at: float
 
+    @property
+    def replica_id(self) -> str:
+        """Id of the replica."""
+        return self.incarnation.rpartition('/')[0]
+
     def is_same(self, other: 'Crash') -> bool:
         """Tell whether two reports are of the same end."""
         return (
@@ -150,9 +161,9 @@
           fingerprint: Fingerprint of the request.
           now: Monotonic time in seconds.
         """
-        record = self._records.get(fingerprint)
-        if record is None or record.forget_at <= now:
+        if not self.has_crashes(fingerprint, now):
             return Verdict.FREE
+        record = self._records[fingerprint]
         settled = [
             crash
             for crash, counts_at in record.counts_at.items()
@@ -173,6 +184,39 @@
             return Verdict.SUSPECT
         return Verdict.FREE
 
+    def has_crashes(self, fingerprint: str, now: float) -> bool:
+        """Tell whether a replica is known to have ended under a request."""
+        record = self._records.get(fingerprint)
+        return record is not None and now < record.forget_at
+
+    def may_risk_replica(
+        self, fingerprint: str, up: set[str], running: int, now: float
+    ) -> bool:
+        """Tell whether a request may be sent to one more replica.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          up: Ids of the replicas of its service that are up.
+          running: Runs of the request that are in flight.
+          now: Monotonic time in seconds.
+
+        Returns:
+          Whether at most half of the replicas of the service, and at least
+          one, will have ended under the request if each run ends one.
+          Replicas that are up again do not count.
+        """
+        if not self.has_crashes(fingerprint, now):
+            return True
+        missing = {
+            crash.replica_id
+            for crash, counts_at in self._records[
+                fingerprint
+            ].counts_at.items()
+            if now < counts_at - SETTLE_SECONDS + RESTORE_SECONDS
+        } - up
+        limit = max(1, (len(up) + len(missing)) // 2)
+        return len(missing) + running < limit
+
     def find_forget_at(self, fingerprint: str) -> float:
         """Find when the crashes of a request are forgotten, zero if none."""
         record = self._records.get(fingerprint)
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -271,12 +271,44 @@
             self._crash_watch.find_retry_seconds(pending.fingerprint),
         )
 
-    def may_send(self, pending: PendingRequest) -> bool:
-        """Tell whether crashes allow that a request is sent once more."""
+    async def may_send_when_probed(self, pending: PendingRequest) -> bool:
+        """Tell whether crashes allow that a request is sent once more.
+
+        Waits until it is known whether the replica under which a run of the
+        request has just broken off has ended.
+        """
+        await self._crash_watch.wait_until_probed(
+            pending.fingerprint, pending.deadline_at
+        )
+        return self._may_send(pending)
+
+    def _may_send(self, pending: PendingRequest) -> bool:
         verdict = self._crash_watch.find_verdict(pending.fingerprint)
-        if verdict is crash_records.Verdict.SUSPECT:
-            return not pending.possible_runs
-        return verdict is crash_records.Verdict.FREE
+        if verdict is crash_records.Verdict.SUSPECT and pending.possible_runs:
+            return False
+        return (
+            verdict is not crash_records.Verdict.REFUSED
+            and not self._crash_watch.is_held(pending.fingerprint)
+            and self._may_risk_replica(pending)
+        )
+
+    def _may_risk_replica(self, pending: PendingRequest) -> bool:
+        if not self._crash_watch.has_crashes(pending.fingerprint):
+            return True
+        if self._crash_watch.may_risk_replica(
+            pending.fingerprint, self._directory.list_ready(pending.service)
+        ):
+            return True
+        pending.retry_seconds = max(
+            pending.retry_seconds, refusals.RETRY_AFTER_OUTAGE_SECONDS
+        )
+        events.write(
+            'request_held',
+            request=pending.head.request_id,
+            service=pending.service,
+            fingerprint=pending.fingerprint,
+        )
+        return False
 
     async def _run_attempts(
         self, pending: PendingRequest, attempts
@@ -316,9 +348,13 @@
 
     async def _start_next(self, pending: PendingRequest, attempts) -> None:
         """Start an attempt while no other one is in flight."""
+        await self._crash_watch.wait_until_probed(
+            pending.fingerprint, pending.deadline_at
+        )
         if self._may_try(pending):
             target = await self.choose_replica(pending)
-            if target is not None:
+            # A run of the same request may have broken off meanwhile.
+            if target is not None and self._may_try(pending):
                 self._start_attempt(pending, attempts, target)
 
     def _start_hedge(self, pending: PendingRequest, attempts) -> None:
@@ -331,7 +367,7 @@
     def _may_try(self, pending: PendingRequest) -> bool:
         """Tell whether a request may be sent to one more replica."""
         limit = pending.route.max_attempts + EXTRA_ATTEMPTS
-        return len(pending.tried_replicas) < limit and self.may_send(pending)
+        return len(pending.tried_replicas) < limit and self._may_send(pending)
 
     def _start_attempt(
         self, pending: PendingRequest, attempts, target: replica.Replica
@@ -348,6 +384,10 @@
         # iteration of the event loop choose other replicas.
         target.in_flight += 1
         task.add_done_callback(lambda _: target.note_end())
+        self._crash_watch.note_run_start(pending.fingerprint)
+        task.add_done_callback(
+            lambda _: self._crash_watch.note_run_end(pending.fingerprint)
+        )
         attempts.add(task)
 
     async def _fetch_response(
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -65,8 +65,9 @@
         reason = 'no replica'
         last_event_id = pending.head.last_event_id
         timeout_at = pending.deadline_at
-        while time.monotonic() < timeout_at and self._forwarder.may_send(
-            pending
+        while (
+            time.monotonic() < timeout_at
+            and await self._forwarder.may_send_when_probed(pending)
         ):
             target = await self._forwarder.choose_replica(pending)
             if target is None:
@@ -128,7 +129,7 @@
     async def _open_stream(self, pending, target, last_event_id):
         pending.tried_replicas.add(target.id)
         request = self._forwarder.build_request(pending, target, last_event_id)
-        target.in_flight += 1
+        self._note_start(pending, target)
         try:
             opened = await attempt.send_attempt(
                 self._client,
@@ -139,7 +140,7 @@
                 not pending.route.repeatable,
             )
         finally:
-            target.in_flight -= 1
+            self._note_end(pending, target)
         if isinstance(opened, attempt.Outcome) and opened.broken:
             self._crash_watch.note_broken(pending.fingerprint, target)
         return opened
@@ -165,7 +166,7 @@
         """Yield raw events and resume on another replica after a break."""
         last_event_id = pending.head.last_event_id
         while True:
-            target.in_flight += 1
+            self._note_start(pending, target)
             try:
                 async for event in event_stream.iterate_events(
                     opened.reply, self._adapter
@@ -183,7 +184,7 @@
                 self._crash_watch.note_broken(pending.fingerprint, target)
                 reason = str(error)
             finally:
-                target.in_flight -= 1
+                self._note_end(pending, target)
                 opened.reply.close()
             events.write(
                 'stream_broken',
@@ -194,6 +195,14 @@
             )
             target, opened = await self._resume(pending, last_event_id)
 
+    def _note_start(self, pending, target) -> None:
+        target.in_flight += 1
+        self._crash_watch.note_run_start(pending.fingerprint)
+
+    def _note_end(self, pending, target) -> None:
+        target.note_end()
+        self._crash_watch.note_run_end(pending.fingerprint)
+
     def _note_begun(self, pending, target) -> None:
         pending.release = target.release
         if pending.route.resumable:
@@ -203,7 +212,7 @@
         while (
             pending.may_repeat
             and pending.route.resumable
-            and self._forwarder.may_send(pending)
+            and await self._forwarder.may_send_when_probed(pending)
         ):
             target = await self._forwarder.choose_replica(pending)
             if target is None:
--- a/packages/gateway/auburnroad_gateway/process/crashing_request_test.py
+++ b/packages/gateway/auburnroad_gateway/process/crashing_request_test.py
@@ -135,6 +135,22 @@
         await self.add_replicas(len(self.crashed) - before)
         await asyncio.sleep(0.5)
 
+    async def test_first_wave_leaves_half_of_the_replicas(self):
+        """It took all four down at once, and all others were refused."""
+        subject = await self.start_gateway('a')
+        for _ in range(5):
+            await self.send(subject)
+        self.assertEqual(REPLICAS // 2, len(self.crashed))
+        self.assertEqual(200, await self.send(subject, '/q/harmless'))
+
+    async def test_first_wave_at_two_gateways_leaves_half(self):
+        """The second one learns of the first ends from the log."""
+        gateways = [await self.start_gateway(name) for name in 'ab']
+        for subject in gateways:
+            await self.send(subject)
+            await asyncio.sleep(0.5)
+        self.assertEqual(REPLICAS // 2, len(self.crashed))
+
     async def test_request_that_crashed_three_replicas_is_hardly_sent(self):
         """Each gateway sent it to two more replicas whenever it came."""
         gateways = [await self.start_gateway(name) for name in GATEWAYS]
