Tell slow moments of replicas from lasting slowness, and move runs by their gain

Cause: a training step waits for its longest text. Where replicas share their hosts, some take 1.3 times as long for good and each 2.5 times as long for some 600 ms at a time. The fourth figure of Replica-Load was discarded with its header.

Change: the figure is decoded; for replicas that state it, pace.py keeps the lasting pace and the present apart, without prefills and loads; a run moves only if the expected gain is 1.5 times the cost; models with short texts get the replicas that are slower for good. Replicas that state three figures are served as before. The estimate of demand leaves owner.py.

--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -6,6 +6,7 @@
 """
 
 from auburnroad_gateway.batches import run as runs
+from auburnroad_gateway.batches import speed_gain
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.directory import placement
 
@@ -84,6 +85,10 @@
     ):
         others = placement.list_with_release(ready, need.release)
         return 'crawling' if set(others) - {current} else ''
+    if not must_vacate and current.pace is not None:
+        return speed_gain.find_reason(
+            run, need, ready, failure_domain, paces, now
+        )
     if not must_vacate and (
         has_waiting_items
         or current.find_pace(now) <= find_min_speedup(run) * paces.fastest_ms
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -19,6 +19,7 @@
 from auburnroad_gateway.batches import reuse
 from auburnroad_gateway.batches import run as runs
 from auburnroad_gateway.batches import slot_search
+from auburnroad_gateway.batches import workload
 from auburnroad_gateway.completion import finisher
 from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.completion import scoring
@@ -128,30 +129,11 @@
             self._wake.clear()
             self._start_runs()
 
-    def estimate_work(self, models: tuple[str, ...]) -> dict[str, float]:
-        """Estimate the work of models from the newest batch of each.
-
-        Args:
-          models: Models of one service.
-
-        Returns:
-          Expected output tokens by model; a model without a batch gets the
-          mean of the models with one. All values are 1 if there is only one
-          model or no batch of any model.
-        """
-        if len(models) <= 1:
-            return dict.fromkeys(models, 1.0)
-        known: dict[str, float] = {}
-        for state in reversed(self._journal.fold.batches.values()):
-            submission = state.submission
-            if submission.model in models and submission.model not in known:
-                known[submission.model] = float(
-                    sum(item.length_hint or 1 for item in submission.items)
-                )
-            if len(known) == len(models):
-                break
-        mean = sum(known.values()) / len(known) if known else 1.0
-        return {model: known.get(model, mean) for model in models}
+    def estimate_demand(self, models: tuple[str, ...]) -> workload.Demand:
+        """Estimate the work and text lengths of the models of a service."""
+        return workload.estimate_demand(
+            self._journal.fold.batches.values(), models
+        )
 
     def count_waiting_for_older(self, model: str, version: int) -> int:
         """Count the waiting items that also accept older weights.
@@ -320,6 +302,7 @@
             owned_batches.estimate_final_tokens(run, service.tokens_per_event),
             service.memory_tokens,
             run.release,
+            service.tokens_per_event,
         )
 
     def _find_service(self, owned) -> configuration.Service:
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -15,6 +15,8 @@
 from auburnroad_gateway.model import registration
 
 UNPROCESSABLE_STATUS = 422
+# First events of an attempt whose gaps contain the prefill of its own text.
+PREFILL_EVENTS = 2
 
 
 class AttemptEnd(enum.Enum):
@@ -55,6 +57,7 @@
       progress_at: Monotonic time in seconds of the last event, or of the start
         of the attempt before its first event.
       started_at: Monotonic time in seconds at which the attempt started.
+      attempt_events: Events of the current attempt.
       replica: Replica of the current or last attempt; None before the
         first attempt.
       saved_event: Id of the last event that was saved; -1 for none.
@@ -74,6 +77,7 @@
         'failures',
         'progress_at',
         'started_at',
+        'attempt_events',
         'replica',
         'saved_event',
         'saved_texts',
@@ -92,6 +96,7 @@
         self.failures = 0
         self.progress_at = 0.0
         self.started_at = 0.0
+        self.attempt_events = 0
         self.replica: replica.Replica | None = None
         self.saved_event = -1
         self.saved_texts = 0
@@ -160,6 +165,7 @@
       How the attempt ended.
     """
     target = run.replica
+    run.attempt_events = 0
     headers = adapter.build_attempt_headers(
         adapter.build_item_headers(run.item, constraints.host),
         target.id,
@@ -226,8 +232,12 @@
     if run.last_event is not None and event.id != run.last_event + 1:
         return False
     now = time.monotonic()
+    gap_ms = (now - run.progress_at) * 1000
     if run.texts:
-        run.replica.note_pace((now - run.progress_at) * 1000, now)
+        run.replica.note_pace(gap_ms, now)
+    if run.attempt_events >= PREFILL_EVENTS:
+        run.replica.note_gap(gap_ms, now)
+    run.attempt_events += 1
     run.last_event = event.id
     run.release = run.replica.release
     run.texts.append(event.data)
--- a/packages/gateway/auburnroad_gateway/directory/placement.py
+++ b/packages/gateway/auburnroad_gateway/directory/placement.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from auburnroad_gateway.directory import pace
 from auburnroad_gateway.directory import replica
 from auburnroad_gateway.model import registration
 
@@ -24,6 +25,10 @@
 # this factor gets no items: an item that waits briefly for a slot on a faster
 # replica finishes earlier.
 SLOW_PACE_RATIO = 2.0
+# Relative increase of the pace of a replica that is slow at present, over the
+# length of a run, and of one of which nothing is known at present.
+SLOW_AT_PRESENT = 1.25
+UNKNOWN_AT_PRESENT = 1.05
 # Share of a replica's KV cache up to which items are placed. When the cache is
 # exhausted, the newest run loses its cached tokens.
 USABLE_MEMORY_SHARE = 0.95
@@ -40,6 +45,7 @@
       memory_tokens: Capacity of a replica's KV cache in tokens; zero for no
         limit.
       release: Software that generated the text so far; None for any.
+      tokens_per_event: Tokens in one event of the text.
     """
 
     model: str
@@ -48,6 +54,7 @@
     final_tokens: int = 0
     memory_tokens: int = 0
     release: registration.Release | None = None
+    tokens_per_event: int = 1
 
 
 class Paces(msgspec.Struct, frozen=True):
@@ -285,11 +292,31 @@
       The lower median; zero if no pace is known.
     """
     paces = sorted(
-        pace for target in candidates if (pace := target.find_pace(now))
+        pace_ms for target in candidates if (pace_ms := target.find_pace(now))
     )
     return paces[(len(paces) - 1) // 2] if paces else 0.0
 
 
+def expect_pace(
+    target: replica.Replica, median_ms: float, now: float
+) -> float:
+    """Expect the pace of a run at a replica, without slow moments.
+
+    Args:
+      target: Replica.
+      median_ms: Median pace of its service in milliseconds; zero if unknown.
+      now: Monotonic time in seconds.
+
+    Returns:
+      Milliseconds between two events; zero if nothing is known. Without a
+      measurement, the median and the replica's stated slowness count.
+    """
+    measured_ms = target.find_pace(now)
+    if measured_ms or target.pace is None:
+        return measured_ms or median_ms
+    return median_ms * (target.pace.find_lasting_slowness(now) or 1.0)
+
+
 def measure_paces(candidates: list[replica.Replica], now: float) -> Paces:
     """Summarize the measured paces of replicas.
 
@@ -300,7 +327,9 @@
     Returns:
       Their lowest and median pace; zero if no pace is known.
     """
-    known = (pace for target in candidates if (pace := target.find_pace(now)))
+    known = (
+        pace_ms for target in candidates if (pace_ms := target.find_pace(now))
+    )
     return Paces(min(known, default=0.0), find_median_pace(candidates, now))
 
 
@@ -311,14 +340,22 @@
     return load
 
 
+def _find_present_factor(estimate: pace.PaceEstimate, now: float) -> float:
+    if estimate.is_slow(now):
+        return SLOW_AT_PRESENT
+    return 1.0 if estimate.is_normal(now) else UNKNOWN_AT_PRESENT
+
+
 def _score_pace(target, failure_domain, now, median_pace_ms) -> float:
     """Score the expected pace with one more run; lower is better.
 
     Scores are only compared with each other, so they need no unit.
     """
-    pace = target.find_pace(now) or median_pace_ms or 1.0
+    pace_ms = expect_pace(target, median_pace_ms, now) or 1.0
+    if target.pace is not None:
+        pace_ms *= _find_present_factor(target.pace, now)
     load = (target.count_load(now) + 1) / target.registration.slots
-    pace *= 1 + FULL_LOAD_SLOWDOWN * load
+    pace_ms *= 1 + FULL_LOAD_SLOWDOWN * load
     if target.registration.failure_domain != failure_domain:
-        pace *= 1 + REMOTE_PACE_PENALTY
-    return pace
+        pace_ms *= 1 + REMOTE_PACE_PENALTY
+    return pace_ms
--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -1,5 +1,6 @@
 """State of a replica as seen by this gateway: load, pace and failures."""
 
+from auburnroad_gateway.directory import pace
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import registration
 from auburnroad_gateway.telemetry import events
@@ -47,6 +48,7 @@
         to exit. Registrations don't undo this.
       rate_limit: Requests per second that the replica accepts from all
         gateways together, as its last answer states; None for no limit.
+      pace: Pace of a replica that states its slowness; None for any other.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         'vacating',
         'leaving',
         'rate_limit',
+        'pace',
         '_permit_until',
         '_pace_ms',
         '_pace_at',
@@ -80,6 +83,7 @@
         self.vacating = False
         self.leaving = False
         self.rate_limit: float | None = None
+        self.pace: pace.PaceEstimate | None = None
         self._permit_until = float('-inf')
         self._pace_ms = 0.0
         self._pace_at = 0.0
@@ -167,6 +171,10 @@
         """
         if load is None:
             return
+        if load.slowness is not None:
+            if self.pace is None:
+                self.pace = pace.PaceEstimate()
+            self.pace.note_slowness(load.slowness, now)
         other_load = load.running + load.waiting - self.in_flight
         self._other_load = max(0, other_load)
         self._other_load_at = now
@@ -222,13 +230,26 @@
           event_ms: Milliseconds between the two events.
           now: Monotonic time in seconds.
         """
-        current = self.find_pace(now)
+        current = self._find_average_pace(now)
         self._pace_at = now
         if not current:
             self._pace_ms = event_ms
         elif event_ms < PAUSE_RATIO * current:
             self._pace_ms += PACE_SMOOTHING * (event_ms - current)
 
+    def note_gap(self, gap_ms: float, now: float) -> None:
+        """Record the time between two events for the estimate of the pace.
+
+        Unlike the samples of note_pace, these contain no prefill. Pauses for
+        loading weights are left out.
+
+        Args:
+          gap_ms: Milliseconds between the two events.
+          now: Monotonic time in seconds.
+        """
+        if self.pace is not None and not self.is_loading(now):
+            self.pace.note_gap(gap_ms, now)
+
     def find_pace(self, now: float) -> float:
         """Find the pace of the recent runs.
 
@@ -237,8 +258,14 @@
 
         Returns:
           Moving average of the time between two events of a run, in
-          milliseconds; zero if there was no recent sample.
+          milliseconds; zero if there was no recent sample. For a replica that
+          states its slowness, the pace without slow moments.
         """
+        if self.pace is not None:
+            return self.pace.find_lasting_ms(now)
+        return self._find_average_pace(now)
+
+    def _find_average_pace(self, now: float) -> float:
         if now - self._pace_at > PACE_TTL_SECONDS:
             return 0.0
         return self._pace_ms
--- a/packages/gateway/auburnroad_gateway/model/call.py
+++ b/packages/gateway/auburnroad_gateway/model/call.py
@@ -36,11 +36,14 @@
       running: Number of running requests.
       waiting: Number of queued requests.
       slots: Maximum number of concurrent requests.
+      slowness: Time that work takes at this moment relative to the usual, 1.0
+        as usual; None if not stated.
     """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -28,6 +28,7 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.weights import model_assignment
+from auburnroad_gateway.weights import speed_assignment
 
 CHECK_INTERVAL_SECONDS = 0.1
 # Share of a service's replicas that load concurrently; with more, the loads
@@ -111,12 +112,19 @@
         if not self._may_act(service.name):
             return
         announced = self._configuration.announced_versions
+        demand = self._owner.estimate_demand(service.models)
         self._assignments[service.name] = model_assignment.assign_models(
             self._directory.list_ready(service.name),
-            self._owner.estimate_work(service.models),
+            demand.work,
             announced,
             self._assignments.get(service.name, {}),
         )
+        speed_assignment.improve(
+            self._assignments[service.name],
+            self._directory.list_ready(service.name),
+            demand.text_tokens,
+            now,
+        )
         for model in service.models:
             if model in announced:
                 self._start_model_loads(service, model, announced[model], now)
--- a/packages/gateway/auburnroad_gateway/weights/rollout_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout_test.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from auburnroad_core.http import client
+from auburnroad_gateway.batches import workload
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.log import service
@@ -96,8 +97,8 @@
     def move_runs(self):
         pass
 
-    def estimate_work(self, models):
-        return dict.fromkeys(models, 1.0)
+    def estimate_demand(self, models):
+        return workload.Demand(dict.fromkeys(models, 1.0))
 
 
 class WeightRolloutTest(unittest.IsolatedAsyncioTestCase):
