Decode client accounts, API keys and public routes

Cause: the configuration record may list accounts with API keys, routes may be public, and callers send keys; none of this was read.

Change: Configuration.accounts (None if the record has no list), Route.public, CallHead.key, and the settings strict_revocation and revocation_ms. Nothing uses the new fields yet, and records and settings without them are read as before.

--- a/packages/gateway/auburnroad_gateway/model/call.py
+++ b/packages/gateway/auburnroad_gateway/model/call.py
@@ -16,12 +16,18 @@
         resumed a stream; None for a new request.
       begun_by: Id of the caller's attempt that brought the first event of the
         resumed stream; empty for a new request, or if not stated.
+      key: API key; None if no key was sent or none can be read.
     """
 
     request_id: str
     patience_ms: int | None = None
     last_event_id: int | None = None
     begun_by: str = ''
+    key: str | None = None
+
+    def __repr__(self) -> str:
+        # A traceback or a log line must not contain the key.
+        return f'CallHead({self.request_id!r})'
 
     @property
     def resumes(self) -> bool:
--- a/packages/gateway/auburnroad_gateway/model/configuration.py
+++ b/packages/gateway/auburnroad_gateway/model/configuration.py
@@ -45,6 +45,7 @@
         terminated.
       due_ms: Time after the submission at which all results are due.
       single_version: Whether a result may have only one weight version.
+      public: Whether requests need no API key.
     """
 
     name: str
@@ -60,6 +61,7 @@
     give_up_ms: int = 40000
     due_ms: int = 10000
     single_version: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -105,6 +107,24 @@
     idle_ms: int = 15000
 
 
+class Account(msgspec.Struct, frozen=True):
+    """A client account.
+
+    Attributes:
+      name: Name of the account, which replicas see; never empty.
+      keys: API keys of the account; without keys, it can't be used.
+      priority: Priority of its requests; zero is the highest.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int = 0
+
+    def __repr__(self) -> str:
+        # A traceback or a log line must not contain the keys.
+        return f'Account({self.name!r})'
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """All routes and services of one revision.
 
@@ -113,12 +133,15 @@
       routes: Routes in no particular order.
       services: Services by name.
       limits: Limits on callers.
+      accounts: Client accounts; None if the deployment has none, and callers
+        then need no API keys.
     """
 
     revision: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[Account, ...] | None = None
 
 
 def choose_service(route: Route, draw: float) -> str:
--- a/packages/gateway/auburnroad_gateway/model/settings.py
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -12,11 +12,17 @@
         duty and the first order of the next holder.
       read_life_s: Seconds after the submission during which a batch is
         readable.
+      strict_revocation: Whether a gateway that can't read the operators'
+        topic refuses requests with API keys, which may have been removed.
+      revocation_ms: Milliseconds without a read of the operators' topic after
+        which a gateway refuses these requests.
     """
 
     grace_s: float = 8.0
     lease_ms: int = 3000
     read_life_s: float = 120.0
+    strict_revocation: bool = False
+    revocation_ms: int = 5000
 
 
 class LogLimits(msgspec.Struct, frozen=True):
