Look up API keys, and decide on requests by them

Cause: nothing told whether a key belongs to an account, or whether a gateway has read enough of the operators' topic to refuse a caller for good.

A revision with the same key in two accounts is logged and has no effect. No request is checked yet.

--- a/packages/gateway/auburnroad_gateway/__init__.py
+++ b/packages/gateway/auburnroad_gateway/__init__.py
@@ -4,6 +4,7 @@
 the log service, and every gateway folds the same records into the same state.
 
 Packages:
+  accounts: API keys of client accounts, and access to routes and batches.
   model: Data types.
   log: Records, and appending and reading them.
   members: Failure detection among the gateways.
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: look-up of API keys and access to routes and batches."""
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/accounts/control.py
@@ -0,0 +1,207 @@
+"""Enforces access: reads the operators' topic before a final refusal.
+
+Callers take status 401 as final. It is therefore sent for an unknown key only
+if the operators' topic has just been read to its end, since the key may have
+been added at this moment. Requests that wait for this share one read.
+"""
+
+import asyncio
+import time
+
+from auburnroad_core import clock
+from auburnroad_core.http import messages
+from auburnroad_gateway.accounts import access
+from auburnroad_gateway.accounts import registry
+from auburnroad_gateway.configuration import holder as holders
+from auburnroad_gateway.forwarding import refusals
+from auburnroad_gateway.log import service
+from auburnroad_gateway.log import tail
+from auburnroad_gateway.model import call
+from auburnroad_gateway.model import configuration
+from auburnroad_gateway.model import settings as gateway_settings
+from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.telemetry import metrics
+
+# Maximum age of the read of the operators' topic at which an unknown key is
+# refused.
+MAX_AGE_SECONDS = 1.0
+CATCH_UP_TIMEOUT_SECONDS = 0.4
+# Minimum time between two log lines on refused requests, so that callers with
+# wrong keys don't use up the lines of all other events.
+EVENT_INTERVAL_SECONDS = 0.25
+MISSING_KEY = 'missing'
+
+
+class AccessControl:
+    """Decides on the keys of requests.
+
+    Attributes:
+      settings: Settings of the gateway.
+    """
+
+    __slots__ = (
+        'settings',
+        '_configuration',
+        '_operator_tail',
+        '_reading',
+        '_written_at',
+        '_unwritten',
+    )
+
+    def __init__(
+        self,
+        settings: gateway_settings.Settings,
+        holder: holders.ConfigurationHolder,
+        operator_tail: tail.Tail,
+    ):
+        self.settings = settings
+        self._configuration = holder
+        self._operator_tail = operator_tail
+        self._reading: asyncio.Task | None = None
+        self._written_at = float('-inf')
+        self._unwritten = 0
+
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the configuration in force has accounts."""
+        return self._configuration.registry.has_accounts
+
+    async def check(
+        self, host: str, path: str, head: call.CallHead
+    ) -> tuple[configuration.Route | None, access.Access]:
+        """Find the route of a request and decide on its key.
+
+        Args:
+          host: Value of the Host header.
+          path: Path without the query.
+          head: Head of the request.
+
+        Returns:
+          The route, None if there is none, and the decision. The decision is
+          UNSURE if the log service can't be read.
+        """
+        route = self._configuration.match_route(host, path)
+        if route is None:
+            return None, access.Access(access.Decision.REFUSED)
+        found = self._decide(route, head)
+        if found.decision is access.Decision.UNSURE and await self._catch_up():
+            # A new revision may have changed the route as well.
+            route = self._configuration.match_route(host, path)
+            if route is not None:
+                found = self._decide(route, head)
+        self._count(found, head)
+        return route, found
+
+    async def check_batch(self, head: call.CallHead) -> access.Access:
+        """Decide on the key of a call on a batch that is not public.
+
+        Args:
+          head: Head of the call.
+
+        Returns:
+          The decision; without an account if the deployment has no accounts.
+        """
+        found = self._decide(None, head)
+        if found.decision is access.Decision.UNSURE and await self._catch_up():
+            found = self._decide(None, head)
+        self._count(found, head)
+        return found
+
+    def build_response(
+        self, route_name: str, head: call.CallHead, found: access.Access
+    ) -> messages.Response | None:
+        """Build the response to a request that isn't allowed, and log it.
+
+        Args:
+          route_name: Name of the route, for logs.
+          head: Head of the request.
+          found: Decision on the request.
+
+        Returns:
+          The response; None if the request is allowed.
+        """
+        if found.decision is access.Decision.ALLOWED:
+            return None
+        is_refused = found.decision is access.Decision.REFUSED
+        self._write_event(
+            'key_refused' if is_refused else 'key_unchecked', route_name, head
+        )
+        if not is_refused:
+            return refusals.build_refusal(
+                'key_unchecked', refusals.RETRY_AFTER_OUTAGE_SECONDS
+            )
+        code = 'key_missing' if head.key is None else 'key_unknown'
+        return refusals.build_error(401, code)
+
+    def _decide(self, route, head: call.CallHead) -> access.Access:
+        bounds = self.settings.bounds
+        age_seconds = self._find_age()
+        return access.decide(
+            route,
+            head,
+            self._configuration.registry,
+            age_seconds <= MAX_AGE_SECONDS,
+            not bounds.strict_revocation
+            or age_seconds <= bounds.revocation_ms / 1000,
+        )
+
+    def _find_age(self) -> float:
+        """Find the seconds since the topic was known to be read to its end."""
+        return (
+            clock.read_boot_clock_seconds() - self._operator_tail.complete_at
+        )
+
+    async def _catch_up(self) -> bool:
+        """Read the operators' topic to its end; tell whether it succeeded."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.create_task(self._read_to_end())
+        # The read goes on for other requests if this one is cancelled.
+        return await asyncio.shield(self._reading)
+
+    async def _read_to_end(self) -> bool:
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
+                await self._operator_tail.catch_up()
+        except (service.LogError, TimeoutError):
+            return False
+        return True
+
+    def _count(self, found: access.Access, head: call.CallHead) -> None:
+        if not self.has_accounts:
+            return
+        outcome = found.decision.value
+        if found.account is not None:
+            outcome = 'account'
+        elif found.decision is access.Decision.ALLOWED:
+            outcome = 'public'
+        elif found.decision is access.Decision.REFUSED and head.key is None:
+            outcome = MISSING_KEY
+        metrics.ACCESS.labels(outcome).inc()
+
+    def _write_event(
+        self, event: str, route_name: str, head: call.CallHead
+    ) -> None:
+        now = time.monotonic()
+        if now < self._written_at + EVENT_INTERVAL_SECONDS:
+            self._unwritten += 1
+            return
+        key = head.key
+        events.write(
+            event,
+            request=head.request_id,
+            route=route_name,
+            account='unknown',
+            fingerprint=MISSING_KEY
+            if key is None
+            else registry.fingerprint(key),
+            revision=self._configuration.current.revision,
+            age_ms=_to_ms(self._find_age()),
+            unwritten=self._unwritten,
+        )
+        self._written_at = now
+        self._unwritten = 0
+
+
+def _to_ms(seconds: float) -> int:
+    """Convert to milliseconds; -1 if the topic was never read to its end."""
+    return -1 if seconds == float('inf') else int(seconds * 1000)
--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -1,6 +1,8 @@
 """Holds the configuration in force and the announced weight versions."""
 
 from auburnroad_gateway import adapter as adapters
+
+from auburnroad_gateway.accounts import registry as registries
 from auburnroad_gateway.configuration import route_table
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
@@ -22,12 +24,14 @@
         '_adapter',
         '_current',
         '_listeners',
+        '_registry',
         '_routes',
     )
 
     def __init__(self, adapter: adapters.Adapter):
         self._current: configuration.Configuration | None = None
         self._routes = route_table.RouteTable()
+        self._registry: registries.AccountRegistry | None = None
         self.announced_versions: dict[str, int] = {}
         self._adapter = adapter
         self._listeners = []
@@ -39,9 +43,15 @@
 
     @current.setter
     def current(self, new: configuration.Configuration | None) -> None:
+        self._registry = registries.AccountRegistry(new) if new else None
         self._current = new
         self._routes = route_table.RouteTable(new.routes if new else ())
 
+    @property
+    def registry(self) -> registries.AccountRegistry | None:
+        """Accounts of the configuration in force; None before the first."""
+        return self._registry
+
     def find_route(
         self, submission: batch.Submission
     ) -> configuration.Route | None:
@@ -72,22 +82,23 @@
         try:
             decoded = self._adapter.decode_operator_record(record)
         except adapters.InvalidMessageError as error:
-            events.write(
-                'operator_record_invalid',
-                key=record.key,
-                offset=record.offset,
-                error=str(error),
-            )
+            self._write_invalid(record, error)
             return
         if isinstance(decoded, configuration.Configuration):
-            self._put_configuration(decoded)
+            self._put_configuration(decoded, record)
         elif decoded is not None:
             self._put_version(*decoded)
 
-    def _put_configuration(self, new: configuration.Configuration) -> None:
+    def _put_configuration(
+        self, new: configuration.Configuration, record: service.KeyedRecord
+    ) -> None:
         if self.current and new.revision <= self.current.revision:
             return
-        self.current = new
+        try:
+            self.current = new
+        except registries.InvalidAccountsError as error:
+            self._write_invalid(record, error)
+            return
         events.write('configuration_in_force', revision=new.revision)
         self._notify()
 
@@ -98,6 +109,14 @@
         events.write('version_named', model=model, version=version)
         self._notify()
 
+    def _write_invalid(self, record: service.KeyedRecord, error) -> None:
+        events.write(
+            'operator_record_invalid',
+            key=record.key,
+            offset=record.offset,
+            error=str(error),
+        )
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -52,6 +52,12 @@
     ['outcome'],
     registry=REGISTRY,
 )
+ACCESS = prometheus_client.Counter(
+    'auburnroad_access',
+    'Decisions on the API keys of callers, by outcome.',
+    ['outcome'],
+    registry=REGISTRY,
+)
 REQUESTS_QUARANTINED = prometheus_client.Counter(
     'auburnroad_requests_quarantined',
     'Requests refused because they crash the replicas that run them.',
