Check keys before requests are run, and never pass them on

Cause: requests ran whatever key they carried, and replicas got the key and the caller's own name of an account.

The name of the account goes with PendingRequest and Submission, and build_attempt_headers puts it in place of what caller or item sent: in first, hedged and retried attempts, resumed streams and items. Results and partial texts are reused only within an account. Deployments without accounts pass headers as before.

--- a/packages/gateway/auburnroad_gateway/adapter.py
+++ b/packages/gateway/auburnroad_gateway/adapter.py
@@ -59,9 +59,13 @@
         replica_id: str,
         remaining_ms: int | None,
         last_event_id: int | None,
+        account: str | None,
     ) -> dict[str, str]:
         """Build the headers of one attempt at a replica.
 
+        Any key and any name of an account in the given headers are dropped,
+        unless the deployment has no accounts.
+
         Args:
           headers: Headers of the caller's request, or of the item.
           replica_id: Id of the replica.
@@ -69,6 +73,8 @@
             not stated.
           last_event_id: Id of the event after which a stream is resumed; None
             for a new request.
+          account: Name of the account that the replica is told; empty for a
+            request without an account, None if the deployment has no accounts.
         """
 
     def build_item_headers(
--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -66,6 +66,11 @@
             self._submission = records.unpack_submission(self._data)
         return self._submission
 
+    @property
+    def account(self) -> str:
+        """Name of the account that submitted the batch; empty if none."""
+        return self.submission.account
+
     def fill_bodies(self, bodies: list[bytes]) -> None:
         """Add the items' bodies after they were read from the log."""
         self._submission = records.fill_bodies(self.submission, bodies)
--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -9,6 +9,8 @@
 import typing
 import uuid
 
+import msgspec
+
 from auburnroad_core import clock
 from auburnroad_core.http import messages
 from auburnroad_gateway import adapter as adapters
@@ -52,13 +54,18 @@
         self._match_route = match_route
 
     async def submit(
-        self, route: configuration.Route, request: messages.Request
+        self,
+        route: configuration.Route,
+        request: messages.Request,
+        account: str | None = None,
     ) -> messages.Response:
         """Accept a batch.
 
         Args:
           route: Route of the batch.
           request: Request of the trainer.
+          account: Name of the trainer's account; empty if it has none, None if
+            the deployment has no accounts.
 
         Returns:
           Status 202 once the batch is in the log, 400 if the request is not
@@ -70,6 +77,7 @@
         except adapters.InvalidMessageError as error:
             events.write('batch_invalid', error=str(error))
             return refusals.build_error(400, 'not_a_batch')
+        submission = msgspec.structs.replace(submission, account=account or '')
         if submission.batch_id in self._journal.fold.batches:
             return messages.Response(202)
         started = time.monotonic()
--- a/packages/gateway/auburnroad_gateway/batches/owned_batches.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned_batches.py
@@ -21,6 +21,8 @@
     Attributes:
       state: State of the batch according to the log.
       route: Route of the batch, as found by the latest lookup.
+      account: Name of the account that replicas are told, as found by the
+        latest lookup; see ConfigurationHolder.find_account.
       waiting: Runs that wait for a slot, by item index.
       running: Tasks of the current attempts, by item index.
       scoring: Tasks that wait for the scores of complete texts, by item index.
@@ -32,6 +34,7 @@
     __slots__ = (
         'state',
         'route',
+        'account',
         'waiting',
         'running',
         'scoring',
@@ -44,6 +47,7 @@
     ):
         self.state = state
         self.route = route
+        self.account: str | None = state.submission.account or None
         self.repeated_groups = repeated_groups
         self.running: dict[int, asyncio.Task] = {}
         self.scoring: dict[int, asyncio.Task] = {}
@@ -62,6 +66,7 @@
             submission.model,
             submission.minimum_version,
             self.route.single_version,
+            self.account,
         )
 
     def stop(self) -> None:
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -196,7 +196,7 @@
             return
         if changed.ended:
             for run in owned.runs.values():
-                self._partial_runs.add(run)
+                self._partial_runs.add(run, changed.account)
         elif changed.owner != self._membership.incarnation:
             # The new owner resumes after the last event generated here.
             self._finisher.save_unfinished(owned)
@@ -269,6 +269,7 @@
             if route is None:
                 continue
             owned.route = route
+            owned.account = self._configuration.find_account(owned.state)
             self._scoring.start_waiting(owned)
             if not owned.waiting:
                 continue
--- a/packages/gateway/auburnroad_gateway/batches/partial_runs.py
+++ b/packages/gateway/auburnroad_gateway/batches/partial_runs.py
@@ -19,22 +19,28 @@
 
 
 class PartialRunCache:
-    """Cache of the newest unfinished runs by item id."""
+    """Cache of the newest unfinished runs by account and item id."""
 
     __slots__ = ('_runs', '_bytes')
 
     def __init__(self):
-        self._runs: collections.OrderedDict[str, runs.ItemRun] = (
+        self._runs: collections.OrderedDict[tuple[str, str], runs.ItemRun] = (
             collections.OrderedDict()
         )
         self._bytes = 0
 
-    def add(self, run: runs.ItemRun) -> None:
-        """Add a run that ended without a result; empty texts are ignored."""
+    def add(self, run: runs.ItemRun, account: str) -> None:
+        """Add a run that ended without a result; empty texts are ignored.
+
+        Args:
+          run: The run.
+          account: Account of its batch; empty if none.
+        """
         if not run.texts:
             return
-        self._pop(run.item.id)
-        self._runs[run.item.id] = run
+        key = (account, run.item.id)
+        self._pop(key)
+        self._runs[key] = run
         self._bytes += _count_bytes(run)
         while self._bytes > MAX_TEXT_BYTES:
             self._pop(next(iter(self._runs)))
@@ -49,7 +55,7 @@
         Returns:
           A run whose text may be resumed; None if no such run is cached.
         """
-        run = self._pop(item.id)
+        run = self._pop((constraints.account or '', item.id))
         if run is None:
             return None
         if not owned_batches.is_same_item(run.item, item):
@@ -62,8 +68,8 @@
             return None
         return run
 
-    def _pop(self, item_id: str) -> runs.ItemRun | None:
-        run = self._runs.pop(item_id, None)
+    def _pop(self, key: tuple[str, str]) -> runs.ItemRun | None:
+        run = self._runs.pop(key, None)
         if run is not None:
             self._bytes -= _count_bytes(run)
         return run
--- a/packages/gateway/auburnroad_gateway/batches/reuse.py
+++ b/packages/gateway/auburnroad_gateway/batches/reuse.py
@@ -3,6 +3,8 @@
 A trainer requests groups again that were incomplete when it ended a step.
 Existing results are reused if their weight versions still satisfy the
 constraints of the new batch, and partial texts are resumed (partial_runs.py).
+Results and texts of another account are never reused: they would disclose
+that account's batches.
 """
 
 from auburnroad_gateway.batches import fold
@@ -28,7 +30,9 @@
     return {
         item.group
         for other in batches.batches.values()
-        if other is not state and other.submission.step < state.submission.step
+        if other is not state
+        and other.account == state.account
+        and other.submission.step < state.submission.step
         for item in other.submission.items
         if item.group in groups
     }
@@ -51,6 +55,8 @@
     for other in batches.batches.values():
         if not pending or other is owned.state:
             continue
+        if other.account != owned.state.account:
+            continue
         for result in other.results:
             item = other.submission.items[result.index]
             run = pending.get(item.id)
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -134,12 +134,15 @@
       model: Name of the model; empty for any model.
       minimum_version: Oldest weight version that may generate events.
       single_version: Whether all events must have the same weight version.
+      account: Name of the account that replicas are told; empty for none, None
+        if the deployment has no accounts.
     """
 
     host: str
     model: str
     minimum_version: int
     single_version: bool
+    account: str | None = None
 
 
 async def run_attempt(
@@ -165,6 +168,7 @@
         target.id,
         None,
         run.last_event,
+        constraints.account,
     )
     request = messages.Request('POST', run.item.path, headers, run.item.body)
     try:
--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -67,6 +67,21 @@
         """
         return self._routes.match(host, path)
 
+    def find_account(self, state) -> str | None:
+        """Find the name of the account under which a batch's items run.
+
+        Args:
+          state: State of the batch.
+
+        Returns:
+          Name of the account; empty if the batch has none, None if the
+          deployment has no accounts either.
+        """
+        has_accounts = self._registry is not None and (
+            self._registry.has_accounts
+        )
+        return state.account or ('' if has_accounts else None)
+
     def on_change(self, listener) -> None:
         """Call a function after each change of configuration or versions.
 
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -54,6 +54,8 @@
         it; None for any.
       fingerprint: Fingerprint of the request; empty for a request of the
         gateway itself, which is never suspected of crashing replicas.
+      account: Name of the account that replicas are told; empty for a request
+        without an account, None if the deployment has no accounts.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         'retry_seconds',
         'release',
         'fingerprint',
+        'account',
         '_caller_deadline_at',
     )
 
@@ -78,6 +81,7 @@
         route: configuration.Route,
         now: float,
         fingerprint: str = '',
+        account: str | None = None,
     ):
         self.request = request
         self.head = head
@@ -94,6 +98,7 @@
         self.retry_seconds = refusals.RETRY_AFTER_SECONDS
         self.release: registration.Release | None = None
         self.fingerprint = fingerprint
+        self.account = account
 
     @property
     def may_repeat(self) -> bool:
@@ -229,6 +234,7 @@
             target.id,
             remaining_ms,
             last_event_id,
+            pending.account,
         )
         source = pending.request
         return messages.Request(
--- a/packages/gateway/auburnroad_gateway/model/batch.py
+++ b/packages/gateway/auburnroad_gateway/model/batch.py
@@ -53,6 +53,8 @@
       minimum_version: Oldest weight version that may generate the output.
       groups_wanted: Number of complete groups that the trainer waits for.
       items: Items in the trainer's order.
+      account: Name of the account that submitted the batch; empty if none.
+        The last field, so that records of older versions can be read.
     """
 
     batch_id: str
@@ -63,6 +65,7 @@
     minimum_version: int
     groups_wanted: int
     items: list[Item]
+    account: str = ''
 
 
 class Outcome(enum.StrEnum):
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/process/dispatch.py
@@ -0,0 +1,153 @@
+"""Dispatches the requests of callers to the code that handles them.
+
+The key of a request is checked before any other processing for its route.
+"""
+
+import time
+import typing
+
+from auburnroad_core.http import messages
+from auburnroad_gateway import adapter as adapters
+
+from auburnroad_gateway.accounts import access
+from auburnroad_gateway.accounts import control
+from auburnroad_gateway.batches import intake
+from auburnroad_gateway.batches import reading
+from auburnroad_gateway.configuration import holder as holders
+from auburnroad_gateway.forwarding import fingerprint
+from auburnroad_gateway.forwarding import refusals
+from auburnroad_gateway.forwarding import requests
+from auburnroad_gateway.forwarding import streams
+from auburnroad_gateway.model import call
+from auburnroad_gateway.model import configuration
+
+# Maximum duration of a call on a batch. The slowest call is a submission that
+# waits for the log.
+BATCH_CALL_SECONDS = intake.APPEND_TIMEOUT_SECONDS + 0.5
+
+
+class Dispatcher:
+    """Finds the handler of each request of a caller."""
+
+    __slots__ = (
+        '_adapter',
+        '_configuration',
+        '_access',
+        '_reader',
+        '_intake',
+        '_forwarder',
+        '_streams',
+        '_may_outlast_stop',
+    )
+
+    def __init__(
+        self,
+        adapter: adapters.Adapter,
+        holder: holders.ConfigurationHolder,
+        access_control: control.AccessControl,
+        reader: reading.Reader,
+        batch_intake: intake.Intake,
+        forwarder: requests.Forwarder,
+        stream_forwarder: streams.StreamForwarder,
+        may_outlast_stop: typing.Callable[[float], bool],
+    ):
+        """Initialize the dispatcher.
+
+        Args:
+          adapter: Decodes requests.
+          holder: Holds the configuration in force.
+          access_control: Decides on the keys of requests.
+          reader: Handles calls on existing batches.
+          batch_intake: Handles submissions.
+          forwarder: Handles requests whose response is not a stream.
+          stream_forwarder: Handles requests whose response is a stream.
+          may_outlast_stop: Tells whether a request that takes a number of
+            seconds may still run when the process exits.
+        """
+        self._adapter = adapter
+        self._configuration = holder
+        self._access = access_control
+        self._reader = reader
+        self._intake = batch_intake
+        self._forwarder = forwarder
+        self._streams = stream_forwarder
+        self._may_outlast_stop = may_outlast_stop
+
+    async def handle(
+        self, request: messages.Request
+    ) -> tuple[str, messages.Response]:
+        """Handle a request.
+
+        Args:
+          request: Request of a caller.
+
+        Returns:
+          The kind of the request, for metrics, and the response.
+        """
+        if self._configuration.current is None:
+            return 'none', refusals.build_refusal(
+                'not_configured', refusals.RETRY_AFTER_OUTAGE_SECONDS
+            )
+        batch_call = self._adapter.decode_batch_call(request)
+        if batch_call is None:
+            return await self._handle_routed(request)
+        if self._may_outlast_stop(BATCH_CALL_SECONDS):
+            return 'leaving', _refuse_while_stopping()
+        response = await self._reader.handle(batch_call)
+        return batch_call.verb.value, response
+
+    async def _handle_routed(
+        self, request: messages.Request
+    ) -> tuple[str, messages.Response]:
+        """Handle a request that a route has to match."""
+        started = time.monotonic()
+        head = self._adapter.decode_call(request.headers)
+        route, found = await self._access.check(
+            request.headers.get('host', ''), request.path, head
+        )
+        if route is None:
+            return 'none', refusals.build_error(404, 'no_route')
+        refusal = self._access.build_response(route.name, head, found)
+        if refusal is not None:
+            return 'no_access', refusal
+        is_batch = route.kind is configuration.RouteKind.BATCH
+        if self._may_outlast_stop(
+            BATCH_CALL_SECONDS if is_batch else route.timeout_ms / 1000
+        ):
+            return 'leaving', _refuse_while_stopping()
+        account = self._find_account_name(found)
+        if is_batch:
+            response = await self._intake.submit(route, request, account)
+            return 'submit', response
+        return await self._forward(request, head, route, account, started)
+
+    def _find_account_name(self, found: access.Access) -> str | None:
+        if found.account is not None:
+            return found.account.name
+        return '' if self._access.has_accounts else None
+
+    async def _forward(
+        self,
+        request: messages.Request,
+        head: call.CallHead,
+        route: configuration.Route,
+        account: str | None,
+        started: float,
+    ) -> tuple[str, messages.Response]:
+        pending = requests.PendingRequest(
+            request,
+            head,
+            route,
+            started,
+            fingerprint.build_fingerprint(request),
+            account,
+        )
+        if route.kind is configuration.RouteKind.STREAM:
+            response = await self._streams.forward(pending)
+        else:
+            response = await self._forwarder.forward(pending)
+        return route.kind.value, response
+
+
+def _refuse_while_stopping() -> messages.Response:
+    return refusals.build_refusal('leaving', refusals.RETRY_AFTER_SECONDS)
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -9,6 +9,7 @@
 from auburnroad_core.http import server
 from auburnroad_gateway import adapter as adapters
 
+from auburnroad_gateway.accounts import control
 from auburnroad_gateway.batches import intake
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import owner
@@ -17,8 +18,6 @@
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.forwarding import crash_watch
-from auburnroad_gateway.forwarding import fingerprint
-from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.forwarding import stream_releases
 from auburnroad_gateway.forwarding import streams
@@ -29,8 +28,8 @@
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import permits
 from auburnroad_gateway.members import relay
-from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
+from auburnroad_gateway.process import dispatch
 from auburnroad_gateway.process import supervision
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -58,9 +57,6 @@
 # Time before STOP_MARGIN_SECONDS in which requests in flight finish and no new
 # requests are accepted.
 FINAL_DRAIN_SECONDS = 0.5
-# Maximum duration of a call on a batch. The slowest call is a submission that
-# waits for the log.
-BATCH_CALL_SECONDS = intake.APPEND_TIMEOUT_SECONDS + 0.5
 STOP_POLL_SECONDS = 0.05
 # How long a request waits for the initial reads of a process that has just
 # started. The initial reads take about 50 ms.
@@ -184,6 +180,7 @@
         if new.log_address != self._settings.log_address:
             self._log.direct.set_address(new.log_address)
         self._settings = new
+        self._access.settings = new
 
     def stop(self) -> None:
         """Begin a planned stop; further calls have no effect."""
@@ -320,6 +317,19 @@
             self._directory,
             self._owner,
         )
+        self._access = control.AccessControl(
+            settings, self._configuration, self._operator_tail
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            adapter,
+            self._configuration,
+            self._access,
+            self._reader,
+            self._intake,
+            self._forwarder,
+            self._streams,
+            self._may_outlast_stop,
+        )
         self._caller_server = server.HttpServer(self._handle_caller)
         self._ready_server = server.HttpServer(self._handle_ready)
         self._peer_server = server.HttpServer(self._handle_peer)
@@ -359,8 +369,7 @@
         started = time.monotonic()
         if not self._is_loaded:
             await self._wait_until_loaded()
-        kind, handling = self._dispatch(request)
-        response = await handling
+        kind, response = await self._dispatcher.handle(request)
         metrics.REQUEST_SECONDS.labels(kind).observe(
             time.monotonic() - started
         )
@@ -383,54 +392,6 @@
         """Tell whether a request may still run when the process exits."""
         return time.monotonic() + timeout_seconds > self._response_deadline_at
 
-    def _refuse_while_stopping(self) -> messages.Response:
-        return refusals.build_refusal('leaving', refusals.RETRY_AFTER_SECONDS)
-
-    def _dispatch(self, request):
-        """Find the handler of a request.
-
-        Returns:
-          The kind of the request, for metrics, and the coroutine that returns
-          the response.
-        """
-        current = self._configuration.current
-        if current is None:
-            return 'none', _return_response(
-                refusals.build_refusal(
-                    'not_configured', refusals.RETRY_AFTER_OUTAGE_SECONDS
-                )
-            )
-        batch_call = self._adapter.decode_batch_call(request)
-        if batch_call is not None and self._may_outlast_stop(
-            BATCH_CALL_SECONDS
-        ):
-            return 'leaving', _return_response(self._refuse_while_stopping())
-        if batch_call is not None:
-            return batch_call.verb.value, self._reader.handle(batch_call)
-        host = request.headers.get('host', '')
-        route = self._configuration.match_route(host, request.path)
-        if route is None:
-            return 'none', _return_response(
-                refusals.build_error(404, 'no_route')
-            )
-        timeout_seconds = route.timeout_ms / 1000
-        if route.kind is configuration.RouteKind.BATCH:
-            timeout_seconds = BATCH_CALL_SECONDS
-        if self._may_outlast_stop(timeout_seconds):
-            return 'leaving', _return_response(self._refuse_while_stopping())
-        if route.kind is configuration.RouteKind.BATCH:
-            return 'submit', self._intake.submit(route, request)
-        pending = requests.PendingRequest(
-            request,
-            self._adapter.decode_call(request.headers),
-            route,
-            time.monotonic(),
-            fingerprint.build_fingerprint(request),
-        )
-        if route.kind is configuration.RouteKind.STREAM:
-            return route.kind.value, self._streams.forward(pending)
-        return route.kind.value, self._forwarder.forward(pending)
-
     async def _expire_replicas(self) -> None:
         """Drop the registrations that lapsed during an outage of the log.
 
@@ -483,7 +444,3 @@
             records_left=not self._journal.is_idle,
         )
         self._closed.set()
-
-
-async def _return_response(response: messages.Response) -> messages.Response:
-    return response
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -41,7 +41,7 @@
             return None
 
     def decode_call(self, headers):
-        """Decode the headers 'id', 'patience', 'after' and 'resumes'."""
+        """Decode the headers 'id', 'patience', 'after', 'resumes', 'key'."""
         patience = headers.get('patience')
         after = headers.get('after')
         return call.CallHead(
@@ -49,13 +49,19 @@
             int(patience) if patience else None,
             int(after) if after else None,
             headers.get('resumes', ''),
+            headers.get('key'),
         )
 
     def build_attempt_headers(
-        self, headers, replica_id, remaining_ms, last_event_id
+        self, headers, replica_id, remaining_ms, last_event_id, account
     ):
         """Build headers that contain all arguments."""
         built = {**headers, 'replica': replica_id}
+        if account is not None:
+            built.pop('key', None)
+            built.pop('account', None)
+            if account:
+                built['account'] = account
         if last_event_id is not None:
             built['after'] = str(last_event_id)
         if remaining_ms is not None:
