--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -1,6 +1,8 @@
 """Holds the configuration in force and the announced weight versions."""
 
 from auburnroad_gateway import adapter as adapters
+
+from auburnroad_gateway.accounts import registry as registries
 from auburnroad_gateway.configuration import route_table
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
@@ -22,12 +24,14 @@
         '_adapter',
         '_current',
         '_listeners',
+        '_registry',
         '_routes',
     )
 
     def __init__(self, adapter: adapters.Adapter):
         self._current: configuration.Configuration | None = None
         self._routes = route_table.RouteTable()
+        self._registry: registries.AccountRegistry | None = None
         self.announced_versions: dict[str, int] = {}
         self._adapter = adapter
         self._listeners = []
@@ -39,9 +43,15 @@
 
     @current.setter
     def current(self, new: configuration.Configuration | None) -> None:
+        self._registry = registries.AccountRegistry(new) if new else None
         self._current = new
         self._routes = route_table.RouteTable(new.routes if new else ())
 
+    @property
+    def registry(self) -> registries.AccountRegistry | None:
+        """Accounts of the configuration in force; None before the first."""
+        return self._registry
+
     def find_route(
         self, submission: batch.Submission
     ) -> configuration.Route | None:
@@ -57,6 +67,21 @@
         """
         return self._routes.match(host, path)
 
+    def find_account(self, state) -> str | None:
+        """Find the name of the account under which a batch's items run.
+
+        Args:
+          state: State of the batch.
+
+        Returns:
+          Name of the account; empty if the batch has none, None if the
+          deployment has no accounts either.
+        """
+        has_accounts = self._registry is not None and (
+            self._registry.has_accounts
+        )
+        return state.account or ('' if has_accounts else None)
+
     def on_change(self, listener) -> None:
         """Call a function after each change of configuration or versions.
 
@@ -72,22 +97,23 @@
         try:
             decoded = self._adapter.decode_operator_record(record)
         except adapters.InvalidMessageError as error:
-            events.write(
-                'operator_record_invalid',
-                key=record.key,
-                offset=record.offset,
-                error=str(error),
-            )
+            self._write_invalid(record, error)
             return
         if isinstance(decoded, configuration.Configuration):
-            self._put_configuration(decoded)
+            self._put_configuration(decoded, record)
         elif decoded is not None:
             self._put_version(*decoded)
 
-    def _put_configuration(self, new: configuration.Configuration) -> None:
+    def _put_configuration(
+        self, new: configuration.Configuration, record: service.KeyedRecord
+    ) -> None:
         if self.current and new.revision <= self.current.revision:
             return
-        self.current = new
+        try:
+            self.current = new
+        except registries.InvalidAccountsError as error:
+            self._write_invalid(record, error)
+            return
         events.write('configuration_in_force', revision=new.revision)
         self._notify()
 
@@ -98,6 +124,14 @@
         events.write('version_named', model=model, version=version)
         self._notify()
 
+    def _write_invalid(self, record: service.KeyedRecord, error) -> None:
+        events.write(
+            'operator_record_invalid',
+            key=record.key,
+            offset=record.offset,
+            error=str(error),
+        )
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
