Keep batches to the account that submitted them

Cause: any caller could read and end any batch, and submit the id of another account's batch and get 202 for it.

Change: calls on a batch need a key of its account (batches/reading.py); to other accounts a batch looks as if it didn't exist, also while the log can't be read. With accounts, a submission is read back from the log, since only the log's order tells which account was first; the other one gets 404. Each event on refused keys has a limit of its own: key_refused had hidden key_unchecked. Mutations name files of the platform's package, too.

--- a/packages/e2e/auburnroad_e2e/mutations.py
+++ b/packages/e2e/auburnroad_e2e/mutations.py
@@ -255,8 +255,9 @@
                 f'{wrong[:1] or "no module of ours"}'
             )
     for edit in mutation.edits:
-        module = edit.file.partition('/')[2].removesuffix('.py')
-        name = module.replace('/', '.')
+        # The path may lead to the platform's package, beside packages.
+        start = edit.file.index('auburnroad_')
+        name = edit.file[start:].removesuffix('.py').replace('/', '.')
         code = f'import {name} as m; print("from", m.__file__)'
         output = await run_program([sys.executable, '-c', code], copy)
         if f'from {copy}' not in output:
--- a/packages/gateway/auburnroad_gateway/accounts/control.py
+++ b/packages/gateway/auburnroad_gateway/accounts/control.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import time
 
 from auburnroad_core import clock
@@ -26,8 +27,8 @@
 # refused.
 MAX_AGE_SECONDS = 1.0
 CATCH_UP_TIMEOUT_SECONDS = 0.4
-# Minimum time between two log lines on refused requests, so that callers with
-# wrong keys don't use up the lines of all other events.
+# Minimum time between two log lines of one event, so that callers with wrong
+# keys don't use up the lines of all other events.
 EVENT_INTERVAL_SECONDS = 0.25
 MISSING_KEY = 'missing'
 
@@ -58,8 +59,8 @@
         self._configuration = holder
         self._operator_tail = operator_tail
         self._reading: asyncio.Task | None = None
-        self._written_at = float('-inf')
-        self._unwritten = 0
+        self._written_at: dict[str, float] = {}
+        self._unwritten: collections.Counter[str] = collections.Counter()
 
     @property
     def has_accounts(self) -> bool:
@@ -107,6 +108,10 @@
         self._count(found, head)
         return found
 
+    def note_foreign_batch(self) -> None:
+        """Count a call on a batch of another account."""
+        metrics.ACCESS.labels('foreign_batch').inc()
+
     def build_response(
         self, route_name: str, head: call.CallHead, found: access.Access
     ) -> messages.Response | None:
@@ -122,14 +127,16 @@
         """
         if found.decision is access.Decision.ALLOWED:
             return None
-        is_refused = found.decision is access.Decision.REFUSED
-        self._write_event(
-            'key_refused' if is_refused else 'key_unchecked', route_name, head
-        )
-        if not is_refused:
+        if found.decision is access.Decision.UNSURE:
+            fields = self._list_fields('key_unchecked', route_name, head)
+            if fields is not None:
+                events.write('key_unchecked', **fields)
             return refusals.build_refusal(
                 'key_unchecked', refusals.RETRY_AFTER_OUTAGE_SECONDS
             )
+        fields = self._list_fields('key_refused', route_name, head)
+        if fields is not None:
+            events.write('key_refused', **fields)
         code = 'key_missing' if head.key is None else 'key_unknown'
         return refusals.build_error(401, code)
 
@@ -178,28 +185,27 @@
             outcome = MISSING_KEY
         metrics.ACCESS.labels(outcome).inc()
 
-    def _write_event(
+    def _list_fields(
         self, event: str, route_name: str, head: call.CallHead
-    ) -> None:
+    ) -> dict | None:
+        """List the fields of a log line; None if too many were written."""
         now = time.monotonic()
-        if now < self._written_at + EVENT_INTERVAL_SECONDS:
-            self._unwritten += 1
-            return
-        key = head.key
-        events.write(
-            event,
-            request=head.request_id,
-            route=route_name,
-            account='unknown',
-            fingerprint=MISSING_KEY
-            if key is None
-            else registry.fingerprint(key),
-            revision=self._configuration.current.revision,
-            age_ms=_to_ms(self._find_age()),
-            unwritten=self._unwritten,
-        )
-        self._written_at = now
-        self._unwritten = 0
+        due_at = self._written_at.get(event, 0.0) + EVENT_INTERVAL_SECONDS
+        if event in self._written_at and now < due_at:
+            self._unwritten[event] += 1
+            return None
+        self._written_at[event] = now
+        return {
+            'request': head.request_id,
+            'route': route_name,
+            'account': 'unknown',
+            'fingerprint': MISSING_KEY
+            if head.key is None
+            else registry.fingerprint(head.key),
+            'revision': self._configuration.current.revision,
+            'age_ms': _to_ms(self._find_age()),
+            'unwritten': self._unwritten.pop(event, 0),
+        }
 
 
 def _to_ms(seconds: float) -> int:
--- a/packages/gateway/auburnroad_gateway/accounts/control_test.py
+++ b/packages/gateway/auburnroad_gateway/accounts/control_test.py
@@ -44,16 +44,33 @@
     )
 
 
+class Control(msgspec.Struct):
+    """An access control with what it reads."""
+
+    subject: control.AccessControl
+    holder: holder.ConfigurationHolder
+    tail: tail.KeyedTail
+
+
+def build_control(log):
+    """Build the access control of a gateway that reads only on demand."""
+    configuration = holder.ConfigurationHolder(plain_adapter.PlainAdapter())
+    operator_tail = tail.KeyedTail(log, TOPIC, configuration.apply, 0.0)
+    return Control(
+        control.AccessControl(build_settings(), configuration, operator_tail),
+        configuration,
+        operator_tail,
+    )
+
+
 class AccessControlTest(unittest.IsolatedAsyncioTestCase):
     """A gateway that reads its operators' topic only on demand."""
 
     async def asyncSetUp(self):
         self.log = partition_log.PartitionLog()
-        self.holder = holder.ConfigurationHolder(plain_adapter.PlainAdapter())
-        self.tail = tail.KeyedTail(self.log, TOPIC, self.holder.apply, 0.0)
-        self.subject = control.AccessControl(
-            build_settings(), self.holder, self.tail
-        )
+        built = build_control(self.log)
+        self.subject, self.holder = built.subject, built.holder
+        self.tail = built.tail
         # Age of the last read at which an unknown key is refused; the tests
         # that need an outdated read set complete_at.
         self.enterContext(
--- a/packages/gateway/auburnroad_gateway/batches/fold_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold_test.py
@@ -13,7 +13,7 @@
 RECORD_BYTES = 2000
 
 
-def build_submission(batch_id='b', items=3):
+def build_submission(batch_id='b', items=3, account=''):
     return batch.Submission(
         batch_id,
         'h',
@@ -26,6 +26,7 @@
             batch.Item(f'i{number}', '/p/x', {}, b'body', 10, 'g')
             for number in range(items)
         ],
+        account,
     )
 
 
@@ -39,9 +40,11 @@
     )
 
 
-def encode_submission(attempt='a1', owner='o1', record_bytes=RECORD_BYTES):
+def encode_submission(
+    attempt='a1', owner='o1', record_bytes=RECORD_BYTES, account=''
+):
     return records.build_submission_records(
-        build_submission(), attempt, owner, 0, record_bytes
+        build_submission(account=account), attempt, owner, 0, record_bytes
     )
 
 
--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -5,6 +5,7 @@
 then states an unknown outcome, and the trainer submits the batch again.
 """
 
+import asyncio
 import time
 import typing
 import uuid
@@ -18,6 +19,7 @@
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.log import appender
+from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
@@ -26,6 +28,9 @@
 # only a few times, and most outages last a few seconds.
 APPEND_TIMEOUT_SECONDS = 3.0
 RETRY_AFTER_SECONDS = 1.0
+# Timeout of the read that shows which account a batch belongs to; with the
+# append, it has to end before a planned stop does.
+LOG_READ_TIMEOUT_SECONDS = 0.5
 
 
 class Intake:
@@ -69,8 +74,9 @@
 
         Returns:
           Status 202 once the batch is in the log, 400 if the request is not
-          a valid batch, 503 if the batch is not in the log and will not be,
-          504 if the outcome of the append is unknown.
+          a valid batch, 404 if its id is that of a batch of another account,
+          503 if the batch is not in the log and will not be, 504 if the
+          outcome is unknown.
         """
         try:
             submission = self._adapter.decode_submission(request)
@@ -79,7 +85,7 @@
             return refusals.build_error(400, 'not_a_batch')
         submission = msgspec.structs.replace(submission, account=account or '')
         if submission.batch_id in self._journal.fold.batches:
-            return messages.Response(202)
+            return self._build_response(submission, account)
         started = time.monotonic()
         refusal = self._check_reward_routes(submission)
         if refusal is not None:
@@ -88,9 +94,39 @@
             await self._write_batch(route, submission, started)
         except appender.AppendTimeoutError as error:
             return self._build_timeout_response(submission, error, started)
-        self._write_event('batch_accepted', submission, started)
+        if account is not None and not await self._catch_up(submission):
+            self._write_event('batch_in_doubt', submission, started)
+            return refusals.build_error(504, 'log_silent')
+        response = self._build_response(submission, account)
+        if response.status == 202:
+            self._write_event('batch_accepted', submission, started)
+        return response
+
+    def _build_response(
+        self, submission: batch.Submission, account: str | None
+    ) -> messages.Response:
+        """Build the response to the submission of a batch in the log."""
+        state = self._journal.fold.batches.get(submission.batch_id)
+        if account is None or state is None:
+            return messages.Response(202)
+        if state.account and state.account != account:
+            events.write('batch_of_other_account', batch=submission.batch_id)
+            return refusals.build_error(404, 'no_such_batch')
         return messages.Response(202)
 
+    async def _catch_up(self, submission: batch.Submission) -> bool:
+        """Read the batch back, since another account may have been first.
+
+        Returns:
+          Whether the log was read to its end.
+        """
+        try:
+            async with asyncio.timeout(LOG_READ_TIMEOUT_SECONDS):
+                await self._journal.catch_up(submission.batch_id)
+        except (service.LogError, TimeoutError):
+            return False
+        return True
+
     def _check_reward_routes(
         self, submission: batch.Submission
     ) -> messages.Response | None:
--- a/packages/gateway/auburnroad_gateway/batches/intake_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from unittest import mock
+import zlib
 
 import msgspec
 
@@ -65,7 +66,7 @@
         for task in self.tasks:
             task.cancel()
 
-    async def submit(self, items=3, reward=None):
+    async def submit(self, items=3, reward=None, account=None):
         submission = fold_test.build_submission(items=items)
         if reward is not None:
             first = msgspec.structs.replace(submission.items[0], reward=reward)
@@ -74,7 +75,7 @@
             )
         body = msgspec.msgpack.encode(submission)
         return await self.subject.submit(
-            None, messages.Request('POST', '/p/', {}, body)
+            None, messages.Request('POST', '/p/', {}, body), account
         )
 
     async def submit_until_timeout(self):
@@ -105,6 +106,38 @@
         self.assertEqual(202, (await self.submit()).status)
         self.assertEqual(1, len(self.list_batches()))
 
+    async def test_id_of_another_accounts_batch_is_404(self):
+        """An acknowledgement would tell that the batch exists."""
+        self.assertEqual(202, (await self.submit(account='a')).status)
+        self.assertEqual(202, (await self.submit(account='a')).status)
+        for account in ('b', ''):
+            response = await self.submit(account=account)
+            self.assertEqual(404, response.status)
+        self.assertEqual('a', self.journal.fold.batches['b'].account)
+
+    async def test_account_that_submits_an_id_second_gets_404(self):
+        """The first submission may be in the log, but not yet folded."""
+        self.log.write(
+            records.TOPIC,
+            records.find_partition('b'),
+            fold_test.encode_submission(account='a'),
+        )
+        self.assertEqual({}, self.journal.fold.batches)
+        response = await self.submit(account='b')
+        self.assertEqual(404, response.status)
+
+    async def test_batch_without_an_account_is_acknowledged_to_all(self):
+        for account in ('', 'a', None):
+            response = await self.submit(account=account)
+            self.assertEqual(202, response.status)
+
+    async def test_record_of_an_older_version_has_no_account(self):
+        """Batches in the log outlive the software that wrote them."""
+        data = msgspec.msgpack.encode(fold_test.build_submission())
+        older = msgspec.msgpack.encode(msgspec.msgpack.decode(data)[:-1])
+        decoded = records.unpack_submission(zlib.compress(older))
+        self.assertEqual(fold_test.build_submission(), decoded)
+
     async def test_refused_batch_is_never_written(self):
         self.log.down = True
         response = await self.submit_until_timeout()
--- a/packages/gateway/auburnroad_gateway/batches/reading.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading.py
@@ -3,6 +3,9 @@
 Results that this gateway has folded can be returned immediately, since their
 positions and contents never change. The response that a batch or a result
 does not exist is sent only after the log has been read to its current end.
+
+A batch belongs to the account that submitted it. To other accounts, it must
+look as if it didn't exist, also while the log can't be read.
 """
 
 import asyncio
@@ -10,6 +13,8 @@
 from auburnroad_core import clock
 from auburnroad_core.http import messages
 from auburnroad_gateway import adapter as adapters
+
+from auburnroad_gateway.accounts import control
 from auburnroad_gateway.batches import fold
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import records
@@ -37,34 +42,44 @@
 class Reader:
     """Handles calls on existing batches."""
 
-    __slots__ = ('_adapter', '_journal', '_waiters')
+    __slots__ = ('_adapter', '_journal', '_access', '_waiters')
 
     def __init__(
-        self, adapter: adapters.Adapter, batch_journal: journal.Journal
+        self,
+        adapter: adapters.Adapter,
+        batch_journal: journal.Journal,
+        access_control: control.AccessControl,
     ):
         self._adapter = adapter
         self._journal = batch_journal
+        self._access = access_control
         self._waiters: dict[str, asyncio.Event] = {}
         batch_journal.fold.on_change(self._wake)
 
-    async def handle(self, request: call.BatchCall) -> messages.Response:
+    async def handle(
+        self, request: call.BatchCall, head: call.CallHead
+    ) -> messages.Response:
         """Handle a call.
 
         Args:
           request: The decoded call.
+          head: Head of the call, with its key.
 
         Returns:
-          The response. Its status is 404 only if the batch or item certainly
-          doesn't exist, 503 if the log can't be read, and 504 if the end of
-          the batch could not be confirmed in time.
+          The response. Its status is 401 if the key isn't known, 404 only if
+          the batch or item certainly doesn't exist for the account of the key,
+          503 if the log can't be read, and 504 if the end of the batch could
+          not be confirmed in time.
         """
-        return await _HANDLERS[request.verb](self, request)
-
-    async def read(self, request: call.BatchCall) -> messages.Response:
-        """Handle a read of results."""
-        state = await self._find_batch(request.batch_id)
+        state = await self._find_batch(request, head)
         if isinstance(state, messages.Response):
             return state
+        return await _HANDLERS[request.verb](self, state, request)
+
+    async def _read(
+        self, state: fold.BatchState, request: call.BatchCall
+    ) -> messages.Response:
+        """Handle a read of results."""
         if request.position >= len(state.results):
             await self._wait_for_result(state, request)
         if request.position >= len(state.results):
@@ -78,21 +93,19 @@
         except (service.LogError, TimeoutError):
             return refusals.build_refusal('log_away', RETRY_AFTER_SECONDS)
 
-    async def read_body(self, request: call.BatchCall) -> messages.Response:
+    async def _read_body(
+        self, state: fold.BatchState, request: call.BatchCall
+    ) -> messages.Response:
         """Handle a read of an item's body."""
-        state = await self._find_batch(request.batch_id)
-        if isinstance(state, messages.Response):
-            return state
         for index, item in enumerate(state.submission.items):
             if item.id == request.item_id:
                 return await self._read_item_body(state, index)
         return refusals.build_error(404, 'no_such_item')
 
-    async def end(self, request: call.BatchCall) -> messages.Response:
+    async def _end(
+        self, state: fold.BatchState, request: call.BatchCall
+    ) -> messages.Response:
         """Handle the end of a batch."""
-        state = await self._find_batch(request.batch_id)
-        if isinstance(state, messages.Response):
-            return state
         if state.ended:
             return messages.Response(200)
         record = records.encode(records.End(request.batch_id))
@@ -115,15 +128,34 @@
         return messages.Response(200, {}, bodies[index])
 
     async def _find_batch(
-        self, batch_id: str
+        self, request: call.BatchCall, head: call.CallHead
     ) -> fold.BatchState | messages.Response:
+        """Find the batch of a call that the key allows.
+
+        Returns:
+          The batch, or the response if it doesn't exist for the account.
+        """
+        batch_id = request.batch_id
         batches = self._journal.fold.batches
-        if batch_id not in batches:
-            if not await self._catch_up(batch_id):
-                return refusals.build_refusal('log_away', RETRY_AFTER_SECONDS)
-        if batch_id not in batches:
+        if batch_id not in batches and not await self._catch_up(batch_id):
+            return refusals.build_refusal('log_away', RETRY_AFTER_SECONDS)
+        state = batches.get(batch_id)
+        if state is not None and not state.account:
+            return state
+        found = await self._access.check_batch(head)
+        refusal = self._access.build_response(request.verb.value, head, found)
+        if refusal is not None:
+            return refusal
+        if state is None:
             return refusals.build_error(404, 'no_such_batch')
-        return batches[batch_id]
+        # Only a deployment without accounts allows a call without an account.
+        if found.account is None or found.account.name == state.account:
+            return state
+        self._access.note_foreign_batch()
+        # A batch that doesn't exist is answered with 404 only after a read.
+        if not await self._catch_up(batch_id):
+            return refusals.build_refusal('log_away', RETRY_AFTER_SECONDS)
+        return refusals.build_error(404, 'no_such_batch')
 
     async def _ensure_recent_state(self, batch_id: str) -> bool:
         """Fold all results that other gateways may already have returned.
@@ -197,7 +229,7 @@
 
 
 _HANDLERS = {
-    call.BatchVerb.READ: Reader.read,
-    call.BatchVerb.READ_BODY: Reader.read_body,
-    call.BatchVerb.END: Reader.end,
+    call.BatchVerb.READ: Reader._read,
+    call.BatchVerb.READ_BODY: Reader._read_body,
+    call.BatchVerb.END: Reader._end,
 }
--- a/packages/gateway/auburnroad_gateway/batches/reading_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading_test.py
@@ -3,7 +3,11 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
+from auburnroad_core import clock
+from auburnroad_gateway.accounts import control_test
+from auburnroad_gateway.accounts import registry_test
 from auburnroad_gateway.batches import fold_test
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import reading
@@ -23,22 +27,30 @@
     def setUp(self):
         self.log = partition_log.PartitionLog()
         self.journal = journal.Journal(self.log, 'me', settings.LogLimits())
+        self.access = control_test.build_control(self.log)
+        self.access.holder.current = registry_test.build_configuration(None)
         self.subject = reading.Reader(
-            plain_adapter.PlainAdapter(), self.journal
+            plain_adapter.PlainAdapter(), self.journal, self.access.subject
         )
 
-    def submit(self):
-        self.log.write(records.TOPIC, PARTITION, fold_test.encode_submission())
+    def submit(self, account=''):
+        self.log.write(
+            records.TOPIC,
+            PARTITION,
+            fold_test.encode_submission(account=account),
+        )
 
     def write_result(self):
         record = records.Results('b', [fold_test.build_result(1, 'text')])
         self.log.write(records.TOPIC, PARTITION, [records.encode(record)])
 
-    async def call(self, verb, **fields):
-        return await self.subject.handle(call.BatchCall(verb, 'b', **fields))
+    async def call(self, verb, key=None, **fields):
+        return await self.subject.handle(
+            call.BatchCall(verb, 'b', **fields), call.CallHead('q', key=key)
+        )
 
-    async def read(self, position=0):
-        return await self.call(call.BatchVerb.READ, position=position)
+    async def read(self, position=0, key=None):
+        return await self.call(call.BatchVerb.READ, key, position=position)
 
     async def test_unknown_batch_is_404_or_503_if_log_is_unavailable(self):
         self.assertEqual(404, (await self.read()).status)
@@ -127,3 +139,81 @@
         self.assertTrue(self.journal.fold.batches['b'].ended)
         for task in tasks:
             task.cancel()
+
+
+class AccountsTest(ReaderTest):
+    """The same tests in a deployment with accounts, for a public batch.
+
+    The first tests of the base class submit a batch without an account, which
+    may be called with any key or none.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.access.holder.current = registry_test.build_configuration(
+            {'a': ['a1', 'a2'], 'b': ['b1']}
+        )
+        self.access.tail.complete_at = clock.read_boot_clock_seconds() + 3600
+
+    def outdate(self):
+        self.access.tail.complete_at = float('-inf')
+
+    async def test_unknown_batch_is_404_or_503_if_log_is_unavailable(self):
+        """Only a known key learns that a batch doesn't exist."""
+        self.assertEqual(404, (await self.read(key='a1')).status)
+        self.assertEqual(401, (await self.read(key='x')).status)
+        self.assertEqual(401, (await self.read()).status)
+        self.log.down = True
+        for key in (None, 'a1', 'x'):
+            self.assertEqual(503, (await self.read(key=key)).status)
+
+    async def test_batch_is_called_with_any_key_of_its_account_only(self):
+        self.submit('a')
+        for verb, fields, done in (
+            (call.BatchVerb.READ, {}, 200),
+            (call.BatchVerb.READ_BODY, {'item_id': 'i1'}, 200),
+            (call.BatchVerb.END, {}, 504),
+        ):
+            with mock.patch.object(reading, 'END_TIMEOUT_SECONDS', 0.01):
+                for key, status in (
+                    ('a1', done),
+                    ('a2', done),
+                    ('b1', 404),
+                    ('x', 401),
+                    (None, 401),
+                ):
+                    response = await self.call(verb, key, **fields)
+                    self.assertEqual(status, response.status, (verb, key))
+
+    async def test_foreign_batch_looks_as_if_it_did_not_exist(self):
+        """Also while the log can't be read."""
+        missing = [await self.read(key='b1')]
+        self.log.down = True
+        missing.append(await self.read(key='b1'))
+        self.log.down = False
+        self.submit('a')
+        await self.journal.catch_up('b')
+        foreign = [await self.read(key='b1')]
+        self.log.down = True
+        foreign.append(await self.read(key='b1'))
+        self.assertEqual(missing, foreign)
+
+    async def test_log_outage_hides_no_batch_from_its_account(self):
+        self.submit('a')
+        self.write_result()
+        await self.journal.catch_up('b')
+        self.outdate()
+        self.log.down = True
+        self.assertEqual(200, (await self.read(key='a1')).status)
+        self.assertEqual(503, (await self.read(key='x')).status)
+        self.assertEqual(401, (await self.read()).status)
+
+    async def test_batch_outlives_the_keys_of_its_account(self):
+        self.submit('a')
+        self.access.holder.current = registry_test.build_configuration(
+            {'a': ['a3']}
+        )
+        self.assertEqual(401, (await self.read(key='a1')).status)
+        self.assertEqual(200, (await self.read(key='a3')).status)
+        self.access.holder.current = registry_test.build_configuration(None)
+        self.assertEqual(200, (await self.read()).status)
--- a/packages/gateway/auburnroad_gateway/process/dispatch.py
+++ b/packages/gateway/auburnroad_gateway/process/dispatch.py
@@ -93,7 +93,9 @@
             return await self._handle_routed(request)
         if self._may_outlast_stop(BATCH_CALL_SECONDS):
             return 'leaving', _refuse_while_stopping()
-        response = await self._reader.handle(batch_call)
+        response = await self._reader.handle(
+            batch_call, self._adapter.decode_call(request.headers)
+        )
         return batch_call.verb.value, response
 
     async def _handle_routed(
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -273,7 +273,10 @@
             self._choose_owner,
             self._configuration.match_route,
         )
-        self._reader = reading.Reader(adapter, self._journal)
+        self._access = control.AccessControl(
+            settings, self._configuration, self._operator_tail
+        )
+        self._reader = reading.Reader(adapter, self._journal, self._access)
         self._forwarder = requests.Forwarder(
             adapter,
             self._client,
@@ -317,9 +320,6 @@
             self._directory,
             self._owner,
         )
-        self._access = control.AccessControl(
-            settings, self._configuration, self._operator_tail
-        )
         self._dispatcher = dispatch.Dispatcher(
             adapter,
             self._configuration,
