--- a/packages/client/auburnroad_client/commands/routes.py
+++ b/packages/client/auburnroad_client/commands/routes.py
@@ -38,7 +38,7 @@
       NotFoundError: If the file doesn't exist.
       BadInputError: If the file has no valid configuration.
     """
-    current = _read_configuration(path)
+    current = read_configuration(path)
     if problems:
         found = overview.find_problems(current)
         rows = [msgspec.to_builtins(problem) for problem in found]
@@ -72,14 +72,26 @@
       BadInputError: If a file has no valid configuration.
     """
     found = changes.compare_routes(
-        _read_configuration(old_path), _read_configuration(new_path)
+        read_configuration(old_path), read_configuration(new_path)
     )
     rows = [msgspec.to_builtins(change) for change in found]
     text = output.build_table(rows) if rows else 'nothing changes'
     return output.Report(rows, text)
 
 
-def _read_configuration(path: str) -> configuration.Configuration:
+def read_configuration(path: str) -> configuration.Configuration:
+    """Read a file with the value of the operators' configuration record.
+
+    Args:
+      path: The file.
+
+    Returns:
+      The configuration.
+
+    Raises:
+      NotFoundError: If the file doesn't exist.
+      BadInputError: If the file has no valid configuration.
+    """
     try:
         value = pathlib.Path(path).read_bytes()
         return platform_configuration.decode_configuration(value)
--- a/packages/client/auburnroad_client/logs/causes.py
+++ b/packages/client/auburnroad_client/logs/causes.py
@@ -17,6 +17,7 @@
 ORDER = (
     'terminated',
     'not_configured',
+    'key_refused',
     'batch_refused',
     'crashes_replicas',
     'release_unavailable',
@@ -80,6 +81,25 @@
     return 'the gateway had started but had not read a configuration yet'
 
 
+@CAUSES.register('key_refused')
+def _explain_key(lines: Lines, context: Lines) -> str:
+    line = _find_event(lines, 'key_refused', 'key_unchecked')
+    if line is None:
+        return ''
+    key = line.fields.get('fingerprint')
+    if line.event == 'key_unchecked':
+        return (
+            f'{line.host} could not read the accounts to decide on the key '
+            f'with fingerprint {key}'
+        )
+    if key == 'missing':
+        return 'the request had no key, or none that could be read'
+    return (
+        f'no account of revision {line.fields.get("revision")} had the key '
+        f'with fingerprint {key}'
+    )
+
+
 @CAUSES.register('batch_refused')
 def _explain_batch_refused(lines: Lines, context: Lines) -> str:
     line = _find_event(lines, 'batch_refused', 'batch_in_doubt')
--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -111,6 +111,13 @@
         """Such a request has no replica that could tell the cause."""
         for event, fields, expected in (
             ('request_quarantined', {'fingerprint': 'f7'}, 'fingerprint f7'),
+            ('key_refused', {'fingerprint': 'missing'}, 'no key'),
+            (
+                'key_refused',
+                {'fingerprint': 'f7', 'revision': 3},
+                'no account of revision 3 had the key with fingerprint f7',
+            ),
+            ('key_unchecked', {'fingerprint': 'f7'}, 'could not read'),
             ('stream_not_resumed', {'begun_by': 'q0'}, 'did not know'),
             (
                 'stream_not_resumed',
--- a/packages/client/auburnroad_client/main.py
+++ b/packages/client/auburnroad_client/main.py
@@ -15,6 +15,7 @@
 import fire
 
 from auburnroad_client import arguments
+from auburnroad_client.commands import accounts as account_commands
 from auburnroad_client.commands import answers as answer_commands
 from auburnroad_client.commands import hosts
 from auburnroad_client.commands import inspection
@@ -269,6 +270,14 @@
         """
         return plan.Plan(route_commands.show_changes, self._options, old, new)
 
+    def accounts(self, file: str):
+        """Show the accounts in a configuration record, without their keys.
+
+        Args:
+          file: File with the operators' configuration record.
+        """
+        return plan.Plan(account_commands.show_accounts, self._options, file)
+
     def _build_order_plan(self, host, draining, author, timeout_seconds):
         return plan.Plan(
             hosts.order,
--- a/packages/client/auburnroad_client/routes/overview.py
+++ b/packages/client/auburnroad_client/routes/overview.py
@@ -193,6 +193,8 @@
         settings += f', due {route.due_ms} ms, give up {route.give_up_ms} ms'
     if route.single_version:
         settings += ', single version'
+    if route.public:
+        settings += ', public'
     return route.kind.value, describe_services(route), settings
 
 
