--- a/packages/e2e/auburnroad_e2e/soak/callers.py
+++ b/packages/e2e/auburnroad_e2e/soak/callers.py
@@ -26,13 +26,14 @@
 # How long a read of results may be kept waiting, and a caller waits.
 WAIT_MS = 300
 PATIENCE_MS = 2000
+NEVER_KEY = f'{worlds.KEY_PREFIX}never-'
 
 
 class Attempt(msgspec.Struct, frozen=True):
     """One attempt of a single request.
 
     Attributes:
-      kind: 'plain', 'once' or 'added'.
+      kind: 'plain', 'once', 'added', 'key' or 'public'.
       path: Its path.
       request_id: Its id.
       gateway: Name of the gateway.
@@ -44,6 +45,7 @@
       replica: Id of the replica that signed the answer, empty for none.
       leaving: Whether the answer states that this replica leaves.
       refused_as: Error code of the gateway's own answer, empty for none.
+      key: API key of the request, empty in a deployment without accounts.
     """
 
     kind: str
@@ -58,6 +60,7 @@
     replica: str = ''
     leaving: bool = False
     refused_as: str = ''
+    key: str = ''
 
 
 class BatchBook(msgspec.Struct):
@@ -92,11 +95,13 @@
     Attributes:
       batches: Books of batches, in the order of their steps.
       attempts: Books of single requests.
+      sent_keys: Key of each single request that was sent, by its id.
     """
 
     def __init__(self, world: worlds.World, seed: int):
         self.batches: list[BatchBook] = []
         self.attempts: list[Attempt] = []
+        self.sent_keys: dict[str, str] = {}
         self._world = world
         self._random = random.Random(seed)
         self._reader = stream_reader.StreamReader(world, seed)
@@ -119,6 +124,7 @@
             self._look_up,
             self._ask_once,
             self._probe_added,
+            self._probe_keys,
             self._reader.run,
         ):
             self._tasks.append(asyncio.create_task(work()))
@@ -197,14 +203,22 @@
         elif answer.status == 404:
             book.faults.append(f'{gateway.name} has no body of {item}')
 
-    async def ask(self, kind: str, path: str, gateway=None) -> Attempt:
+    async def ask(
+        self, kind: str, path: str, gateway=None, key: str = ''
+    ) -> Attempt:
         """Make one attempt of a single request, and note it."""
+        key = key or self._world.caller_key
         gateway = gateway or self._random.choice(self._world.gateways)
         self._count += 1
         request_id = f'{kind}{self._count}'
         loop = asyncio.get_running_loop()
         started, gateway_start = loop.time(), gateway.starts
         request = platform_calls.build_single(path, request_id, PATIENCE_MS)
+        if key:
+            request.headers |= platform_calls.build_identity(
+                key, worlds.FOREIGN_ACCOUNT
+            )
+        self.sent_keys[request_id] = key
         status, whole = 0, False
         replica, leaving, refused_as = '', False, ''
         try:
@@ -230,6 +244,7 @@
             replica,
             leaving,
             refused_as,
+            key,
         )
         self.attempts.append(attempt)
         return attempt
@@ -326,3 +341,15 @@
             if self._world.routes_added:
                 prefix, _ = self._random.choice(self._world.routes_added)
                 await self.ask('added', f'{prefix}x')
+
+    async def _probe_keys(self) -> None:
+        """Try keys that exist, existed or never did."""
+        while self._world.keys:
+            await asyncio.sleep(ONCE_SECONDS)
+            never = f'{NEVER_KEY}{self._count}'
+            tried = [key.text for key in self._world.keys[1:]]
+            await self.ask('key', '/plain/key', key=never)
+            await self.ask('public', '/public/key', key=never)
+            if tried:
+                key = self._random.choice(tried)
+                await self.ask('key', '/plain/key', key=key)
--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -369,6 +369,17 @@
         engine.lose_orders += 1
 
 
+@KINDS.register('key-added')
+async def add_key(world, fault) -> None:
+    if world.keys:
+        world.write_configuration(add_key=True)
+
+
+@KINDS.register('key-removed')
+async def remove_key(world, fault) -> None:
+    world.remove_key()
+
+
 @KINDS.register('configuration-changed')
 async def change_configuration(world, fault) -> None:
     world.write_configuration(add_route=True)
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -7,6 +7,7 @@
 from auburnroad_core import registry
 from auburnroad_e2e.soak import callers as all_callers
 from auburnroad_e2e.soak import faults
+from auburnroad_e2e.soak import key_promises
 from auburnroad_e2e.soak import world as worlds
 from auburnroad_standins import platform_calls
 from auburnroad_standins import platform_replica
@@ -20,6 +21,7 @@
         'crashing-kept-away',
         'drained-left-alone',
         'leaving-left-alone',
+        'removed-keys-refused',
         'streams-go-on',
         'stops-cut-nothing',
     )
@@ -29,6 +31,8 @@
 # have gone silent are noticed late.
 AFTERMATH_SECONDS = 4.0
 CONFIGURATION_SECONDS = 2.0
+# Until a key that was removed is refused by gateways that are in touch.
+KEY_SECONDS = 3.0
 # From so long after a request has ended the third replica, gateways send it no
 # more than three times.
 CONTACT_SECONDS = 3.0
@@ -46,6 +50,12 @@
 LIMIT_EXTRA = 5
 
 
+PROMISES.register('keys-kept')(key_promises.check_keys_kept)
+PROMISES.register('keys-not-printed')(key_promises.check_logs)
+PROMISES.register('known-keys-served')(key_promises.check_known_keys)
+PROMISES.register('unknown-keys-refused')(key_promises.check_unknown_keys)
+
+
 def check_all(
     world: worlds.World, callers: all_callers.Callers, timed: bool
 ) -> list[str]:
@@ -396,6 +406,20 @@
             yield f'{attempt.gateway} went back behind {attempt.path}'
 
 
+@PROMISES.register('removed-keys-refused')
+def check_removed_keys(world, callers):
+    """A key that was removed is refused in time where nothing is wrong."""
+    removed = {key.text: key.removed for key in world.keys}
+    for attempt in callers.attempts:
+        since = removed.get(attempt.key, float('inf'))
+        if attempt.status != 200 or attempt.started <= since + KEY_SECONDS:
+            continue
+        calm_from = attempt.started - KEY_SECONDS - AFTERMATH_SECONDS
+        gateway = _find(world, attempt.gateway)
+        if world.is_calm(gateway, calm_from, attempt.ended):
+            yield f'{attempt.gateway} accepts {attempt.key}, which is removed'
+
+
 def _was_paused(world: worlds.World, attempt, since: float) -> bool:
     return any(
         entry.kind == faults.PAUSED
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -39,6 +39,7 @@
     faults.ENDLESS,
     faults.CRASHING,
     faults.RELEASED,
+    *schedules.KEY_KINDS,
 )
 
 CASES: tuple[Case, ...] = (
--- a/packages/e2e/auburnroad_e2e/soak/schedule.py
+++ b/packages/e2e/auburnroad_e2e/soak/schedule.py
@@ -15,6 +15,10 @@
 ENGINES = (3, 4, 6)
 FAULT_SECONDS = (0.5, 6.0)
 LONG_FAULT_SHARE = 0.3
+# Kinds of faults of deployments with accounts. They are drawn apart from the
+# others, so that a seed has the same other faults as before they were added.
+KEY_KINDS = ('key-added', 'key-removed')
+KEY_FAULTS = (1, 5)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -43,6 +47,7 @@
       engines: How many model engines.
       slots: Slots of an engine.
       faults: In the order in which they begin.
+      has_accounts: Whether callers need keys.
     """
 
     seed: int
@@ -51,6 +56,7 @@
     engines: int
     slots: int
     faults: tuple[Fault, ...]
+    has_accounts: bool = False
 
 
 def draw(
@@ -73,7 +79,8 @@
     at = FIRST_FAULT_SECONDS
     # Some runs have one fault after the other, some have them overlap.
     mean_gap = source.choice((0.4, 1.0, 2.5))
-    favourites = source.sample(kinds, min(len(kinds), 6))
+    others = [kind for kind in kinds if kind not in KEY_KINDS]
+    favourites = source.sample(others, min(len(others), 6))
     while at < seconds:
         low, high = FAULT_SECONDS
         is_long = source.random() < LONG_FAULT_SHARE
@@ -86,11 +93,32 @@
             )
         )
         at += source.expovariate(1 / mean_gap)
+    key_faults = _draw_key_faults(seed, seconds, kinds)
     return Schedule(
         seed,
         seconds,
         gateways or drawn_gateways,
         source.choice(ENGINES),
         source.choice((2, 4)),
-        tuple(faults),
+        tuple(sorted([*faults, *key_faults], key=lambda fault: fault.at)),
+        bool(key_faults),
     )
+
+
+def _draw_key_faults(
+    seed: int, seconds: float, kinds: list[str]
+) -> list[Fault]:
+    """Draw the faults of accounts, which two thirds of the seeds have."""
+    key_kinds = [kind for kind in kinds if kind in KEY_KINDS]
+    if not key_kinds or seed % 3 == 0 or seconds <= FIRST_FAULT_SECONDS:
+        return []
+    source = random.Random(f'keys {seed}')
+    return [
+        Fault(
+            source.choice(key_kinds),
+            round(source.uniform(FIRST_FAULT_SECONDS, seconds), 2),
+            0.0,
+            source.random(),
+        )
+        for _ in range(source.randint(*KEY_FAULTS))
+    ]
--- a/packages/e2e/auburnroad_e2e/soak/schedule_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/schedule_test.py
@@ -32,6 +32,22 @@
         }
         self.assertEqual(set(faults.KINDS.names), drawn)
 
+    def test_faults_of_accounts_leave_the_others_of_a_seed_alone(self):
+        """A seed that once failed must go on to name the same run."""
+        kinds = [
+            kind
+            for kind in faults.KINDS.names
+            if kind not in schedule.KEY_KINDS
+        ]
+        for seed in range(20):
+            without = schedule.draw(seed, SECONDS, kinds)
+            self.assertFalse(without.has_accounts)
+            others = [
+                fault for fault in draw(seed).faults if fault.kind in kinds
+            ]
+            self.assertEqual(list(without.faults), others)
+            self.assertEqual(seed % 3 != 0, draw(seed).has_accounts)
+
     def test_the_number_of_gateways_can_be_given(self):
         self.assertEqual(4, draw(7, gateways=4).gateways)
 
--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -50,6 +50,12 @@
 GRACE_SECONDS = 8.0
 # Memory of the smallest hosts of the users' deployments.
 MEMORY_MB = 128
+# Begins each key, also of those that never existed.
+KEY_PREFIX = 'secret-'
+# Accounts of all callers and of the one that tries keys, and the name of an
+# account that each caller claims to be.
+ACCOUNTS = ('callers', 'prober')
+FOREIGN_ACCOUNT = 'foreign'
 VARIABLE = 'AUBURNROAD_NODE_FILE'
 
 
@@ -69,6 +75,22 @@
     end: float = float('inf')
 
 
+class Key(msgspec.Struct):
+    """An API key that an account has or had.
+
+    Attributes:
+      text: The key.
+      account: Name of the account.
+      added: Monotonic seconds.
+      removed: The same; infinite while the account has it.
+    """
+
+    text: str
+    account: str
+    added: float
+    removed: float = float('inf')
+
+
 class CrashingSend(msgspec.Struct, frozen=True):
     """A client attempt of a request that crashes replicas.
 
@@ -101,10 +123,11 @@
         self.restarting = asyncio.Lock()
         self.starts = 0
         self._settings_path = directory / f'{name}.json'
+        self._log_path = directory / f'{name}.log'
         self.process = process.Process(
             name,
             [sys.executable, '-m', 'auburnroad_platform'],
-            directory / f'{name}.log',
+            self._log_path,
             {VARIABLE: str(self._settings_path)},
         )
 
@@ -134,6 +157,10 @@
                 return int(value.split()[0]) / 1024
         return 0.0
 
+    def read_log(self) -> str:
+        """Read all that the process has printed, over all of its starts."""
+        return self._log_path.read_text(errors='replace')
+
     def start(self) -> None:
         """Start the process."""
         self.starts += 1
@@ -153,6 +180,8 @@
       books: What the replicas did.
       disturbances: What was wrong, and when.
       crashing_sends: Client attempts of requests that crash replicas, by id.
+      keys: API keys, oldest first; the first one stays, and is that of all
+        callers but the one that tries keys.
       routes_added: Path prefixes of the routes that were added, oldest
         first, and when.
     """
@@ -166,6 +195,7 @@
         self.relays: dict[str, relay.Relay] = {}
         self.disturbances: list[Disturbance] = []
         self.crashing_sends: dict[str, CrashingSend] = {}
+        self.keys: list[Key] = []
         self.routes_added: list[tuple[str, float]] = []
         self.http = client.HttpClient()
         self._network = loopback.Network()
@@ -203,7 +233,7 @@
             )
             await self._place(replica)
             self.plain.append(replica)
-        self.write_configuration()
+        self.write_configuration(add_key=self.schedule.has_accounts)
         self._tasks.append(asyncio.create_task(self._register()))
         for number, gateway in enumerate(self.gateways):
             target = await self.store.listen(
@@ -253,17 +283,59 @@
         self.engines.append(engine)
         return engine
 
-    def write_configuration(self, add_route: bool = False) -> None:
+    @property
+    def caller_key(self) -> str:
+        """Key of the callers; empty in a deployment without accounts."""
+        return self.keys[0].text if self.keys else ''
+
+    def write_configuration(
+        self, add_route: bool = False, add_key: bool = False
+    ) -> None:
         """Write the next configuration, as an operator does."""
         self._version += 1
+        now = asyncio.get_running_loop().time()
+        if add_key:
+            account = ACCOUNTS[min(len(self.keys), 1)]
+            text = f'{KEY_PREFIX}{len(self.keys)}'
+            self.keys.append(Key(text, account, now))
         if add_route:
-            now = asyncio.get_running_loop().time()
             self.routes_added.append((f'/added{self._version}/', now))
         self.write_operator_record(
             platform_calls.CONFIGURATION_KEY,
-            _build_configuration(self._version, self.routes_added),
+            _build_configuration(
+                self._version, self.routes_added, self._list_accounts()
+            ),
         )
 
+    def remove_key(self) -> None:
+        """Remove the oldest key that an operator may remove, if any."""
+        for key in self.keys[1:]:
+            if key.removed == float('inf'):
+                key.removed = asyncio.get_running_loop().time()
+                self.write_configuration()
+                return
+
+    def _list_accounts(self) -> dict[str, list[str]] | None:
+        if not self.keys:
+            return None
+        return {
+            name: [
+                key.text
+                for key in self.keys
+                if key.account == name and key.removed == float('inf')
+            ]
+            for name in ACCOUNTS
+        }
+
+    def _build_headers(self, request: messages.Request) -> dict[str, str]:
+        """Build the headers of a request; it may have a key of its own."""
+        identity = {}
+        if self.keys:
+            identity = platform_calls.build_identity(
+                self.caller_key, FOREIGN_ACCOUNT
+            )
+        return {'host': HOST, **identity, **request.headers}
+
     def write_operator_record(self, key: str, value: dict) -> None:
         """Write a record as operators and trainers do."""
         self.store.log.put(
@@ -278,7 +350,7 @@
         Raises:
           client.HttpError: If there is no whole answer.
         """
-        headers = {'host': HOST, **request.headers}
+        headers = self._build_headers(request)
         return await self.http.fetch(
             gateway.address,
             messages.Request(
@@ -295,7 +367,7 @@
         Raises:
           client.HttpError: If there is no answer.
         """
-        headers = {'host': HOST, **request.headers}
+        headers = self._build_headers(request)
         return await self.http.open(
             gateway.address,
             messages.Request(
@@ -384,7 +456,7 @@
             await asyncio.sleep(REGISTER_SECONDS)
 
 
-def _build_configuration(version: int, routes_added) -> dict:
+def _build_configuration(version: int, routes_added, accounts) -> dict:
     return platform_calls.build_configuration(
         version,
         [
@@ -394,6 +466,9 @@
             platform_calls.build_route(
                 HOST, '/once/', 'non_idempotent', PLAIN_SERVICE
             ),
+            platform_calls.build_route(
+                HOST, '/public/', 'idempotent', PLAIN_SERVICE, public=True
+            ),
             platform_calls.build_batch_route(HOST, '/batch/', MODEL_SERVICE),
             platform_calls.build_route(
                 HOST,
@@ -410,4 +485,5 @@
             ),
         ],
         {MODEL_SERVICE: MODEL, PLAIN_SERVICE: ''},
+        accounts,
     )
--- a/packages/gateway/auburnroad_gateway/accounts/control.py
+++ b/packages/gateway/auburnroad_gateway/accounts/control.py
@@ -85,7 +85,8 @@
         if route is None:
             return None, access.Access(access.Decision.REFUSED)
         found = self._decide(route, head)
-        if found.decision is access.Decision.UNSURE and await self._catch_up():
+        if found.decision is access.Decision.UNSURE:
+            await self._catch_up()
             # A new revision may have changed the route as well.
             route = self._configuration.match_route(host, path)
             if route is not None:
@@ -103,7 +104,8 @@
           The decision; without an account if the deployment has no accounts.
         """
         found = self._decide(None, head)
-        if found.decision is access.Decision.UNSURE and await self._catch_up():
+        if found.decision is access.Decision.UNSURE:
+            await self._catch_up()
             found = self._decide(None, head)
         self._count(found, head)
         return found
@@ -158,20 +160,20 @@
             clock.read_boot_clock_seconds() - self._operator_tail.complete_at
         )
 
-    async def _catch_up(self) -> bool:
-        """Read the operators' topic to its end; tell whether it succeeded."""
+    async def _catch_up(self) -> None:
+        """Read the operators' topic to its end, if the log can be read."""
         if self._reading is None or self._reading.done():
             self._reading = asyncio.create_task(self._read_to_end())
         # The read goes on for other requests if this one is cancelled.
-        return await asyncio.shield(self._reading)
+        await asyncio.shield(self._reading)
 
-    async def _read_to_end(self) -> bool:
+    async def _read_to_end(self) -> None:
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
                 await self._operator_tail.catch_up()
         except (service.LogError, TimeoutError):
-            return False
-        return True
+            # The age of the last read tells that this one failed.
+            return
 
     def _count(self, found: access.Access, head: call.CallHead) -> None:
         if not self.has_accounts:
--- a/packages/standins/auburnroad_standins/platform_calls.py
+++ b/packages/standins/auburnroad_standins/platform_calls.py
@@ -139,6 +139,21 @@
     return messages.Request('POST', path, headers, text_id.encode())
 
 
+def build_identity(key: str, account: str) -> dict[str, str]:
+    """Build the headers by which a caller names its key and an account."""
+    return {'authorization': f'Bearer {key}', 'tenant': account}
+
+
+def find_account(headers: dict[str, str]) -> str:
+    """Find the account that a replica is told; empty if none."""
+    return headers.get('tenant', '')
+
+
+def carries_key(headers: dict[str, str]) -> bool:
+    """Tell whether a request to a replica carries a key."""
+    return 'authorization' in headers
+
+
 def parse_event(event: bytes) -> tuple[int, str]:
     """Parse the number and the data of an event."""
     fields = dict(
@@ -205,7 +220,10 @@
 
 
 def build_configuration(
-    version: int, routes: list[dict], services: dict[str, str]
+    version: int,
+    routes: list[dict],
+    services: dict[str, str],
+    accounts: dict[str, list[str]] | None = None,
 ) -> dict:
     """Build a configuration.
 
@@ -213,11 +231,19 @@
       version: Version of the configuration.
       routes: Routes, as build_route returns them.
       services: Model of each service; an empty string for a plain service.
+      accounts: Keys of each account; None for a deployment without accounts.
 
     Returns:
       The value of the operator's record.
     """
+    tenants = {}
+    if accounts is not None:
+        tenants['tenants'] = [
+            {'name': name, 'apiKeys': keys, 'priority': 1}
+            for name, keys in accounts.items()
+        ]
     return {
+        **tenants,
         'version': version,
         'routes': routes,
         'services': [
--- a/packages/standins/auburnroad_standins/platform_replica.py
+++ b/packages/standins/auburnroad_standins/platform_replica.py
@@ -16,6 +16,7 @@
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
 from auburnroad_standins import partition_log
+from auburnroad_standins import platform_calls
 
 REGISTRY_TOPIC = 'keyed.servers'
 MIN_EVENTS = 3
@@ -39,12 +40,16 @@
       replica: Id of the replica.
       started: Start in seconds of the event loop's clock.
       first_event: Number of the first requested event.
+      account: Account that the replica was told; empty for none.
+      has_key: Whether the request carried a key.
     """
 
     request_id: str
     replica: str
     started: float
     first_event: int = 0
+    account: str = ''
+    has_key: bool = False
 
 
 class Order(msgspec.Struct, frozen=True):
@@ -284,6 +289,8 @@
                 self.id,
                 asyncio.get_running_loop().time(),
                 first,
+                platform_calls.find_account(request.headers),
+                platform_calls.carries_key(request.headers),
             )
         )
         return request_id
