--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -116,6 +116,13 @@
                 {'service': 's', 'fingerprint': 'f7'},
                 'last half of the replicas of s',
             ),
+            ('key_refused', {'fingerprint': 'missing'}, 'no key'),
+            (
+                'key_refused',
+                {'fingerprint': 'f7', 'revision': 3},
+                'no account of revision 3 had the key with fingerprint f7',
+            ),
+            ('key_unchecked', {'fingerprint': 'f7'}, 'could not read'),
             ('stream_not_resumed', {'begun_by': 'q0'}, 'did not know'),
             (
                 'stream_not_resumed',
