Read the cloud's address, duties and time bounds from the settings

Cause: the gateways are to call the platform's own API for a usage report and for numbers of replicas, and had neither its address nor its bounds.

Without an address there is no duty. A window or a rate of zero is refused when the settings are read.

--- a/packages/gateway/auburnroad_gateway/model/settings.py
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+# Names of the duties in the settings.
+USAGE_REPORT = 'usage_report'
+AUTOSCALE = 'autoscale'
+
 
 class Bounds(msgspec.Struct, frozen=True):
     """Time limits of the deployment, set by its operators.
@@ -12,11 +16,58 @@
         duty and the first order of the next holder.
       read_life_s: Seconds after the submission during which a batch is
         readable.
+      fencing: Whether the platform refuses calls with a lower fencing token
+        than it has seen for the duty.
+      thaw_ms: Milliseconds after a suspension of the process in which it must
+        not call the platform's API.
+      report_window_s: Length of a window of the usage report in seconds.
+      usage_tolerance: Permitted error of each count of the usage report, as a
+        share of the count.
+      usage_late_s: Seconds after the end of a window by which its report is
+        due.
     """
 
     grace_s: float = 8.0
     lease_ms: int = 3000
     read_life_s: float = 120.0
+    fencing: bool = False
+    thaw_ms: int = 300
+    report_window_s: float = 5.0
+    usage_tolerance: float = 0.05
+    usage_late_s: float = 10.0
+
+    def __post_init__(self):
+        """Refuse windows without a length."""
+        if self.report_window_ms <= 0:
+            raise ValueError('report_window_s must be above zero')
+
+    @property
+    def report_window_ms(self) -> int:
+        """Length of a window of the usage report in milliseconds."""
+        return round(self.report_window_s * 1000)
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    """The platform's own API, which one host at a time calls for a duty.
+
+    Attributes:
+      address: 'IP:port' of the API; empty if there is none, and no duty.
+      duties: Names of the duties that the gateways have.
+      duty_per_s: Maximum rate of the calls of all gateways together.
+    """
+
+    address: str = ''
+    duties: tuple[str, ...] = ()
+    duty_per_s: float = 50.0
+
+    def __post_init__(self):
+        """Refuse a rate at which no call could ever be sent."""
+        if self.duty_per_s <= 0:
+            raise ValueError('duty_per_s must be above zero')
+
+    def has_duty(self, name: str) -> bool:
+        """Tell whether the gateways have a duty."""
+        return bool(self.address) and name in self.duties
 
 
 class LogLimits(msgspec.Struct, frozen=True):
@@ -51,6 +102,7 @@
       heartbeat_ms: Milliseconds between renewals of a replica's registration.
       log_limits: Limits of the log service.
       bounds: Time limits of the deployment.
+      cloud: The platform's own API and the duties there.
     """
 
     name: str
@@ -67,6 +119,7 @@
     heartbeat_ms: int = 1200
     log_limits: LogLimits = LogLimits()
     bounds: Bounds = Bounds()
+    cloud: Cloud = Cloud()
 
     @property
     def cores(self) -> float:
