Send calls of duties at the platform's API from one gateway at a time

Cause: the usage report and the numbers of replicas are ordered at an API that can't be asked what it got, may carry out a call seconds later, and may check no token.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -269,6 +269,7 @@
         request: messages.Request,
         is_own: typing.Callable[[dict[str, str]], bool] | None = None,
         fresh: bool = False,
+        may_send: typing.Callable[[], bool] | None = None,
     ) -> Reply:
         """Send a request and wait for the status and headers of its response.
 
@@ -280,6 +281,8 @@
             skipped.
           fresh: Whether to open a new connection even if one is idle, for a
             request that must not be sent twice.
+          may_send: Called once the connection is open, right before the first
+            byte is sent; False if the request must no longer be sent.
 
         Returns:
           The reply; read its body to the end or close it.
@@ -289,6 +292,9 @@
           BrokenError: If the connection failed after sending began.
         """
         connection = await self._acquire(address, fresh)
+        if may_send is not None and not may_send():
+            connection.writer.close()
+            raise ConnectError(f'{address}: no longer to be sent')
         sent_at = _find_time()
         try:
             return await self._exchange(address, connection, request, is_own)
--- a/packages/core/auburnroad_core/http/client_test.py
+++ b/packages/core/auburnroad_core/http/client_test.py
@@ -38,6 +38,14 @@
         self.assertEqual(b'whole', await self.fetch())
         self.assertEqual(b'whole', await self.fetch())
 
+    async def test_request_that_must_no_longer_be_sent_is_not_run(self):
+        """Its sender lost the right to send it while it connected."""
+        request = messages.Request('GET', '/', {})
+        with self.assertRaises(client.ConnectError):
+            await self.client.open(
+                self.address, request, may_send=lambda: False
+            )
+
 
 class StrayResponseTest(unittest.IsolatedAsyncioTestCase):
     """Responses that belong to no request are never returned.
--- a/packages/gateway/auburnroad_gateway/adapter.py
+++ b/packages/gateway/auburnroad_gateway/adapter.py
@@ -129,3 +129,33 @@
         self, order: call.VersionOrder, replica_id: str
     ) -> messages.Request:
         """Build the request that sends an order to a replica."""
+
+    def build_usage_call(
+        self, window: int, counts: dict[str, int], holder: str, fence: int
+    ) -> messages.Request:
+        """Build the call that reports the usage in a window.
+
+        Args:
+          window: Number of the window.
+          counts: Number of requests by name of account.
+          holder: Name of the host that holds the duty.
+          fence: Fencing token of the holder.
+        """
+
+    def build_scale_call(
+        self,
+        service: str,
+        failure_domain: str,
+        replicas: int,
+        holder: str,
+        fence: int,
+    ) -> messages.Request:
+        """Build the call that orders a number of replicas.
+
+        Args:
+          service: Name of the service.
+          failure_domain: Failure domain of the replicas.
+          replicas: Number of replicas of the service in the failure domain.
+          holder: Name of the host that holds the duty.
+          fence: Fencing token of the holder.
+        """
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to the platform's API that one gateway at a time makes."""
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -31,6 +31,7 @@
 from auburnroad_gateway.members import relay
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
+from auburnroad_gateway.process import duties
 from auburnroad_gateway.process import supervision
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -110,6 +111,9 @@
         )
         self._crash_watch = crash_watch.CrashWatch(self._facts)
         self._build_tails()
+        self._platform_duties = duties.PlatformDuties(
+            settings, adapter, self._client, self._duties, self._duty_tail
+        )
         self._build_request_handling()
 
     @property
@@ -171,6 +175,7 @@
             self._owner.run,
             functools.partial(self._rollout.run, self._duty_tail),
             self._expire_replicas,
+            *self._platform_duties.list_background_tasks(),
         ):
             self._tasks.append(
                 asyncio.create_task(supervision.supervise(function))
@@ -184,6 +189,7 @@
         if new.log_address != self._settings.log_address:
             self._log.direct.set_address(new.log_address)
         self._settings = new
+        self._platform_duties.apply_settings(new)
 
     def stop(self) -> None:
         """Begin a planned stop; further calls have no effect."""
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -52,6 +52,12 @@
     ['outcome'],
     registry=REGISTRY,
 )
+DUTY_CALLS = prometheus_client.Counter(
+    'auburnroad_duty_calls',
+    "Calls of duties at the platform's API, by duty and outcome.",
+    ['duty', 'outcome'],
+    registry=REGISTRY,
+)
 REQUESTS_QUARANTINED = prometheus_client.Counter(
     'auburnroad_requests_quarantined',
     'Requests refused because they crash the replicas that run them.',
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -1,10 +1,11 @@
-"""Leader election among the gateways, one leader per service.
-
-The leader holds the duty for a service: it orders the weight loads of the
-service's replicas and runs the service's batches. A keyed record of the log
-service names the holder. A gateway claims the duty with a conditional append,
-which fails if anything was appended since the claimant's last read, so that
-one of two concurrent claims fails. The fencing number is derived from the
+"""Duties that one gateway at a time holds.
+
+The holder of the duty for a service orders the weight loads of the service's
+replicas and runs the service's batches. The holder of a duty at the platform's
+API sends the calls of that duty (duties/platform_calls.py). A keyed record of
+the log service names the holder. A gateway claims the duty with a conditional
+append, which fails if anything was appended since the claimant's last read, so
+that one of two concurrent claims fails. The fencing number is derived from the
 record's offset.
 """
 
@@ -13,10 +14,19 @@
 from auburnroad_core import clock
 from auburnroad_gateway.log import service as log_service
 from auburnroad_gateway.members import membership
+from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import events
 
 TOPIC = log_service.KEYED_PREFIX + 'duties'
 CLAIM_RETRY_SECONDS = 0.5
+# Keys of the duties at the platform's API. They end with a colon, so that they
+# differ from the name of each service.
+USAGE_KEY = 'usage:'
+SCALE_KEY = 'scale:'
+PLATFORM_KEYS = {
+    gateway_settings.USAGE_REPORT: USAGE_KEY,
+    gateway_settings.AUTOSCALE: SCALE_KEY,
+}
 
 
 class DutyRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -33,24 +43,26 @@
 
 
 class Duty:
-    """State of the duty for one service.
+    """State of one duty.
 
     Attributes:
       holder: Incarnation of the holder; empty if released.
       fence: Fencing number of the holder.
       act_not_before: Time before which the holder must not send orders, in
         seconds of the boot clock.
-      last_order_at: Time of the last order of this gateway, in seconds of the
-        boot clock.
+      last_order_at: Time of the last order, in seconds of the boot clock: of
+        this gateway, or the latest that the previous holder may have sent.
     """
 
     __slots__ = ('holder', 'fence', 'act_not_before', 'last_order_at')
 
-    def __init__(self, holder: str, fence: int, act_not_before: float):
+    def __init__(
+        self, holder: str, fence: int, act_not_before: float, lease: float
+    ):
         self.holder = holder
         self.fence = fence
         self.act_not_before = act_not_before
-        self.last_order_at = 0.0
+        self.last_order_at = act_not_before - lease
 
 
 class Duties:
@@ -77,12 +89,17 @@
             holder = msgspec.msgpack.decode(record.value, type=DutyRecord)
         except msgspec.DecodeError:
             return
+        # Offsets start at zero, fencing numbers at one.
+        fence = record.offset + 1
+        before = self._duties.get(record.key)
+        if before is not None and before.fence == fence:
+            # A snapshot repeats the record; the last order is still known.
+            return
         act_not_before = self._find_act_not_before(
             record.key, holder, clock.read_boot_clock_seconds()
         )
-        # Offsets start at zero, fencing numbers at one.
         self._duties[record.key] = Duty(
-            holder.incarnation, record.offset + 1, act_not_before
+            holder.incarnation, fence, act_not_before, self._lease_seconds
         )
         self._membership.holds_duty = any(
             duty.holder == self._membership.incarnation
@@ -92,7 +109,7 @@
             'duty_changed',
             service=record.key,
             holder=holder.incarnation,
-            fence=record.offset + 1,
+            fence=fence,
         )
 
     def note_order(self, service: str, now: float) -> None:
@@ -195,17 +212,29 @@
         Args:
           tail: The tail that passes duty records to apply().
         """
-        own = self._membership.incarnation
-        now = clock.read_boot_clock_seconds()
-        for service, duty in list(self._duties.items()):
-            if duty.holder == own:
-                idle_ms = int((now - duty.last_order_at) * 1000)
-                await self._append(
-                    service, DutyRecord('', idle_ms), tail.next_offset
-                )
+        for key in list(self._duties):
+            await self.give_up(key, tail)
+            try:
+                # The release of the next duty states the end of the topic.
+                await tail.catch_up()
+            except log_service.LogError as error:
+                events.write('duty_not_read', error=str(error))
+
+    async def give_up(self, key: str, tail) -> None:
+        """Release a duty if this gateway holds it.
+
+        Args:
+          key: Key of the duty.
+          tail: The tail that passes duty records to apply().
+        """
+        duty = self._duties[key]
+        if duty.holder == self._membership.incarnation:
+            now = clock.read_boot_clock_seconds()
+            idle_ms = int((now - duty.last_order_at) * 1000)
+            await self._append(key, DutyRecord('', idle_ms), tail.next_offset)
 
     def _find_act_not_before(
-        self, service: str, holder: DutyRecord, now: float
+        self, key: str, holder: DutyRecord, now: float
     ) -> float:
         """Find the time from which a new holder may send orders.
 
@@ -213,14 +242,19 @@
         and its lease must expire first. A released duty states the time
         since the last order. A holder that was declared dead had sent no
         heartbeat for at least the dead timeout less one heartbeat interval.
+        At the platform's API, where nothing else may reject a late call, the
+        full lease is waited: a holder without a connection to the log service
+        may go on until it has to consider itself dead.
         """
         if not holder.incarnation:
             return now + self._lease_seconds - holder.idle_ms / 1000
-        previous = self._duties.get(service)
+        previous = self._duties.get(key)
         if previous is None:
             return 0.0
         if not previous.holder:
             return previous.act_not_before
+        if key in PLATFORM_KEYS.values():
+            return now + self._lease_seconds
         interval_seconds = membership.HOLDER_HEARTBEAT_SECONDS
         silent_seconds = (
             membership.find_dead_timeout(interval_seconds) - interval_seconds
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -118,3 +118,24 @@
         return messages.Request(
             'POST', '/order', {'replica': replica_id}, body
         )
+
+    def build_usage_call(self, window, counts, holder, fence):
+        """Build a usage report as platform_api.PlatformApi takes it."""
+        body = {'window': window, 'counts': counts}
+        return _build_duty_call('/usage', body, holder, fence)
+
+    def build_scale_call(
+        self, service, failure_domain, replicas, holder, fence
+    ):
+        """Build an order for replicas as platform_api.PlatformApi takes it."""
+        body = {
+            'service': service,
+            'zone': failure_domain,
+            'groupCount': replicas,
+        }
+        return _build_duty_call('/scale', body, holder, fence)
+
+
+def _build_duty_call(path, body, holder, fence):
+    headers = {'duty-holder': holder, 'fence-token': str(fence)}
+    return messages.Request('POST', path, headers, msgspec.json.encode(body))
