--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -123,6 +123,51 @@
         self.assertFalse(self.may_act())
         self.assertTrue(self.may_act(0.2))
 
+    async def test_snapshot_that_repeats_the_record_keeps_the_last_order(self):
+        """Its release stated an idle time since the start of the host."""
+        await self.claim()
+        now = clock.read_boot_clock_seconds()
+        self.subject.note_order('s', now)
+        (record,) = (await self.log.read_newest(duty.TOPIC)).records
+        self.subject.apply(record)
+        self.assertEqual(now, self.subject._duties['s'].last_order_at)
+
+    async def test_release_before_any_order_keeps_the_wait(self):
+        """The idle time of the holder before it must not be forgotten."""
+        self.log.put(duty.TOPIC, 's', build_holder('dead'))
+        await self.claim()
+        wait_until = self.subject._duties['s'].act_not_before
+        await self.subject.release(self.tail)
+        released = self.subject._duties['s']
+        self.assertEqual('', released.holder)
+        self.assertAlmostEqual(wait_until, released.act_not_before, delta=0.1)
+
+    async def test_all_duties_are_released(self):
+        """The first release moved the end that the second one stated."""
+        for name in ('s', 't'):
+            self.log.put(
+                duty.TOPIC, name, build_holder(self.members.incarnation)
+            )
+        await self.tail.catch_up()
+        await self.subject.release(self.tail)
+        for name in ('s', 't'):
+            self.assertEqual('', self.subject.find_holder(name))
+
+    async def test_duty_at_the_platform_waits_the_whole_lease(self):
+        """A holder that lost the log may call until it counts as dead."""
+        for key in ('s', duty.USAGE_KEY):
+            self.log.put(duty.TOPIC, key, build_holder('dead'))
+        await self.tail.catch_up()
+        for key in ('s', duty.USAGE_KEY):
+            self.log.put(duty.TOPIC, key, build_holder('next'))
+        await self.tail.catch_up()
+        service, platform = (
+            self.subject._duties[key].act_not_before
+            for key in ('s', duty.USAGE_KEY)
+        )
+        # Both were claimed within one read; the difference is the silence.
+        self.assertGreater(platform - service, 0.5)
+
     async def test_fencing_number_increases_with_each_holder(self):
         self.log.put(duty.TOPIC, 's', build_holder('dead'))
         await self.tail.catch_up()
