Report the usage of each account to the platform from one gateway

Cause: the platform wants one report a window, right for each account, and can't be asked which it has.

Change: forwarding counts an attempt right before its first byte is written, and takes the count back if it certainly was not run; PendingRequest has account (empty: not counted) and usage. A planned stop closes all windows. Membership lists the live gateways by host. Nothing runs without the API's address, the duty and a configuration with accounts (ConfigurationHolder.has_accounts).

--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -42,6 +42,11 @@
         self._current = new
         self._routes = route_table.RouteTable(new.routes if new else ())
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the configuration in force has accounts."""
+        return getattr(self._current, 'accounts', None) is not None
+
     def find_route(
         self, submission: batch.Submission
     ) -> configuration.Route | None:
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -6,6 +6,7 @@
 
 import enum
 import time
+import typing
 
 import msgspec
 
@@ -118,6 +119,7 @@
     request: messages.Request,
     request_id: str,
     new_connection: bool,
+    on_send: typing.Callable[[], None] | None = None,
 ) -> OpenResponse | Outcome:
     """Send a request to a replica and read the head of its response.
 
@@ -132,6 +134,8 @@
       request_id: Request id expected in the response; a response without an
         id is accepted.
       new_connection: Whether to open a new connection instead of reusing one.
+      on_send: Called right before the first byte is sent; not called if no
+        connection can be opened.
 
     Returns:
       The response with its body unread, or an outcome if the replica did not
@@ -142,9 +146,14 @@
         response_id = adapter.decode_response_head(headers).request_id
         return not response_id or response_id == request_id
 
+    def note_sent() -> bool:
+        if on_send is not None:
+            on_send()
+        return True
+
     try:
         reply = await http_client.open(
-            target.address, request, is_own_response, new_connection
+            target.address, request, is_own_response, new_connection, note_sent
         )
     except client.ConnectError as error:
         target.note_failure(time.monotonic())
@@ -182,6 +191,7 @@
     request: messages.Request,
     request_id: str,
     new_connection: bool,
+    on_send: typing.Callable[[], None] | None = None,
 ) -> Outcome:
     """Send a request and read the whole response; see send_attempt.
 
@@ -192,7 +202,13 @@
     """
     try:
         opened = await send_attempt(
-            http_client, adapter, target, request, request_id, new_connection
+            http_client,
+            adapter,
+            target,
+            request,
+            request_id,
+            new_connection,
+            on_send,
         )
         if isinstance(opened, Outcome):
             return opened
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -26,6 +26,8 @@
 from auburnroad_gateway.model import registration
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
+from auburnroad_gateway.usage import attempts as usage_attempts
+from auburnroad_gateway.usage import counting
 
 # Share of the route's target latency after which the hedged attempt starts:
 # most responses have arrived by then, and the hedged attempt can still meet
@@ -34,6 +36,7 @@
 # Attempts allowed beyond max_attempts, for replicas that did not run the
 # request.
 EXTRA_ATTEMPTS = 4
+UNCOUNTED = usage_attempts.AttemptCounts()
 
 
 class PendingRequest:
@@ -54,6 +57,8 @@
         it; None for any.
       fingerprint: Fingerprint of the request; empty for a request of the
         gateway itself, which is never suspected of crashing replicas.
+      account: Name of the account of the request; empty for none.
+      usage: What the usage report counts of the request.
     """
 
     __slots__ = (
@@ -68,6 +73,8 @@
         'retry_seconds',
         'release',
         'fingerprint',
+        'account',
+        'usage',
         '_caller_deadline_at',
     )
 
@@ -94,6 +101,8 @@
         self.retry_seconds = refusals.RETRY_AFTER_SECONDS
         self.release: registration.Release | None = None
         self.fingerprint = fingerprint
+        self.account = ''
+        self.usage = counting.ClientAttempt()
 
     @property
     def may_repeat(self) -> bool:
@@ -127,6 +136,7 @@
         '_failure_domain',
         '_permits',
         '_crash_watch',
+        '_usage',
     )
 
     def __init__(
@@ -137,6 +147,7 @@
         failure_domain: str,
         permits: all_permits.Permits,
         watch: crash_watch.CrashWatch,
+        usage: usage_attempts.AttemptCounts = UNCOUNTED,
     ):
         self._adapter = adapter
         self._client = http_client
@@ -144,6 +155,7 @@
         self._failure_domain = failure_domain
         self._permits = permits
         self._crash_watch = watch
+        self._usage = usage
 
     async def choose_replica(
         self, pending: PendingRequest
@@ -253,6 +265,12 @@
             for task in attempts:
                 task.cancel()
 
+    def begin_count(
+        self, pending: PendingRequest
+    ) -> usage_attempts.AttemptCount:
+        """Begin the count of one attempt for the usage report."""
+        return self._usage.begin(pending.account, pending.usage)
+
     def must_refuse(self, pending: PendingRequest) -> bool:
         """Tell whether a request must not be sent, as it crashes replicas."""
         verdict = self._crash_watch.find_verdict(pending.fingerprint)
@@ -353,14 +371,20 @@
     async def _fetch_response(
         self, pending: PendingRequest, target: replica.Replica, request
     ) -> attempt.Outcome:
-        outcome = await attempt.fetch_response(
-            self._client,
-            self._adapter,
-            target,
-            request,
-            pending.head.request_id,
-            not pending.route.repeatable,
-        )
+        count = self.begin_count(pending)
+        outcome = None
+        try:
+            outcome = await attempt.fetch_response(
+                self._client,
+                self._adapter,
+                target,
+                request,
+                pending.head.request_id,
+                not pending.route.repeatable,
+                count.on_send,
+            )
+        finally:
+            count.note_outcome(outcome)
         if outcome.broken:
             self._crash_watch.note_broken(pending.fingerprint, target)
         elif outcome.response is not None and self._is_signed(outcome):
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -129,6 +129,8 @@
         pending.tried_replicas.add(target.id)
         request = self._forwarder.build_request(pending, target, last_event_id)
         target.in_flight += 1
+        count = self._forwarder.begin_count(pending)
+        opened = None
         try:
             opened = await attempt.send_attempt(
                 self._client,
@@ -137,8 +139,10 @@
                 request,
                 pending.head.request_id,
                 not pending.route.repeatable,
+                count.on_send,
             )
         finally:
+            count.note_outcome(opened)
             target.in_flight -= 1
         if isinstance(opened, attempt.Outcome) and opened.broken:
             self._crash_watch.note_broken(pending.fingerprint, target)
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -199,6 +199,17 @@
             self._alive = frozenset(alive)
         return self._alive
 
+    @property
+    def live_gateways(self) -> dict[str, str]:
+        """Incarnations of all live gateways by host, also of leaving ones."""
+        live = {
+            member.name: member.heartbeat.incarnation
+            for member in self._members.values()
+            if member.alive
+        }
+        live[self._settings.name] = self.incarnation
+        return live
+
     def is_alive(self, incarnation: str) -> bool:
         """Tell whether an incarnation is alive and not leaving."""
         return incarnation in self.alive
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -112,7 +112,14 @@
         self._crash_watch = crash_watch.CrashWatch(self._facts)
         self._build_tails()
         self._platform_duties = duties.PlatformDuties(
-            settings, adapter, self._client, self._duties, self._duty_tail
+            settings,
+            adapter,
+            self._client,
+            self._log,
+            self._members,
+            self._duties,
+            self._duty_tail,
+            self._configuration,
         )
         self._build_request_handling()
 
@@ -258,13 +265,8 @@
             self._duty_tail,
             self._fact_tail,
         ]
-        for topic, topic_tail in (
-            ('operators', self._operator_tail),
-            ('replicas', self._replica_tail),
-            ('members', self._member_tail),
-            ('duties', self._duty_tail),
-            ('facts', self._fact_tail),
-        ):
+        topics = ('operators', 'replicas', 'members', 'duties', 'facts')
+        for topic, topic_tail in zip(topics, self._tails, strict=True):
             metrics.watch_tail(topic, topic_tail)
 
     def _build_request_handling(self) -> None:
@@ -290,6 +292,7 @@
             settings.failure_domain,
             self._permits,
             self._crash_watch,
+            self._platform_duties.usage,
         )
         self._owner = owner.Owner(
             settings,
@@ -483,6 +486,7 @@
                 break
         release.cancel()
         await self._caller_server.drain(FINAL_DRAIN_SECONDS)
+        await self._platform_duties.finish()
         events.write(
             'stopped',
             connections_open=self._caller_server.connections,
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -58,6 +58,12 @@
     ['duty', 'outcome'],
     registry=REGISTRY,
 )
+USAGE_WINDOWS = prometheus_client.Counter(
+    'auburnroad_usage_windows',
+    'Windows of the usage report, by what became of their report.',
+    ['outcome'],
+    registry=REGISTRY,
+)
 REQUESTS_QUARANTINED = prometheus_client.Counter(
     'auburnroad_requests_quarantined',
     'Requests refused because they crash the replicas that run them.',
--- a/packages/standins/auburnroad_standins/scripted_replicas.py
+++ b/packages/standins/auburnroad_standins/scripted_replicas.py
@@ -61,12 +61,16 @@
         """Count the requests to an address."""
         return sum(entry[0] == address for entry in self.requests)
 
-    async def open(self, address, request, is_own=None, fresh=False):
+    async def open(
+        self, address, request, is_own=None, fresh=False, may_send=None
+    ):
         """Send a request; see HttpClient.open."""
         self.requests.append((address, request))
         await asyncio.sleep(0)
         if address not in self._handlers:
             raise client.ConnectError(f'{address}: connection refused')
+        if may_send is not None and not may_send():
+            raise client.ConnectError(f'{address}: no longer to be sent')
         return await self._handlers[address](request)
 
     async def fetch(self, address, request, timeout_seconds):
