--- a/packages/gateway/auburnroad_gateway/usage/records_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/records_test.py
@@ -39,7 +39,7 @@
         )
 
     @contextlib.asynccontextmanager
-    async def run(self, subject):
+    async def running(self, subject):
         task = asyncio.create_task(subject.run())
         try:
             yield
@@ -55,30 +55,32 @@
 
     async def wait_for(self, subject, counts, final=False):
         window = subject.find_time_ms() // 1_000_000
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            while True:
-                folded = await self.fold_log()
-                if folded.sum_counts(window) == counts and (
-                    not final or not folded.list_unfinished(window, {})
+        folded = await self.fold_log()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                while folded.sum_counts(window) != counts or (
+                    final and folded.list_unfinished(window, {})
                 ):
-                    return
-                await asyncio.sleep(0.02)
+                    await asyncio.sleep(0.02)
+                    folded = await self.fold_log()
+                return
+        self.fail(f'{counts} expected, found {folded.sum_counts(window)}')
 
     async def test_restarted_gateway_keeps_counts_and_adds_its_own(self):
         """Two entries in one, or none, would change the sum."""
         for number in (1, 2, 3):
             subject = self.build(f'i{number}')
-            async with self.run(subject):
+            async with self.running(subject):
                 self.count(subject)
                 await self.wait_for(subject, {'a': number})
 
     async def test_killed_incarnation_is_closed_by_the_next(self):
         subject = self.build('i1')
-        async with self.run(subject):
+        async with self.running(subject):
             self.count(subject)
             await self.wait_for(subject, {'a': 1})
         subject = self.build('i2')
-        async with self.run(subject):
+        async with self.running(subject):
             await self.wait_for(subject, {'a': 1})
             await subject.finish()
         await self.wait_for(subject, {'a': 1}, final=True)
@@ -87,7 +89,7 @@
         """The holder would wait for it until the report is nearly late."""
         subject = self.build('i1')
         window = subject.counter.first_open
-        async with self.run(subject):
+        async with self.running(subject):
             await self.wait_for(subject, {})
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 while (await self.fold_log()).list_unfinished(
@@ -99,7 +101,7 @@
 
     async def test_lost_answers_and_an_outage_change_no_count(self):
         subject = self.build('i1')
-        async with self.run(subject):
+        async with self.running(subject):
             self.log.lose_answers = 2
             self.count(subject)
             await self.wait_for(subject, {'a': 1})
@@ -112,7 +114,7 @@
 
     async def test_producer_that_the_log_forgot_is_replaced(self):
         subject = self.build('i1')
-        async with self.run(subject):
+        async with self.running(subject):
             self.count(subject)
             await self.wait_for(subject, {'a': 1})
             self.log._producers[records.TOPIC, 0, 'i1'] = (1, 99, 0)
@@ -121,7 +123,7 @@
 
     async def test_planned_stop_leaves_nothing_open(self):
         subject = self.build('i1')
-        async with self.run(subject):
+        async with self.running(subject):
             await self.wait_for(subject, {})
             self.count(subject)
             await subject.finish()
--- a/packages/gateway/auburnroad_gateway/usage/reporter_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter_test.py
@@ -225,6 +225,18 @@
             {'one', 'two'}, {call.holder for call in self.api.calls}
         )
 
+    async def test_two_holders_fix_a_window_only_once(self):
+        """One of them had been suspended and had read nothing since."""
+        two = self.build('two')
+        for host in (self.one, two):
+            await host.reporter._report_tail.catch_up()
+        results = [
+            await host.reporter._append(reports.FixedReport(7, {'a': number}))
+            for number, host in enumerate((self.one, two))
+        ]
+        self.assertEqual([True, False], results)
+        self.assertEqual({'a': 0}, self.list_fixed()[7].counts)
+
     async def test_unfinished_gateway_is_waited_for_until_the_latest_time(
         self,
     ):
