--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -52,6 +52,11 @@
         """Accounts of the configuration in force; None before the first."""
         return self._registry
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the configuration in force has accounts."""
+        return self._registry is not None and self._registry.has_accounts
+
     def find_route(
         self, submission: batch.Submission
     ) -> configuration.Route | None:
@@ -77,10 +82,7 @@
           Name of the account; empty if the batch has none, None if the
           deployment has no accounts either.
         """
-        has_accounts = self._registry is not None and (
-            self._registry.has_accounts
-        )
-        return state.account or ('' if has_accounts else None)
+        return state.account or ('' if self.has_accounts else None)
 
     def on_change(self, listener) -> None:
         """Call a function after each change of configuration or versions.
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -130,6 +130,8 @@
         pending.tried_replicas.add(target.id)
         request = self._forwarder.build_request(pending, target, last_event_id)
         self._note_start(pending, target)
+        count = self._forwarder.begin_count(pending)
+        opened = None
         try:
             opened = await attempt.send_attempt(
                 self._client,
@@ -138,9 +140,11 @@
                 request,
                 pending.head.request_id,
                 not pending.route.repeatable,
+                count.on_send,
             )
         finally:
             self._note_end(pending, target)
+            count.note_outcome(opened)
         if isinstance(opened, attempt.Outcome) and opened.broken:
             self._crash_watch.note_broken(pending.fingerprint, target)
         return opened
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -30,6 +30,7 @@
 from auburnroad_gateway.members import relay
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.process import dispatch
+from auburnroad_gateway.process import duties
 from auburnroad_gateway.process import supervision
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -106,6 +107,16 @@
         )
         self._crash_watch = crash_watch.CrashWatch(self._facts)
         self._build_tails()
+        self._platform_duties = duties.PlatformDuties(
+            settings,
+            adapter,
+            self._client,
+            self._log,
+            self._members,
+            self._duties,
+            self._duty_tail,
+            self._configuration,
+        )
         self._build_request_handling()
 
     @property
@@ -167,6 +178,7 @@
             self._owner.run,
             functools.partial(self._rollout.run, self._duty_tail),
             self._expire_replicas,
+            *self._platform_duties.list_background_tasks(),
         ):
             self._tasks.append(
                 asyncio.create_task(supervision.supervise(function))
@@ -181,6 +193,7 @@
             self._log.direct.set_address(new.log_address)
         self._settings = new
         self._access.settings = new
+        self._platform_duties.apply_settings(new)
 
     def stop(self) -> None:
         """Begin a planned stop; further calls have no effect."""
@@ -249,13 +262,8 @@
             self._duty_tail,
             self._fact_tail,
         ]
-        for topic, topic_tail in (
-            ('operators', self._operator_tail),
-            ('replicas', self._replica_tail),
-            ('members', self._member_tail),
-            ('duties', self._duty_tail),
-            ('facts', self._fact_tail),
-        ):
+        topics = ('operators', 'replicas', 'members', 'duties', 'facts')
+        for topic, topic_tail in zip(topics, self._tails, strict=True):
             metrics.watch_tail(topic, topic_tail)
 
     def _build_request_handling(self) -> None:
@@ -284,6 +292,7 @@
             settings.failure_domain,
             self._permits,
             self._crash_watch,
+            self._platform_duties.usage,
         )
         self._owner = owner.Owner(
             settings,
@@ -438,6 +447,7 @@
                 break
         release.cancel()
         await self._caller_server.drain(FINAL_DRAIN_SECONDS)
+        await self._platform_duties.finish()
         events.write(
             'stopped',
             connections_open=self._caller_server.connections,
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -58,6 +58,18 @@
     ['outcome'],
     registry=REGISTRY,
 )
+DUTY_CALLS = prometheus_client.Counter(
+    'auburnroad_duty_calls',
+    "Calls of duties at the platform's API, by duty and outcome.",
+    ['duty', 'outcome'],
+    registry=REGISTRY,
+)
+USAGE_WINDOWS = prometheus_client.Counter(
+    'auburnroad_usage_windows',
+    'Windows of the usage report, by what became of their report.',
+    ['outcome'],
+    registry=REGISTRY,
+)
 REQUESTS_QUARANTINED = prometheus_client.Counter(
     'auburnroad_requests_quarantined',
     'Requests refused because they crash the replicas that run them.',
