--- a/packages/gateway/auburnroad_gateway/model/configuration.py
+++ b/packages/gateway/auburnroad_gateway/model/configuration.py
@@ -69,6 +69,20 @@
         )
 
 
+class Scaling(msgspec.Struct, frozen=True):
+    """Bounds of the numbers of replicas that the gateways order.
+
+    Attributes:
+      minimum: Lowest number of replicas in each failure domain.
+      maximum: Highest number of replicas in each failure domain.
+      boot_ms: Milliseconds from an order until a new replica serves.
+    """
+
+    minimum: int
+    maximum: int
+    boot_ms: int
+
+
 class Service(msgspec.Struct, frozen=True):
     """A group of replicas that run the same program.
 
@@ -80,6 +94,7 @@
       memory_tokens: Capacity of a replica's KV cache in tokens; zero for no
         limit.
       tokens_per_event: Number of tokens in one event of a stream.
+      scaling: Bounds of its numbers of replicas; None if these are fixed.
     """
 
     name: str
@@ -87,6 +102,7 @@
     models: tuple[str, ...] = ()
     memory_tokens: int = 0
     tokens_per_event: int = 1
+    scaling: Scaling | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Numbers of replicas that the platform is to run of each service."""
