Collect the work and load that the numbers of replicas depend on

Cause: the gateway that orders replicas need not be the one that runs the batches of a service, and the runs of others are not in its memory.

Submissions of others are decoded once and not kept.

--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -66,6 +66,10 @@
             self._submission = records.unpack_submission(self._data)
         return self._submission
 
+    def decode_submission(self) -> batch.Submission:
+        """Decode the submission, without keeping it in memory."""
+        return self._submission or records.unpack_submission(self._data)
+
     def fill_bodies(self, bodies: list[bytes]) -> None:
         """Add the items' bodies after they were read from the log."""
         self._submission = records.fill_bodies(self.submission, bodies)
--- a/packages/gateway/auburnroad_gateway/batches/owned_batches.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned_batches.py
@@ -153,13 +153,24 @@
 
 
 def estimate_events_left(run: runs.ItemRun, tokens_per_event: int) -> int:
-    """Estimate the events that a run still has to generate.
+    """Estimate the events that a run still has to generate."""
+    predicted = run.item.length_hint // tokens_per_event
+    return predict_events_left(predicted, count_events(run))
+
+
+def predict_events_left(predicted: int, generated: int) -> int:
+    """Predict the events that a text still needs.
+
+    A text that has exceeded its predicted length may become much longer, so
+    the result grows with the number of events generated so far.
 
-    A run that has exceeded its predicted length may become much longer, so the
-    estimate grows with the number of events generated so far.
+    Args:
+      predicted: Predicted number of events of the whole text.
+      generated: Number of events so far.
+
+    Returns:
+      Number of events, at least 1.
     """
-    generated = count_events(run)
-    predicted = run.item.length_hint // tokens_per_event
     return max(predicted - generated, generated // 2, 1)
 
 
--- a/packages/gateway/auburnroad_gateway/directory/directory.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory.py
@@ -67,6 +67,13 @@
             target for target in self.list_all(service_name) if target.is_ready
         ]
 
+    def list_failure_domains(self) -> set[str]:
+        """List the failure domains of the replicas of all services."""
+        return {
+            target.registration.failure_domain
+            for target in self._replicas.values()
+        }
+
     def is_ready(self, target: replica.Replica) -> bool:
         """Tell whether a replica is registered and accepts new work."""
         return self._replicas.get(target.id) is target and target.is_ready
--- a/packages/gateway/auburnroad_gateway/members/facts.py
+++ b/packages/gateway/auburnroad_gateway/members/facts.py
@@ -38,16 +38,24 @@
       ANSWER: A replica answered the request whose fingerprint is the key.
       STREAM: The release in the value began the stream whose first attempt
         has the key as its id.
+      PACE: The value is the median time between two events of the replicas of
+        the service in the key, in milliseconds.
     """
 
     CRASH = 'crash'
     ANSWER = 'answer'
     STREAM = 'stream'
+    PACE = 'pace'
 
 
 # Keys of one gateway for each kind of fact. A gateway that starts finds the
 # facts of as many records.
-SLOTS = {FactKind.CRASH: 64, FactKind.ANSWER: 16, FactKind.STREAM: 256}
+SLOTS = {
+    FactKind.CRASH: 64,
+    FactKind.ANSWER: 16,
+    FactKind.STREAM: 256,
+    FactKind.PACE: 8,
+}
 
 
 class Fact(msgspec.Struct, frozen=True, array_like=True):
