Order numbers of replicas from the gateway that holds the duty

Cause: the decision on numbers of replicas had nobody to make it and send it.

Change: scaling/scaler.py decides once a second for each service with bounds while this gateway may act for the duty 'scale:', and sends the newest order for each service and failure domain through DutyCaller until it is answered; a newer order takes its place. The time for the effect of an order counts from its answer, so that an outage of the platform's API is no failure of a failure domain. A new claim starts anew, and no order of an earlier claim is sent under a new token. process/scaling.py builds it.

--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
+from auburnroad_gateway.directory import expiry
 from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import fingerprint
 from auburnroad_gateway.forwarding import refusals
@@ -32,6 +33,7 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.process import duties
+from auburnroad_gateway.process import scaling
 from auburnroad_gateway.process import supervision
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -43,7 +45,6 @@
 OPERATOR_PACE_SECONDS = 0.05
 REPLICA_PACE_SECONDS = 0.1
 MEMBER_PACE_SECONDS = 0.2
-EXPIRE_INTERVAL_SECONDS = 0.2
 # Within a site a connection opens in about 1 ms or not at all.
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Share of the process's memory for bodies of replicas' responses. While its
@@ -174,8 +175,9 @@
             functools.partial(self._facts.run, self._fact_tail),
             self._owner.run,
             functools.partial(self._rollout.run, self._duty_tail),
-            self._expire_replicas,
+            functools.partial(expiry.run, self._directory, self._replica_tail),
             *self._platform_duties.list_background_tasks(),
+            self._scaler.run,
         ):
             self._tasks.append(
                 asyncio.create_task(supervision.supervise(function))
@@ -190,6 +192,7 @@
             self._log.direct.set_address(new.log_address)
         self._settings = new
         self._platform_duties.apply_settings(new)
+        self._scaler.apply_settings(new)
 
     def stop(self) -> None:
         """Begin a planned stop; further calls have no effect."""
@@ -326,6 +329,17 @@
             self._directory,
             self._owner,
         )
+        self._scaler = scaling.build_scaler(
+            settings,
+            adapter,
+            self._configuration,
+            self._directory,
+            self._replica_tail,
+            self._journal,
+            self._facts,
+            self._duties,
+            self._platform_duties.caller,
+        )
         self._caller_server = server.HttpServer(self._handle_caller)
         self._ready_server = server.HttpServer(self._handle_ready)
         self._peer_server = server.HttpServer(self._handle_peer)
@@ -437,23 +451,6 @@
             return route.kind.value, self._streams.forward(pending)
         return route.kind.value, self._forwarder.forward(pending)
 
-    async def _expire_replicas(self) -> None:
-        """Drop the registrations that lapsed during an outage of the log.
-
-        The directory keeps these registrations until live replicas have had
-        time to register again after the end of the outage.
-        """
-        was_failing = False
-        while True:
-            await asyncio.sleep(EXPIRE_INTERVAL_SECONDS)
-            now = time.monotonic()
-            failing = self._replica_tail.failing
-            if failing or was_failing:
-                self._directory.note_outage(now)
-            was_failing = failing
-            if not failing:
-                self._directory.expire(now)
-
     def _is_drained(self) -> bool:
         """Tell whether no records, batches or connections are left."""
         return (
--- a/packages/gateway/auburnroad_gateway/scaling/decision.py
+++ b/packages/gateway/auburnroad_gateway/scaling/decision.py
@@ -152,6 +152,17 @@
         self.lower_since: float | None = None
         self.lower_peak = 0
 
+    def note_sent(self, order: Order, now: float) -> None:
+        """Count the time for the effect of an order from now on.
+
+        Args:
+          order: An order that was answered now, or that waits to be sent.
+          now: Time in seconds.
+        """
+        known = self.ordered.get(order.domain)
+        if known is not None and known.count == order.count:
+            known.ordered_at = now
+
 
 def decide(
     inputs: ServiceInputs, state: ServiceState, now: float
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -58,6 +58,12 @@
     ['duty', 'outcome'],
     registry=REGISTRY,
 )
+SCALE_ORDERS = prometheus_client.Counter(
+    'auburnroad_scale_orders',
+    'Orders of numbers of replicas, by whether these rise, fall or stay.',
+    ['change'],
+    registry=REGISTRY,
+)
 REQUESTS_QUARANTINED = prometheus_client.Counter(
     'auburnroad_requests_quarantined',
     'Requests refused because they crash the replicas that run them.',
