Let requests wait for slots of full plain services, in fair shares

Cause: once the replicas of a plain service are full, a gateway sent requests on in the order of their arrival, so that an account that floods took the slots of all others.

Change: forwarding/admission.py. With accounts in the configuration, a single request that finds every replica full, as far as this gateway knows, waits in the fair queue of its service for at most 0.22 of the target latency, so that a refusal (503, code no_slot) is out within a quarter of it. Streams, services with engines and calls of the gateway itself are left out. A refused caller is known for 10 s by account and fingerprint, as ids are new for each attempt. A gateway without a run at the service sends one request even if replicas were reported full, since only answers renew those reports. Waiting requests, times the gateways that are alive, count as waiting callers for the numbers of replicas.

--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.forwarding import admission
 from auburnroad_gateway.forwarding import attempt
 from auburnroad_gateway.forwarding import crash_records
 from auburnroad_gateway.forwarding import crash_watch
@@ -54,6 +55,7 @@
         it; None for any.
       fingerprint: Fingerprint of the request; empty for a request of the
         gateway itself, which is never suspected of crashing replicas.
+      account: Account of the caller; None if it has none.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         'retry_seconds',
         'release',
         'fingerprint',
+        'account',
         '_caller_deadline_at',
     )
 
@@ -78,6 +81,7 @@
         route: configuration.Route,
         now: float,
         fingerprint: str = '',
+        account: configuration.Account | None = None,
     ):
         self.request = request
         self.head = head
@@ -94,6 +98,7 @@
         self.retry_seconds = refusals.RETRY_AFTER_SECONDS
         self.release: registration.Release | None = None
         self.fingerprint = fingerprint
+        self.account = account
 
     @property
     def may_repeat(self) -> bool:
@@ -127,6 +132,7 @@
         '_failure_domain',
         '_permits',
         '_crash_watch',
+        '_admission',
     )
 
     def __init__(
@@ -137,6 +143,7 @@
         failure_domain: str,
         permits: all_permits.Permits,
         watch: crash_watch.CrashWatch,
+        admissions: admission.Admission | None = None,
     ):
         self._adapter = adapter
         self._client = http_client
@@ -144,6 +151,7 @@
         self._failure_domain = failure_domain
         self._permits = permits
         self._crash_watch = watch
+        self._admission = admissions
 
     async def choose_replica(
         self, pending: PendingRequest
@@ -246,6 +254,10 @@
         """
         if self.must_refuse(pending):
             return self.refuse(pending)
+        if self._admission is not None:
+            refusal = await self._admission.enter(pending)
+            if refusal is not None:
+                return refusal
         attempts: set[asyncio.Task] = set()
         try:
             return await self._run_attempts(pending, attempts)
@@ -347,9 +359,16 @@
         # Counted before the task starts, so that other requests of the same
         # iteration of the event loop choose other replicas.
         target.in_flight += 1
-        task.add_done_callback(lambda _: target.note_end())
+        task.add_done_callback(lambda _: self._note_end(pending, target))
         attempts.add(task)
 
+    def _note_end(
+        self, pending: PendingRequest, target: replica.Replica
+    ) -> None:
+        target.note_end()
+        if self._admission is not None:
+            self._admission.note_end(pending.service)
+
     async def _fetch_response(
         self, pending: PendingRequest, target: replica.Replica, request
     ) -> attempt.Outcome:
--- a/packages/gateway/auburnroad_gateway/model/configuration.py
+++ b/packages/gateway/auburnroad_gateway/model/configuration.py
@@ -69,6 +69,20 @@
         )
 
 
+class Account(msgspec.Struct, frozen=True):
+    """A client account.
+
+    Attributes:
+      name: Name of the account.
+      keys: API keys of the account.
+      priority: Priority of its requests; zero is the highest.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int = 0
+
+
 class Scaling(msgspec.Struct, frozen=True):
     """Bounds of the numbers of replicas that the gateways order.
 
@@ -129,12 +143,20 @@
       routes: Routes in no particular order.
       services: Services by name.
       limits: Limits on callers.
+      accounts: Client accounts; None if the deployment has none, which
+        differs from an empty list.
     """
 
     revision: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[Account, ...] | None = None
+
+
+def find_priority(route: Route, account: Account | None) -> int:
+    """Find the priority of a request; that of its account goes first."""
+    return route.priority if account is None else account.priority
 
 
 def choose_service(route: Route, draw: float) -> str:
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -17,6 +17,7 @@
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.directory import expiry
+from auburnroad_gateway.forwarding import admission
 from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import fingerprint
 from auburnroad_gateway.forwarding import refusals
@@ -168,7 +169,7 @@
             bound = await http_server.start(host, int(port))
             self._addresses[name] = f'{bound[0]}:{bound[1]}'
         for function in (
-            *(topic_tail.run for topic_tail in self._tails),
+            *(topic_tail.run for topic_tail in self._tails.values()),
             *self._journal.list_background_tasks(),
             self._members.run_heartbeats,
             functools.partial(self._members.run_checks, self._member_tail),
@@ -254,20 +255,14 @@
         self._fact_tail = tail.KeyedTail(
             log, facts.TOPIC, self._facts.apply, MEMBER_PACE_SECONDS
         )
-        self._tails = [
-            self._operator_tail,
-            self._replica_tail,
-            self._member_tail,
-            self._duty_tail,
-            self._fact_tail,
-        ]
-        for topic, topic_tail in (
-            ('operators', self._operator_tail),
-            ('replicas', self._replica_tail),
-            ('members', self._member_tail),
-            ('duties', self._duty_tail),
-            ('facts', self._fact_tail),
-        ):
+        self._tails = {
+            'operators': self._operator_tail,
+            'replicas': self._replica_tail,
+            'members': self._member_tail,
+            'duties': self._duty_tail,
+            'facts': self._fact_tail,
+        }
+        for topic, topic_tail in self._tails.items():
             metrics.watch_tail(topic, topic_tail)
 
     def _build_request_handling(self) -> None:
@@ -286,6 +281,9 @@
             self._configuration.match_route,
         )
         self._reader = reading.Reader(adapter, self._journal)
+        self._admission = admission.Admission(
+            self._configuration, self._directory
+        )
         self._forwarder = requests.Forwarder(
             adapter,
             self._client,
@@ -293,6 +291,7 @@
             settings.failure_domain,
             self._permits,
             self._crash_watch,
+            self._admission,
         )
         self._owner = owner.Owner(
             settings,
@@ -339,6 +338,10 @@
             self._facts,
             self._duties,
             self._platform_duties.caller,
+            lambda name: (
+                self._admission.count_waiting(name)
+                * max(1, len(self._members.alive))
+            ),
         )
         self._caller_server = server.HttpServer(self._handle_caller)
         self._ready_server = server.HttpServer(self._handle_ready)
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -58,6 +58,12 @@
     ['duty', 'outcome'],
     registry=REGISTRY,
 )
+FAIR_QUEUE = prometheus_client.Counter(
+    'auburnroad_fair_queue',
+    'Single requests that found all replicas full, by what became of them.',
+    ['outcome'],
+    registry=REGISTRY,
+)
 SCALE_ORDERS = prometheus_client.Counter(
     'auburnroad_scale_orders',
     'Orders of numbers of replicas, by whether these rise, fall or stay.',
