End no replicas that the flow of batches takes, and clear backlogs

Cause, seen in a simulation of the decision (3 failure domains, batches of 199 s of work every 4 s, due after 7.5 s): items in sight are few between two batches; what kept their replicas was that a batch which uses all slots began the hold time anew, so that surplus replicas stayed for ever as well. And a backlog of one batch, spread over the horizon, was never cleared, so that each batch was late after a failure domain was lost.

Change: running texts bound the number that is ordered and no longer prolong the hold time; fewer is not ordered below the mean use of slots in the hold time, with the margin; overdue items count as due after one step.

--- a/packages/gateway/auburnroad_gateway/scaling/decision.py
+++ b/packages/gateway/auburnroad_gateway/scaling/decision.py
@@ -76,6 +76,12 @@
         """Number of slots in all failure domains."""
         return sum(domain.slots for domain in self.domains.values())
 
+    @property
+    def used_slots(self) -> float:
+        """Number of slots that texts and single requests use."""
+        texts = sum(domain.running_texts for domain in self.domains.values())
+        return texts + self.plain_load * self.slots
+
     @property
     def boot_seconds(self) -> float:
         """Time from an order until a new replica serves."""
@@ -135,6 +141,8 @@
       lower_since: Time since which fewer replicas suffice; None if they do
         not.
       lower_peak: Highest number of replicas wanted since then.
+      lower_used: Sum of the slots in use at each decision since then.
+      lower_checks: Number of these decisions.
     """
 
     __slots__ = (
@@ -143,6 +151,8 @@
         'ordered',
         'lower_since',
         'lower_peak',
+        'lower_used',
+        'lower_checks',
     )
 
     def __init__(self, started_at: float):
@@ -151,6 +161,35 @@
         self.ordered: dict[str, Ordered] = {}
         self.lower_since: float | None = None
         self.lower_peak = 0
+        self.lower_used = 0.0
+        self.lower_checks = 0
+
+    def begin_lower(self, now: float) -> None:
+        """Begin to observe whether fewer replicas suffice."""
+        self.lower_since = now
+        self.lower_peak = 0
+        self.lower_used = 0.0
+        self.lower_checks = 0
+
+    def note_lower(self, wanted: int, used: float) -> None:
+        """Record the replicas wanted and the slots in use now."""
+        self.lower_peak = max(self.lower_peak, wanted)
+        self.lower_used += used
+        self.lower_checks += 1
+
+    def count_sufficient(self) -> int:
+        """Count the replicas that have sufficed since lower_since.
+
+        Work that has not been submitted yet is not part of what is wanted, so
+        that the mean use counts as well: it is what the present flow of work
+        takes.
+        """
+        if not self.replica_slots:
+            return self.lower_peak
+        used = MARGIN * self.lower_used / max(1, self.lower_checks)
+        return max(
+            self.lower_peak, math.ceil(used / self.replica_slots - EPSILON)
+        )
 
     def note_sent(self, order: Order, now: float) -> None:
         """Count the time for the effect of an order from now on.
@@ -209,15 +248,11 @@
     Returns:
       Number of slots without a margin: the highest ratio, over all due
       times, of the work due until then to the time left. Items that are
-      overdue or due within one step are to be done by the time at which
-      replicas ordered now have served for one step.
+      overdue or due within one step count as due after one step.
     """
-    horizon = inputs.boot_seconds + STEP_SECONDS
     due: dict[float, float] = {}
     for work in inputs.work:
-        left = work.due_at - now
-        if left < STEP_SECONDS:
-            left = horizon
+        left = max(STEP_SECONDS, work.due_at - now)
         # An item takes one slot at most, however late it is.
         used = min(work.expected_seconds, left)
         due[left] = due.get(left, 0.0) + used
@@ -347,18 +382,26 @@
         state.lower_since = None
         return []
     if state.lower_since is None:
-        state.lower_since, state.lower_peak = now, wanted
-    state.lower_peak = max(state.lower_peak, wanted)
+        state.begin_lower(now)
+    state.note_lower(wanted, inputs.used_slots)
     hold = max(MIN_HOLD_SECONDS, 2 * inputs.boot_seconds)
     if now < state.lower_since + hold:
         return []
     if _is_lowering(inputs, state, now):
         return []
-    sufficient = _spread(inputs, state, state.lower_peak, now)
+    sufficient = _spread(inputs, state, state.count_sufficient(), now)
+    if not _list_lower(inputs, state, sufficient, now):
+        # What was wanted earlier no longer counts.
+        state.begin_lower(now)
+        return []
+    # Running texts keep their replicas; they do not prolong the hold time.
+    for name, target in sufficient.items():
+        texts = inputs.domains[name].running_texts
+        if state.replica_slots:
+            least = math.ceil(texts / state.replica_slots)
+            sufficient[name] = max(target, least)
     lower = _list_lower(inputs, state, sufficient, now)
     if not lower:
-        # What was wanted earlier no longer counts.
-        state.lower_since, state.lower_peak = now, wanted
         return []
     chosen = max(lower, key=lambda name: (inputs.domains[name].ready, name))
     return [Order(inputs.service, chosen, lower[chosen])]
@@ -370,15 +413,9 @@
     targets: dict[str, int],
     now: float,
 ) -> dict[str, int]:
-    """List lower numbers of replicas by failure domain.
-
-    Running texts keep their replicas.
-    """
+    """List the targets that are below the present numbers of replicas."""
     lower = {}
     for name, target in targets.items():
-        texts = inputs.domains[name].running_texts
-        if texts and state.replica_slots:
-            target = max(target, math.ceil(texts / state.replica_slots))
         current = _count_current(inputs, state, name, now)
         known = state.ordered.get(name)
         if known is not None and known.missed:
