--- a/packages/gateway/auburnroad_gateway/accounts/__init__.py
+++ b/packages/gateway/auburnroad_gateway/accounts/__init__.py
@@ -1,1 +1,1 @@
-"""Client accounts: look-up of API keys and access to routes and batches."""
+"""Client accounts: API keys, access to routes, and shares of the slots."""
--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -71,6 +71,10 @@
         """Name of the account that submitted the batch; empty if none."""
         return self.submission.account
 
+    def decode_submission(self) -> batch.Submission:
+        """Decode the submission, without keeping it in memory."""
+        return self._submission or records.unpack_submission(self._data)
+
     def fill_bodies(self, bodies: list[bytes]) -> None:
         """Add the items' bodies after they were read from the log."""
         self._submission = records.fill_bodies(self.submission, bodies)
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.forwarding import admission
 from auburnroad_gateway.forwarding import attempt
 from auburnroad_gateway.forwarding import crash_records
 from auburnroad_gateway.forwarding import crash_watch
@@ -60,6 +61,7 @@
       account: Name of the account that replicas are told; empty for a request
         without an account, None if the deployment has no accounts.
       usage: What the usage report counts of the request.
+      priority: Priority of the request; zero is the highest.
     """
 
     __slots__ = (
@@ -76,6 +78,7 @@
         'fingerprint',
         'account',
         'usage',
+        'priority',
         '_caller_deadline_at',
     )
 
@@ -87,6 +90,7 @@
         now: float,
         fingerprint: str = '',
         account: str | None = None,
+        priority: int | None = None,
     ):
         self.request = request
         self.head = head
@@ -105,6 +109,7 @@
         self.fingerprint = fingerprint
         self.account = account
         self.usage = counting.ClientAttempt()
+        self.priority = route.priority if priority is None else priority
 
     @property
     def may_repeat(self) -> bool:
@@ -139,6 +144,7 @@
         '_permits',
         '_crash_watch',
         '_usage',
+        '_admission',
     )
 
     def __init__(
@@ -150,6 +156,7 @@
         permits: all_permits.Permits,
         watch: crash_watch.CrashWatch,
         usage: usage_attempts.AttemptCounts = UNCOUNTED,
+        admissions: admission.Admission | None = None,
     ):
         self._adapter = adapter
         self._client = http_client
@@ -158,6 +165,7 @@
         self._permits = permits
         self._crash_watch = watch
         self._usage = usage
+        self._admission = admissions
 
     async def choose_replica(
         self, pending: PendingRequest
@@ -261,6 +269,10 @@
         """
         if self.must_refuse(pending):
             return self.refuse(pending)
+        if self._admission is not None:
+            refusal = await self._admission.enter(pending)
+            if refusal is not None:
+                return refusal
         attempts: set[asyncio.Task] = set()
         try:
             return await self._run_attempts(pending, attempts)
@@ -404,13 +416,18 @@
         # Counted before the task starts, so that other requests of the same
         # iteration of the event loop choose other replicas.
         target.in_flight += 1
-        task.add_done_callback(lambda _: target.note_end())
+        task.add_done_callback(lambda _: self._note_end(pending, target))
         self._crash_watch.note_run_start(pending.fingerprint)
-        task.add_done_callback(
-            lambda _: self._crash_watch.note_run_end(pending.fingerprint)
-        )
         attempts.add(task)
 
+    def _note_end(
+        self, pending: PendingRequest, target: replica.Replica
+    ) -> None:
+        target.note_end()
+        self._crash_watch.note_run_end(pending.fingerprint)
+        if self._admission is not None:
+            self._admission.note_end(pending.service)
+
     async def _fetch_response(
         self, pending: PendingRequest, target: replica.Replica, request
     ) -> attempt.Outcome:
--- a/packages/gateway/auburnroad_gateway/process/dispatch.py
+++ b/packages/gateway/auburnroad_gateway/process/dispatch.py
@@ -18,7 +18,6 @@
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.forwarding import streams
-from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
 
 # Maximum duration of a call on a batch. The slowest call is a submission that
@@ -121,21 +120,6 @@
         if is_batch:
             response = await self._intake.submit(route, request, account)
             return 'submit', response
-        return await self._forward(request, head, route, account, started)
-
-    def _find_account_name(self, found: access.Access) -> str | None:
-        if found.account is not None:
-            return found.account.name
-        return '' if self._access.has_accounts else None
-
-    async def _forward(
-        self,
-        request: messages.Request,
-        head: call.CallHead,
-        route: configuration.Route,
-        account: str | None,
-        started: float,
-    ) -> tuple[str, messages.Response]:
         pending = requests.PendingRequest(
             request,
             head,
@@ -143,7 +127,19 @@
             started,
             fingerprint.build_fingerprint(request),
             account,
+            access.find_priority(route, found.account),
         )
+        return await self._forward(pending)
+
+    def _find_account_name(self, found: access.Access) -> str | None:
+        if found.account is not None:
+            return found.account.name
+        return '' if self._access.has_accounts else None
+
+    async def _forward(
+        self, pending: requests.PendingRequest
+    ) -> tuple[str, messages.Response]:
+        route = pending.route
         if route.kind is configuration.RouteKind.STREAM:
             response = await self._streams.forward(pending)
         else:
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -17,6 +17,8 @@
 from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
+from auburnroad_gateway.directory import expiry
+from auburnroad_gateway.forwarding import admission
 from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.forwarding import stream_releases
@@ -31,6 +33,7 @@
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.process import dispatch
 from auburnroad_gateway.process import duties
+from auburnroad_gateway.process import scaling
 from auburnroad_gateway.process import supervision
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -42,7 +45,6 @@
 OPERATOR_PACE_SECONDS = 0.05
 REPLICA_PACE_SECONDS = 0.1
 MEMBER_PACE_SECONDS = 0.2
-EXPIRE_INTERVAL_SECONDS = 0.2
 # Within a site a connection opens in about 1 ms or not at all.
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Share of the process's memory for bodies of replicas' responses. While its
@@ -170,15 +172,16 @@
             bound = await http_server.start(host, int(port))
             self._addresses[name] = f'{bound[0]}:{bound[1]}'
         for function in (
-            *(topic_tail.run for topic_tail in self._tails),
+            *(topic_tail.run for topic_tail in self._tails.values()),
             *self._journal.list_background_tasks(),
             self._members.run_heartbeats,
             functools.partial(self._members.run_checks, self._member_tail),
             functools.partial(self._facts.run, self._fact_tail),
             self._owner.run,
             functools.partial(self._rollout.run, self._duty_tail),
-            self._expire_replicas,
+            functools.partial(expiry.run, self._directory, self._replica_tail),
             *self._platform_duties.list_background_tasks(),
+            self._scaler.run,
         ):
             self._tasks.append(
                 asyncio.create_task(supervision.supervise(function))
@@ -194,6 +197,7 @@
         self._settings = new
         self._access.settings = new
         self._platform_duties.apply_settings(new)
+        self._scaler.apply_settings(new)
 
     def stop(self) -> None:
         """Begin a planned stop; further calls have no effect."""
@@ -255,15 +259,14 @@
         self._fact_tail = tail.KeyedTail(
             log, facts.TOPIC, self._facts.apply, MEMBER_PACE_SECONDS
         )
-        self._tails = [
-            self._operator_tail,
-            self._replica_tail,
-            self._member_tail,
-            self._duty_tail,
-            self._fact_tail,
-        ]
-        topics = ('operators', 'replicas', 'members', 'duties', 'facts')
-        for topic, topic_tail in zip(topics, self._tails, strict=True):
+        self._tails = {
+            'operators': self._operator_tail,
+            'replicas': self._replica_tail,
+            'members': self._member_tail,
+            'duties': self._duty_tail,
+            'facts': self._fact_tail,
+        }
+        for topic, topic_tail in self._tails.items():
             metrics.watch_tail(topic, topic_tail)
 
     def _build_request_handling(self) -> None:
@@ -285,6 +288,9 @@
             settings, self._configuration, self._operator_tail
         )
         self._reader = reading.Reader(adapter, self._journal, self._access)
+        self._admission = admission.Admission(
+            self._configuration, self._directory
+        )
         self._forwarder = requests.Forwarder(
             adapter,
             self._client,
@@ -293,6 +299,7 @@
             self._permits,
             self._crash_watch,
             self._platform_duties.usage,
+            self._admission,
         )
         self._owner = owner.Owner(
             settings,
@@ -339,6 +346,21 @@
             self._streams,
             self._may_outlast_stop,
         )
+        self._scaler = scaling.build_scaler(
+            settings,
+            adapter,
+            self._configuration,
+            self._directory,
+            self._replica_tail,
+            self._journal,
+            self._facts,
+            self._duties,
+            self._platform_duties.caller,
+            lambda name: (
+                self._admission.count_waiting(name)
+                * max(1, len(self._members.alive))
+            ),
+        )
         self._caller_server = server.HttpServer(self._handle_caller)
         self._ready_server = server.HttpServer(self._handle_ready)
         self._peer_server = server.HttpServer(self._handle_peer)
@@ -401,23 +423,6 @@
         """Tell whether a request may still run when the process exits."""
         return time.monotonic() + timeout_seconds > self._response_deadline_at
 
-    async def _expire_replicas(self) -> None:
-        """Drop the registrations that lapsed during an outage of the log.
-
-        The directory keeps these registrations until live replicas have had
-        time to register again after the end of the outage.
-        """
-        was_failing = False
-        while True:
-            await asyncio.sleep(EXPIRE_INTERVAL_SECONDS)
-            now = time.monotonic()
-            failing = self._replica_tail.failing
-            if failing or was_failing:
-                self._directory.note_outage(now)
-            was_failing = failing
-            if not failing:
-                self._directory.expire(now)
-
     def _is_drained(self) -> bool:
         """Tell whether no records, batches or connections are left."""
         return (
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -70,6 +70,18 @@
     ['outcome'],
     registry=REGISTRY,
 )
+FAIR_QUEUE = prometheus_client.Counter(
+    'auburnroad_fair_queue',
+    'Single requests that found all replicas full, by what became of them.',
+    ['outcome'],
+    registry=REGISTRY,
+)
+SCALE_ORDERS = prometheus_client.Counter(
+    'auburnroad_scale_orders',
+    'Orders of numbers of replicas, by whether these rise, fall or stay.',
+    ['change'],
+    registry=REGISTRY,
+)
 REQUESTS_QUARANTINED = prometheus_client.Counter(
     'auburnroad_requests_quarantined',
     'Requests refused because they crash the replicas that run them.',
