--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -234,6 +234,9 @@
             await self._place(replica)
             self.plain.append(replica)
         self.write_configuration(add_key=self.schedule.has_accounts)
+        if self.schedule.has_accounts:
+            # The first key that may be removed.
+            self.write_configuration(add_key=True)
         self._tasks.append(asyncio.create_task(self._register()))
         for number, gateway in enumerate(self.gateways):
             target = await self.store.listen(
