--- a/packages/client/auburnroad_client/logs/causes.py
+++ b/packages/client/auburnroad_client/logs/causes.py
@@ -26,6 +26,8 @@
     'replica_gone',
     'silent_replica',
     'orphaned',
+    'usage_incomplete',
+    'usage_late',
     'log_away',
     'slow_replica',
 )
@@ -220,3 +222,27 @@
         f'replica {worst.fields.get("replica")} was slow '
         f'({worst.fields.get("pace_ms")} ms per event); {len(moved)} moves'
     )
+
+
+@CAUSES.register('usage_incomplete')
+def _explain_usage_incomplete(lines: Lines, context: Lines) -> str:
+    line = _find_event(lines, 'usage_incomplete')
+    if line is None:
+        return ''
+    hosts = _format_list(line.fields.get('hosts', []))
+    return f'the report was fixed before these hosts were done: {hosts}'
+
+
+@CAUSES.register('usage_late')
+def _explain_usage_late(lines: Lines, context: Lines) -> str:
+    fixed = _find_event(lines, 'usage_fixed')
+    sent = _find_event(lines, 'usage_sent', 'usage_given_up')
+    if sent is None or not sent.fields.get('late', True):
+        return ''
+    if fixed is None:
+        return 'the report was late, and no log line says when it was fixed'
+    failed = sum(line.event == 'duty_call_failed' for line in context)
+    return (
+        f'the report was late: fixed {fixed.fields.get("after_ms")} ms after '
+        f'the end of the window, then {failed} calls failed'
+    )
--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -125,6 +125,28 @@
                 built = timeline.build_timeline(log, 'q9')
                 self.assertIn(expected, built.causes[0])
 
+    def test_late_window_of_the_usage_report_is_explained(self):
+        """Its number is all that the platform names."""
+        (self.path / 'h3.log').write_bytes(
+            b'\n'.join(
+                [
+                    build_line(1000, 'usage_fixed', window=71, after_ms=6000),
+                    build_line(
+                        1000, 'usage_incomplete', window=71, hosts=['h2']
+                    ),
+                    build_line(2000, 'duty_call_failed', duty='usage:'),
+                    build_line(9000, 'usage_sent', window=71, late=True),
+                ]
+            )
+        )
+        found = timeline.build_timeline(
+            reading.read_log([str(self.path)]), '71'
+        )
+        self.assertEqual(3, len(found.lines))
+        self.assertIn('h2', found.causes[0])
+        self.assertIn('fixed 6000 ms', found.causes[1])
+        self.assertIn('then 1 calls failed', found.causes[1])
+
     def test_unknown_id_has_no_lines(self):
         self.assertEqual([], timeline.build_timeline(self.log, 'no').lines)
 
--- a/packages/client/auburnroad_client/logs/timeline.py
+++ b/packages/client/auburnroad_client/logs/timeline.py
@@ -29,6 +29,9 @@
         'order_sent',
         'order_failed',
         'duty_changed',
+        'duty_call_failed',
+        'usage_not_written',
+        'usage_report_not_written',
         'configuration_in_force',
     )
 )
@@ -57,8 +60,8 @@
 
     Args:
       log: Log lines of all processes.
-      identity: Id of a request, batch, item, replica or incarnation, or a
-        host's name.
+      identity: Id of a request, batch, item, replica or incarnation, a host's
+        name, or the number of a window of the usage report.
 
     Returns:
       The timeline; without lines if no log line mentions the id.
@@ -80,6 +83,8 @@
 def _mentions(line: reading.Line, identity: str) -> bool:
     if line.host == identity:
         return True
+    if str(line.fields.get('window', '')) == identity:
+        return True
     return any(
         value == identity or (isinstance(value, list) and identity in value)
         for value in line.fields.values()
@@ -94,6 +99,8 @@
     for line in lines:
         replicas.add(line.fields.get('replica'))
         replicas.update(line.fields.get('replicas', []))
+        # Hosts whose counts of a window are missing.
+        hosts.update(line.fields.get('hosts', []))
     begin = lines[0].time_ms - CONTEXT_BEFORE_MS
     end = lines[-1].time_ms + CONTEXT_AFTER_MS
     known = {id(line) for line in lines}
