--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -157,7 +157,12 @@
         first, and when.
     """
 
-    def __init__(self, schedule: schedules.Schedule, directory: pathlib.Path):
+    def __init__(
+        self,
+        schedule: schedules.Schedule,
+        directory: pathlib.Path,
+        build_gateway=Gateway,
+    ):
         self.schedule = schedule
         self.store = platform_store.PlatformStore()
         self.books = platform_replica.Books()
@@ -173,7 +178,7 @@
         self._next_ip = REPLICA_HOST
         self._tasks: list[asyncio.Task] = []
         self.gateways = [
-            Gateway(
+            build_gateway(
                 f'g{number}',
                 f'{self._network.prefix}.{GATEWAY_HOST + number}',
                 directory,
