Count only where there is a usage report, and detect short stops less often

Cause: with accounts and without a usage report nobody took the counts, which grew for ever. A stop before the records of earlier incarnations were read would have replaced them. A busy event loop of a quarter of a second counted as a suspension, after which calls wait for thawMs; under load they might have waited for each other.

Change: AttemptCounts asks whether there is a report; finish() writes nothing before the records were read (its tests now wait until they are); the gap that counts as a suspension is 0.9 s, less than the 1.0 s after which a holder counts as dead. The length of a window is fixed at the start of the process.

--- a/packages/gateway/auburnroad_gateway/duties/suspension.py
+++ b/packages/gateway/auburnroad_gateway/duties/suspension.py
@@ -7,9 +7,9 @@
 
 # The two clocks are not read at the same instant.
 CLOCK_TOLERANCE_SECONDS = 0.05
-# Gap between observations that is taken for a suspension; without one they
-# follow each other within OBSERVE_SECONDS.
-GAP_SECONDS = 0.25
+# Gap between observations that is taken for a suspension: shorter than the
+# time after which a holder counts as dead, longer than a busy loop needs.
+GAP_SECONDS = 0.9
 OBSERVE_SECONDS = 0.05
 
 
--- a/packages/gateway/auburnroad_gateway/process/duties.py
+++ b/packages/gateway/auburnroad_gateway/process/duties.py
@@ -54,7 +54,9 @@
             settings, log, members.incarnation, lambda: len(members.alive)
         )
         self.usage = attempts.AttemptCounts(
-            self._records.counter, self._records.find_time_ms
+            self._records.counter,
+            self._records.find_time_ms,
+            lambda: self._counts_usage,
         )
         self._reporter = reporter.UsageReporter(
             settings, adapter, log, members, duties, self.caller, self._records
--- a/packages/gateway/auburnroad_gateway/usage/attempts.py
+++ b/packages/gateway/auburnroad_gateway/usage/attempts.py
@@ -50,19 +50,23 @@
 class AttemptCounts:
     """Begins the count of each attempt of a caller's request."""
 
-    __slots__ = ('_counter', '_find_time_ms')
+    __slots__ = ('_counter', '_find_time_ms', '_is_on')
 
     def __init__(
         self,
         counter: counting.UsageCounter | None = None,
         find_time_ms: typing.Callable[[], int] | None = None,
+        is_on: typing.Callable[[], bool] = lambda: True,
     ):
         """Create the counts of a gateway.
 
         Args:
           counter: Counts of the gateway; None to count nothing.
           find_time_ms: Returns the time in Unix milliseconds.
+          is_on: Tells whether there is a usage report; without one nobody
+            would take the counts.
         """
+        self._is_on = is_on
         self._counter = counter
         self._find_time_ms = find_time_ms
 
@@ -78,6 +82,6 @@
         Returns:
           The count, of which the outcome must be noted.
         """
-        if self._counter is None:
+        if self._counter is None or not self._is_on():
             account = ''
         return AttemptCount(self._counter, self._find_time_ms, account, handle)
--- a/packages/gateway/auburnroad_gateway/usage/attempts_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/attempts_test.py
@@ -100,6 +100,13 @@
         self.assertEqual(200, await self.forward(account=''))
         self.check()
 
+    async def test_nothing_is_counted_without_a_usage_report(self):
+        """Nobody would take the counts, and they would grow for ever."""
+        self.forwarder._usage._is_on = lambda: False
+        self.handle('near', scripted_replicas.answer)
+        self.assertEqual(200, await self.forward())
+        self.check()
+
     async def test_refused_request_counts_nowhere(self):
         for name in ('near', 'far'):
             self.handle(name, scripted_replicas.refuse)
--- a/packages/gateway/auburnroad_gateway/usage/records.py
+++ b/packages/gateway/auburnroad_gateway/usage/records.py
@@ -59,17 +59,19 @@
 
     Attributes:
       counter: Counts of this gateway.
+      window_ms: Length of a window in milliseconds.
     """
 
     __slots__ = (
         'counter',
+        'window_ms',
         '_host',
         '_log',
         '_incarnation',
         '_count_gateways',
-        '_window_ms',
         '_clock',
         '_earlier',
+        '_is_loaded',
         '_started_window',
         '_revision',
         '_producer',
@@ -97,15 +99,17 @@
         """
         boot_seconds = clock.read_boot_clock_seconds()
         self._clock = counting.WindowClock(clock.time_now_ms(), boot_seconds)
-        self._window_ms = settings.bounds.report_window_ms
+        # A changed length needs a restart: counts and records depend on it.
+        self.window_ms = settings.bounds.report_window_ms
         self.counter = counting.UsageCounter(
-            self._window_ms, self._clock.find_time_ms(boot_seconds)
+            self.window_ms, self._clock.find_time_ms(boot_seconds)
         )
         self._host = settings.name
         self._log = log
         self._incarnation = incarnation
         self._count_gateways = count_gateways
         self._earlier: dict[int, dict[str, fold.Entry]] = {}
+        self._is_loaded = False
         self._started_window = self.counter.first_open
         self._revision = 0
         self._producer = service.Producer(incarnation, 1, 0)
@@ -136,7 +140,13 @@
                 await self._append()
 
     async def finish(self) -> None:
-        """Close all windows before a planned stop and try to record them."""
+        """Close all windows before a planned stop and try to record them.
+
+        Without the counts of earlier incarnations nothing is written, as it
+        would take their place.
+        """
+        if not self._is_loaded:
+            return
         self.counter.close_all()
         try:
             async with asyncio.timeout(FINISH_SECONDS):
@@ -198,6 +208,7 @@
             self._earlier[record.window] = record.entries
             if not all(entry.final for entry in record.entries.values()):
                 self.counter.changed.add(record.window)
+        self._is_loaded = True
 
     async def _append(self) -> None:
         """Append the changed windows, or again what may not be in the log.
--- a/packages/gateway/auburnroad_gateway/usage/records_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/records_test.py
@@ -41,6 +41,9 @@
     @contextlib.asynccontextmanager
     async def running(self, subject):
         task = asyncio.create_task(subject.run())
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not subject._is_loaded:
+                await asyncio.sleep(0)
         try:
             yield
         finally:
@@ -129,6 +132,17 @@
             await subject.finish()
             await self.wait_for(subject, {'a': 1}, final=True)
 
+    async def test_stop_before_earlier_records_were_read_writes_nothing(self):
+        """It would take the place of what the host had counted."""
+        subject = self.build('i1')
+        async with self.running(subject):
+            self.count(subject)
+            await self.wait_for(subject, {'a': 1})
+        subject = self.build('i2')
+        self.count(subject)
+        await subject.finish()
+        await self.wait_for(subject, {'a': 1})
+
     async def test_records_of_a_host_are_bounded(self):
         keys = {records.build_key('h', window) for window in range(100)}
         self.assertEqual(records.SLOTS, len(keys))
--- a/packages/gateway/auburnroad_gateway/usage/reporter.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter.py
@@ -93,7 +93,7 @@
 
     @property
     def _window_ms(self) -> int:
-        return self._settings.bounds.report_window_ms
+        return self._records.window_ms
 
     @property
     def _due_ms(self) -> int:
