Drop requests that left from the queue of a low priority

Cause: a request that left the fair queue, as overdue or because its caller went away, stayed in its account's line until that line was served. While requests of a higher priority always wait, a lower one is never served, and its line grew with each request for as long as the contention lasted. Change: the front of a line is dropped at each removal.

--- a/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
+++ b/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
@@ -104,14 +104,18 @@
         self.fresh: collections.deque[Entry] = collections.deque()
 
     def find_first(self) -> Entry | None:
-        """Find the next request; drop those that wait no longer."""
+        """Find the next request; None if none waits."""
         for line in (self.returning, self.fresh):
-            while line and not line[0].waiting:
-                line.popleft()
             if line:
                 return line[0]
         return None
 
+    def drop_removed(self) -> None:
+        """Drop the requests at the front that wait no longer."""
+        for line in (self.returning, self.fresh):
+            while line and not line[0].waiting:
+                line.popleft()
+
     def sum_before(self, entry: Entry) -> float:
         """Sum the costs of the requests that precede a new one."""
         if not entry.returning:
@@ -336,6 +340,8 @@
 
     def _take(self, flow: _Flow, entry: Entry) -> None:
         entry.waiting = False
+        # At each removal, as a flow of a low priority may never be served.
+        flow.drop_removed()
         flow.count -= 1
         flow.cost = flow.cost - entry.cost if flow.count else 0.0
         self._count -= 1
--- a/packages/gateway/auburnroad_gateway/accounts/fair_queue_test.py
+++ b/packages/gateway/auburnroad_gateway/accounts/fair_queue_test.py
@@ -101,6 +101,25 @@
         self.add_many('a')
         self.assertEqual('bab', pop_accounts(self.subject, 5))
 
+    def test_requests_that_left_are_not_kept_behind_higher_priorities(self):
+        """Guards against memory that grows while no request of them is served.
+
+        The queue never empties, and the account of the low priority always
+        has a waiting request.
+        """
+        self.add_many('f', priority=0)
+        before = add(self.subject, 'a', priority=1)
+        for number in range(1000):
+            after = add(
+                self.subject, 'a', priority=1, returning=bool(number % 2)
+            )
+            self.subject.remove(before, 0.0)
+            before = after
+        flow = self.subject._levels[1].flows['a']
+        self.assertEqual(1, flow.count)
+        self.assertLessEqual(len(flow.fresh) + len(flow.returning), 2)
+        self.assertEqual('fa', pop_accounts(self.subject, 3))
+
 
 class RefusalTest(unittest.TestCase):
     """Requests that cannot be served in time."""
