Give free slots to waiting requests before a new one is judged

Cause: a slot that a stream, another gateway or an expired report left free is found by a check every 20 ms. A request that arrived before that check was judged by the queue ahead of it, and refused at once although slots were free for all of it. Change: Admission.enter hands out the free slots first.

--- a/packages/gateway/auburnroad_gateway/forwarding/admission.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/admission.py
@@ -124,6 +124,8 @@
         known = self._services.setdefault(
             pending.service, _ServiceQueue(self._draw)
         )
+        # Slots may have become free since the last check.
+        self._assign(pending.service, known, now)
         if not known.queue and self._count_free(pending.service, known) > 0:
             return None
         entry = self._build_entry(pending, now)
--- a/packages/gateway/auburnroad_gateway/forwarding/admission_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/admission_test.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from auburnroad_core.http import messages
 from auburnroad_gateway.accounts import access
@@ -24,6 +25,7 @@
 from auburnroad_standins import scripted_replicas
 
 TIMEOUT_SECONDS = 20
+CHECK_SECONDS = admission.CHECK_SECONDS
 # Its share for waiting outlasts the tests.
 PATIENT_MS = 200_000
 ACCOUNTS = {
@@ -208,6 +210,24 @@
             while len(self.running) < 2:
                 await asyncio.sleep(0.01)
 
+    async def test_new_request_is_not_refused_while_a_slot_is_free(self):
+        """Guards against refusals between two checks for free slots.
+
+        The measured rate is so low that the queue would take too long.
+        """
+        target = self.replicas.list_ready('s')[0]
+        await self.send_all('flood', 'flood', 'quiet')
+        queue = self.admission._services['s'].queue
+        queue._rate._cost, queue._rate._seconds = 1.0, 1000.0
+        with mock.patch.object(admission, 'CHECK_SECONDS', TIMEOUT_SECONDS):
+            await asyncio.sleep(2 * CHECK_SECONDS)
+            target.in_flight -= 2
+            late = await self.settle(self.send('quiet', 9, target_latency_ms=200))
+        self.assertFalse(late.done())
+        self.assertEqual(4, len(self.running))
+        self.assertEqual(0, self.admission.count_waiting('s'))
+        target.in_flight += 2
+
     async def test_gateway_without_runs_tries_a_full_replica(self):
         """Otherwise it would never learn that slots are free again."""
         target = self.replicas.list_ready('s')[0]
--- a/packages/gateway/auburnroad_gateway/weights/speed_assignment_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/speed_assignment_test.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import itertools
 import unittest
 
 from auburnroad_gateway.directory import pace
@@ -74,6 +75,38 @@
         self.improve(20)
         self.assertEqual(0, self.improve(5))
 
+    def test_assignment_settles_for_any_lengths_and_start(self):
+        """Guards against exchanges that go round in a circle.
+
+        'a' and 'b' have similar lengths, and so have 'b' and 'c', but not 'a'
+        and 'c'.
+        """
+        lengths = {'a': 1000.0, 'b': 900.0, 'c': 700.0}
+        self.replicas = build_replicas(12)
+        for models in itertools.permutations('abc'):
+            for start in range(3):
+                names = [models[0]] * 4 + [models[1]] * 4 + [models[2]] * 4
+                names = names[start:] + names[:start]
+                self.assigned = {
+                    target.id: model
+                    for target, model in zip(
+                        self.replicas[2::3]
+                        + self.replicas[0::3]
+                        + self.replicas[1::3],
+                        names,
+                        strict=True,
+                    )
+                }
+                self.improve(20, lengths)
+                self.assertEqual(0, self.improve(5, lengths), names)
+
+    def test_models_with_similar_lengths_in_a_chain_share_evenly(self):
+        lengths = {'a': 1500.0, 'b': 1300.0, 'c': 1100.0, 'short': 300.0}
+        self.improve(20, lengths)
+        counts = [self.count_slow()[model] for model in ('a', 'b', 'c')]
+        self.assertLessEqual(max(counts) - min(counts), 1)
+        self.assertEqual(3, self.count_slow()['short'])
+
     def test_one_exchange_is_made_at_a_time(self):
         before = dict(self.assigned)
         self.improve(1)
