Rank models by text length so that exchanges of slow replicas end

Cause: two models counted as similar by the ratio of their lengths, which is not transitive. With lengths of 1,000, 900 and 700 tokens and four slow replicas of twelve, slow replicas went from the longest to the shortest by length and back over the middle one for balance, one exchange and two loads of weights at each check, without end. Change: models are ranked by length; a model that is 1.3 times as long as the next shorter one begins a rank, and models of one rank share evenly.

--- a/packages/gateway/auburnroad_gateway/weights/speed_assignment.py
+++ b/packages/gateway/auburnroad_gateway/weights/speed_assignment.py
@@ -13,7 +13,7 @@
 
 # Ratio of a replica's slowness to the median from which it is a slow one.
 SLOW_RATIO = 1.15
-# Ratio of text lengths from which two models differ.
+# Ratio of text lengths from which a model differs from the next shorter one.
 LONGER_RATIO = 1.3
 
 
@@ -81,14 +81,32 @@
         if model in text_tokens:
             group = slow if replica_id in slow_ids else fast
             group[model].append(replica_id)
+    ranks = _rank_lengths(text_tokens)
     for giving in sorted(slow, key=lambda model: -len(slow[model])):
         for taking in sorted(fast, key=lambda model: len(slow[model])):
             if not slow[giving] or not fast[taking] or giving == taking:
                 continue
-            ratio = text_tokens[giving] / text_tokens[taking]
-            is_similar = 1 / LONGER_RATIO < ratio < LONGER_RATIO
-            if ratio >= LONGER_RATIO or (
+            is_longer = ranks[giving] > ranks[taking]
+            is_similar = ranks[giving] == ranks[taking]
+            if is_longer or (
                 is_similar and len(slow[giving]) > len(slow[taking]) + 1
             ):
                 return _Swap(slow[giving][0], fast[taking][0])
     return None
+
+
+def _rank_lengths(text_tokens: dict[str, float]) -> dict[str, int]:
+    """Rank models by text length; models of similar length share a rank.
+
+    Ranks are transitive, unlike ratios of two lengths: exchanges by ratio can
+    go round among three models without end.
+    """
+    ranks: dict[str, int] = {}
+    rank, previous = 0, None
+    for model in sorted(text_tokens, key=text_tokens.__getitem__):
+        length = text_tokens[model]
+        if previous is not None and length >= LONGER_RATIO * previous:
+            rank += 1
+        ranks[model] = rank
+        previous = length
+    return ranks
