Measure the lasting pace of replicas with many runs

Cause: the lasting pace is the median of gaps that span 1 s at least, of which 256 are kept. A replica whose runs send more than 256 events a second to this gateway (16 runs at 50 ms) fills the buffer in less than 1 s, so that its pace was never known; such a replica was placed by the median, and no run left it for its lasting pace. Change: a full buffer that spans less than 1 s loses every other gap.

--- a/packages/gateway/auburnroad_gateway/directory/pace.py
+++ b/packages/gateway/auburnroad_gateway/directory/pace.py
@@ -113,7 +113,16 @@
         while self._gaps and self._gaps[0][0] < now - WINDOW_SECONDS:
             self._gaps.popleft()
         if now - self._gaps[0][0] < MIN_SPAN_SECONDS:
+            if len(self._gaps) == MAX_GAPS:
+                # Many runs fill the buffer in less time than needed; half of
+                # the gaps tell the median as well.
+                self._drop_every_other()
             return
         ordered = sorted(gap_ms for _, gap_ms in self._gaps)
         self._lasting_ms = ordered[len(ordered) // 2]
         self._lasting_until = now + LASTING_TTL_SECONDS
+
+    def _drop_every_other(self) -> None:
+        kept = list(self._gaps)[::2]
+        self._gaps.clear()
+        self._gaps.extend(kept)
--- a/packages/gateway/auburnroad_gateway/directory/pace_test.py
+++ b/packages/gateway/auburnroad_gateway/directory/pace_test.py
@@ -73,6 +73,21 @@
         now = note_gaps(fresh, SLOW_MOMENT_RATIO * USUAL_MS, 0.6, 200.0)
         self.assertEqual(0.0, fresh.find_lasting_ms(now))
 
+    def test_pace_of_many_runs_is_found(self):
+        """Guards against a full buffer whose gaps never span enough time."""
+        for runs in (1, 8, 16, 64):
+            estimate, now = pace.PaceEstimate(), 200.0
+            for _ in range(100 * runs):
+                now += USUAL_MS / 1000 / runs
+                estimate.note_gap(USUAL_MS, now)
+            self.assertEqual(USUAL_MS, estimate.find_lasting_ms(now), runs)
+            slow_ms = 1.3 * USUAL_MS
+            for _ in range(100 * runs):
+                now += slow_ms / 1000 / runs
+                estimate.note_gap(slow_ms, now)
+            self.assertEqual(slow_ms, estimate.find_lasting_ms(now), runs)
+            self.assertLessEqual(len(estimate._gaps), pace.MAX_GAPS)
+
     @hypothesis.settings(derandomize=True, max_examples=100)
     @hypothesis.given(
         strategies.lists(
