Log a malformed request without quoting it

Cause: h11 quotes the line that it can't parse, and the server logged the text. A line like 'authorization : Bearer KEY' brought an API key into the log where lines of level INFO are written. Change: the log line has the reason up to the colon only. Result: the new test found the key before; 13 tests of http.server pass.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -116,8 +116,9 @@
     async def _refuse_malformed(self, error) -> None:
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        # Logged only, because the error text quotes the caller's request.
-        logging.info('malformed HTTP request: %.200s', error)
+        # After a colon, h11 quotes the request, which may contain an API key.
+        reason = str(error).partition(':')[0]
+        logging.info('malformed HTTP request: %.200s', reason)
         status = error.error_status_hint
         refused = _RefusedError(status, 'malformed_http', 'not HTTP/1.1')
         await self._send(refused.build_response())
--- a/packages/core/auburnroad_core/http/server_test.py
+++ b/packages/core/auburnroad_core/http/server_test.py
@@ -106,6 +106,16 @@
         response = await self.send_raw(b'SECRET' * 50 + b'\r\n\r\n')
         self.assertNotIn(b'SECRET', response)
 
+    async def test_log_does_not_quote_a_malformed_request(self):
+        """Guards against API keys in the log."""
+        for line in (b'authorization : Bearer KEY', b'Bearer KEY'):
+            with self.assertLogs(level='INFO') as logs:
+                await self.send_raw(
+                    b'GET / HTTP/1.1\r\nhost: a\r\n' + line + b'\r\n\r\n'
+                )
+            self.assertIn('illegal header line', ''.join(logs.output))
+            self.assertNotIn('KEY', ''.join(logs.output))
+
     async def test_malformed_http_is_rejected(self):
         response = await self.send_raw(b'nonsense\r\n\r\n')
         self.assertTrue(response.startswith(b'HTTP/1.1 400'))
