Say in plain terms what the modules on load and shares do

Cause: docstrings called a load or hosts something that a module 'answers', left out units, the return value of estimate_gain and the reason 'slow moment', and said that runs always leave free slots to waiting items. Change: wording only, and the format of one test.

--- a/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
+++ b/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
@@ -4,7 +4,7 @@
 virtual time at which its first request starts, and the request with the
 lowest tag is served next. Serving a request moves the tag of its account by
 the cost of the request, so that an account that floods waits behind its own
-requests. Only waiting accounts have a say, so that unused shares are lent at
+requests. Only waiting accounts take part, so that unused shares are lent at
 once; an account that begins to wait starts at the present virtual time, so
 that what it lent is not returned to it later in one go.
 
@@ -147,7 +147,10 @@
 
 
 class DrainRate:
-    """Measures how fast a queue is served while requests wait."""
+    """Measures how fast a queue is served while requests wait.
+
+    Times are in seconds, as in the whole module.
+    """
 
     __slots__ = ('_cost', '_seconds', '_waiting_since', '_measured_at')
 
--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -63,16 +63,18 @@
       replicas: All replicas.
       failure_domain: Failure domain of this gateway.
       has_waiting_items: Whether items wait for a slot; free slots then go to
-        these items instead of runs that would only become faster.
+        these items instead of runs that would only become faster, unless the
+        replica of the run states its slowness.
       paces: Paces of the replicas that may run the item.
       now: Monotonic time in seconds.
 
     Returns:
       'vacating' if the replica is not ready or about to load weights and
       another replica has a free slot, 'slow' if a faster replica has a free
-      slot, 'crawling' if the run ends sooner by waiting for a slot at another
-      replica, or an empty string if the run stays. A replica of another
-      release than the text's is no other replica.
+      slot, 'slow moment' if the replica is slow at present and another one
+      with a free slot isn't, 'crawling' if the run ends sooner by waiting for
+      a slot at another replica, or an empty string if the run stays. A replica
+      of another release than the text's is no other replica.
     """
     current = run.replica
     must_vacate = current.vacating or not replicas.is_ready(current)
--- a/packages/gateway/auburnroad_gateway/batches/speed_gain.py
+++ b/packages/gateway/auburnroad_gateway/batches/speed_gain.py
@@ -1,12 +1,12 @@
 """Decides which runs move because another replica generates faster.
 
-Answers hosts that are shared with other programs: a training step waits for
-its longest text, and while a run stays where its text began, it loses the
-difference between two hosts at each event, and more in each slow moment. A
-move costs a request, another prefill of the text, and the events that the
-replica was about to send. It pays only for runs that still have much to
-generate. Replicas that state their slowness call for these rules; for all
-others, an average pace decides.
+Hosts may be shared with other programs. A training step waits for its longest
+text, and while a run stays where its text began, it loses the difference
+between two hosts at each event, and more in each slow moment. A move costs a
+request, another prefill of the text, and the events that the replica was about
+to send. It pays only for runs that still have much to generate. Replicas that
+state their slowness call for these rules; for all others, an average pace
+decides.
 """
 
 import msgspec
@@ -112,10 +112,14 @@
 
     Args:
       events_left: Expected number of events left to generate.
-      current_ms: Lasting pace of the current replica.
-      other_ms: Lasting pace of the other replica.
+      current_ms: Lasting pace of the current replica, in milliseconds between
+        two events.
+      other_ms: Lasting pace of the other replica, likewise.
       is_slow: Whether the current replica is in a slow moment.
       tokens: Tokens that the other replica has to prefill.
+
+    Returns:
+      The gain and the cost.
     """
     present_ms = 0.0
     if is_slow:
--- a/packages/gateway/auburnroad_gateway/directory/pace.py
+++ b/packages/gateway/auburnroad_gateway/directory/pace.py
@@ -1,10 +1,10 @@
 """Estimates how fast a replica generates, at present and lastingly.
 
-Answers the load of hosts that replicas share with other programs: some are
-slower for good, and each is much slower for some hundred milliseconds at a
-time. The two call for opposite decisions. A long text should leave a replica
-that is slower for good, and a short slow moment is over by the time most runs
-would go on elsewhere. A single average can't tell them apart.
+Replicas may share their hosts with other programs: some hosts are slower for
+good, and each is much slower for some hundred milliseconds at a time. The two
+call for opposite decisions. A long text should leave a replica that is slower
+for good, and a short slow moment is over by the time most runs would go on
+elsewhere. A single average can't tell them apart.
 """
 
 import collections
--- a/packages/gateway/auburnroad_gateway/forwarding/admission_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/admission_test.py
@@ -222,7 +222,9 @@
         with mock.patch.object(admission, 'CHECK_SECONDS', TIMEOUT_SECONDS):
             await asyncio.sleep(2 * CHECK_SECONDS)
             target.in_flight -= 2
-            late = await self.settle(self.send('quiet', 9, target_latency_ms=200))
+            late = await self.settle(
+                self.send('quiet', 9, target_latency_ms=200)
+            )
         self.assertFalse(late.done())
         self.assertEqual(4, len(self.running))
         self.assertEqual(0, self.admission.count_waiting('s'))
--- a/packages/gateway/auburnroad_gateway/weights/speed_assignment.py
+++ b/packages/gateway/auburnroad_gateway/weights/speed_assignment.py
@@ -1,6 +1,6 @@
 """Gives the replicas that are lastingly slower to models with short texts.
 
-Answers a pool on hosts of different speed that several trainers share: a step
+Several trainers may share a pool on hosts of different speed. A training step
 waits for its longest text, so a slow replica costs a model with long texts
 whole steps, and a model with short texts next to nothing. Models with texts of
 similar length get slow replicas in equal numbers.
