--- a/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
+++ b/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
@@ -4,7 +4,7 @@
 virtual time at which its first request starts, and the request with the
 lowest tag is served next. Serving a request moves the tag of its account by
 the cost of the request, so that an account that floods waits behind its own
-requests. Only waiting accounts have a say, so that unused shares are lent at
+requests. Only waiting accounts take part, so that unused shares are lent at
 once; an account that begins to wait starts at the present virtual time, so
 that what it lent is not returned to it later in one go.
 
@@ -104,14 +104,18 @@
         self.fresh: collections.deque[Entry] = collections.deque()
 
     def find_first(self) -> Entry | None:
-        """Find the next request; drop those that wait no longer."""
+        """Find the next request; None if none waits."""
         for line in (self.returning, self.fresh):
-            while line and not line[0].waiting:
-                line.popleft()
             if line:
                 return line[0]
         return None
 
+    def drop_removed(self) -> None:
+        """Drop the requests at the front that wait no longer."""
+        for line in (self.returning, self.fresh):
+            while line and not line[0].waiting:
+                line.popleft()
+
     def sum_before(self, entry: Entry) -> float:
         """Sum the costs of the requests that precede a new one."""
         if not entry.returning:
@@ -143,7 +147,10 @@
 
 
 class DrainRate:
-    """Measures how fast a queue is served while requests wait."""
+    """Measures how fast a queue is served while requests wait.
+
+    Times are in seconds, as in the whole module.
+    """
 
     __slots__ = ('_cost', '_seconds', '_waiting_since', '_measured_at')
 
@@ -336,6 +343,8 @@
 
     def _take(self, flow: _Flow, entry: Entry) -> None:
         entry.waiting = False
+        # At each removal, as a flow of a low priority may never be served.
+        flow.drop_removed()
         flow.count -= 1
         flow.cost = flow.cost - entry.cost if flow.count else 0.0
         self._count -= 1
--- a/packages/gateway/auburnroad_gateway/directory/pace.py
+++ b/packages/gateway/auburnroad_gateway/directory/pace.py
@@ -1,10 +1,10 @@
 """Estimates how fast a replica generates, at present and lastingly.
 
-Answers the load of hosts that replicas share with other programs: some are
-slower for good, and each is much slower for some hundred milliseconds at a
-time. The two call for opposite decisions. A long text should leave a replica
-that is slower for good, and a short slow moment is over by the time most runs
-would go on elsewhere. A single average can't tell them apart.
+Replicas may share their hosts with other programs: some hosts are slower for
+good, and each is much slower for some hundred milliseconds at a time. The two
+call for opposite decisions. A long text should leave a replica that is slower
+for good, and a short slow moment is over by the time most runs would go on
+elsewhere. A single average can't tell them apart.
 """
 
 import collections
@@ -119,8 +119,17 @@
         while self._gaps and self._gaps[0][0] < now - WINDOW_SECONDS:
             self._gaps.popleft()
         if now - self._gaps[0][0] < MIN_SPAN_SECONDS:
+            if len(self._gaps) == MAX_GAPS:
+                # Many runs fill the buffer in less time than needed; half of
+                # the gaps tell the median as well.
+                self._drop_every_other()
             return
         self._update_at = now + UPDATE_SECONDS
         ordered = sorted(gap_ms for _, gap_ms in self._gaps)
         self._lasting_ms = ordered[len(ordered) // 2]
         self._lasting_until = now + LASTING_TTL_SECONDS
+
+    def _drop_every_other(self) -> None:
+        kept = list(self._gaps)[::2]
+        self._gaps.clear()
+        self._gaps.extend(kept)
