Join saved texts of two owners only if the same versions generated them

After all gateways were killed, several claimed the batch within 0.3 s, and each saved a text of its own. The fold joined the rest of one owner's text to the beginning of another's, as both ended at the same event, and took over the versions of the first owner's lost beginning. Change: a saved text states the versions of the text before it, and continues only a text of the same versions. Records of older gateways are joined as before. Result: the test fails without the change, and the unit tests of batches pass.

--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -202,9 +202,13 @@
     if not known:
         return record.after < 0
     last = known[-1]
-    return record.after == last.last_event and last.release in (
-        None,
-        record.release,
+    # Two owners may have saved texts up to the same event that were generated
+    # by different versions. The rest of one doesn't continue the other: its
+    # versions are those of the whole text of its writer.
+    return (
+        record.after == last.last_event
+        and last.release in (None, record.release)
+        and record.versions_before in (None, last.versions)
     )
 
 
--- a/packages/gateway/auburnroad_gateway/batches/fold_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold_test.py
@@ -132,6 +132,27 @@
             [(part.last_event, part.release) for part in state.progress[0]],
         )
 
+    def test_rest_of_a_text_of_other_versions_is_not_joined(self):
+        """Guards against a result that names a version of a lost text.
+
+        After a loss of all gateways several of them claimed a batch at once,
+        and each saved a text of its own.
+        """
+        state = self.submit()
+        for after, last, versions, before in (
+            (-1, 0, [7], []),
+            (0, 2, [7, 8], [8]),
+            (0, 1, [7], [7]),
+        ):
+            record = records.Progress(
+                'b', 0, after, last, b'', versions, 0, versions_before=before
+            )
+            self.apply(records.encode(record))
+        self.assertEqual(
+            [(0, [7]), (1, [7])],
+            [(part.last_event, part.versions) for part in state.progress[0]],
+        )
+
     def test_text_saved_after_the_complete_text_is_ignored(self):
         state = self.submit()
         whole = records.Progress('b', 0, -1, 5, b'', [1], 0, complete=True)
--- a/packages/gateway/auburnroad_gateway/batches/owned_batches.py
+++ b/packages/gateway/auburnroad_gateway/batches/owned_batches.py
@@ -196,6 +196,7 @@
         run.last_event = run.saved_event = saved[-1].last_event
         run.saved_texts = len(run.texts)
         run.versions = set(saved[-1].versions)
+        run.saved_versions = set(saved[-1].versions)
         run.release = saved[-1].release
         run.complete = saved[-1].complete
     return run
@@ -243,6 +244,7 @@
     run.resume_from(saved)
     run.saved_event = saved.saved_event
     run.saved_texts = saved.saved_texts
+    run.saved_versions = saved.saved_versions
     run.failures = max(run.failures, saved.failures)
 
 
@@ -259,9 +261,11 @@
         run.failures,
         complete=run.complete,
         release=run.release,
+        versions_before=sorted(run.saved_versions),
     )
     run.saved_event = last
     run.saved_texts = len(run.texts)
+    run.saved_versions = set(run.versions)
     return progress
 
 
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -77,6 +77,8 @@
       complete: Whether the item's text is complete and waits for its score.
       release: Software that generated the item's text up to last_event; None
         if not recorded.
+      versions_before: Weight versions that generated the item's text up to
+        after, as its writer has it; None if not recorded.
     """
 
     batch_id: str
@@ -90,6 +92,7 @@
     part: int = 0
     complete: bool = False
     release: registration.Release | None = None
+    versions_before: list[int] | None = None
 
 
 class End(msgspec.Struct, frozen=True, array_like=True, tag='e'):
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -62,6 +62,7 @@
         first attempt.
       saved_event: Id of the last event that was saved; -1 for none.
       saved_texts: Number of texts that were saved.
+      saved_versions: Weight versions that generated the saved texts.
       complete: Whether the text is complete and waits for its score.
     """
 
@@ -81,6 +82,7 @@
         'replica',
         'saved_event',
         'saved_texts',
+        'saved_versions',
         'complete',
     )
 
@@ -100,6 +102,7 @@
         self.replica: replica.Replica | None = None
         self.saved_event = -1
         self.saved_texts = 0
+        self.saved_versions: set[int] = set()
         self.complete = False
 
     @property
@@ -128,6 +131,7 @@
         self.last_event = None
         self.saved_event = -1
         self.saved_texts = 0
+        self.saved_versions = set()
         self.complete = False
 
 
