Split the promises on crashing requests off promises.py

The three promises on requests that crash replicas move to crash_promises.py with their constants, unchanged; what both modules need moves to faults.py.

--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -37,6 +37,9 @@
 CRASHING_PAUSE_SECONDS = 0.4
 # A process that was killed is started again so much later.
 RESTART_SECONDS = 0.3
+# A disturbance may still show so long after it has ended: connections that
+# have gone silent are noticed late.
+AFTERMATH_SECONDS = 4.0
 
 
 @contextlib.contextmanager
@@ -55,6 +58,11 @@
             entry.end = now()
 
 
+def find_gateway(world: worlds.World, name: str) -> worlds.Gateway:
+    """Find a gateway by its name."""
+    return next(entry for entry in world.gateways if entry.name == name)
+
+
 def choose(subjects: list, fault: schedules.Fault):
     """Choose a subject by the fault's draw."""
     return subjects[int(fault.draw * len(subjects)) % len(subjects)]
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -7,6 +7,7 @@
 
 from auburnroad_core import registry
 from auburnroad_e2e.soak import callers as all_callers
+from auburnroad_e2e.soak import crash_promises
 from auburnroad_e2e.soak import faults
 from auburnroad_e2e.soak import key_promises
 from auburnroad_e2e.soak import world as worlds
@@ -29,17 +30,9 @@
     )
 )
 REFUSALS = (429, 503)
-# A disturbance may still show so long after it has ended: connections that
-# have gone silent are noticed late.
-AFTERMATH_SECONDS = 4.0
 CONFIGURATION_SECONDS = 2.0
 # Until a key that was removed is refused by gateways that are in touch.
 KEY_SECONDS = 3.0
-# From so long after a request has ended the third replica, gateways send it no
-# more than three times.
-CONTACT_SECONDS = 3.0
-KNOWN_CRASHES = 3
-ALLOWED_SENDS = 3
 # Of so many streams that are taken up, the share that goes on is at least this
 # part of the share of new streams that begin.
 MIN_TAKEN_UP = 12
@@ -52,6 +45,9 @@
 LIMIT_EXTRA = 5
 
 
+PROMISES.register('crashing-kept-away')(crash_promises.check_kept_away)
+PROMISES.register('crashing-spares-half')(crash_promises.check_spared)
+PROMISES.register('harmless-not-refused')(crash_promises.check_harmless)
 PROMISES.register('keys-kept')(key_promises.check_keys_kept)
 PROMISES.register('keys-not-printed')(key_promises.check_logs)
 PROMISES.register('known-keys-served')(key_promises.check_known_keys)
@@ -128,8 +124,8 @@
     begun, taken_up = [], []
     for book in callers.streams:
         for number, attempt in enumerate(book.attempts):
-            gateway = _find(world, attempt.gateway)
-            begin = attempt.started - AFTERMATH_SECONDS
+            gateway = faults.find_gateway(world, attempt.gateway)
+            begin = attempt.started - faults.AFTERMATH_SECONDS
             if (
                 world.is_calm(gateway, begin, attempt.ended)
                 and _are_calm(world.engines, world, begin, attempt.ended)
@@ -236,7 +232,9 @@
         if drained is None or run.started < drained + worlds.DRAIN_SECONDS:
             continue
         if all(
-            world.is_calm(gateway, drained - AFTERMATH_SECONDS, run.started)
+            world.is_calm(
+                gateway, drained - faults.AFTERMATH_SECONDS, run.started
+            )
             for gateway in world.gateways
         ) and not world.loop_trace.leave_out(
             run.started - worlds.DRAIN_SECONDS, run.started
@@ -324,57 +322,6 @@
                 break
 
 
-@PROMISES.register('crashing-kept-away')
-def check_crashing(world, callers):
-    """A request that ended three replicas reaches at most three more."""
-    crashes: dict[str, list[platform_replica.Crash]] = {}
-    for crash in world.books.crashes:
-        crashes.setdefault(crash.path, []).append(crash)
-    for path, ends in crashes.items():
-        if len(ends) <= KNOWN_CRASHES + ALLOWED_SENDS:
-            continue
-        late_from = ends[KNOWN_CRASHES - 1].at + CONTACT_SECONDS
-        late = 0
-        for crash in ends:
-            send = world.crashing_sends[crash.request_id]
-            begin = send.started - CONTACT_SECONDS
-            late += (
-                crash.at > late_from
-                and world.is_calm(_find(world, send.gateway), begin, crash.at)
-                and not world.loop_trace.leave_out(begin, crash.at)
-            )
-        if late > ALLOWED_SENDS:
-            yield f'{path} ended {len(ends)} replicas, {late} too late'
-
-
-@PROMISES.register('crashing-spares-half')
-def check_spared(world, callers):
-    """A gateway ends no second replica of three before the first is back."""
-    newest: dict[tuple[str, str], float] = {}
-    for crash in world.books.crashes:
-        send = world.crashing_sends[crash.request_id]
-        since = newest.get((crash.path, send.gateway), float('-inf'))
-        newest[crash.path, send.gateway] = crash.at
-        if crash.at >= since + worlds.CRASHED_SECONDS:
-            continue
-        begin = since - AFTERMATH_SECONDS
-        if (
-            world.is_calm(_find(world, send.gateway), begin, crash.at)
-            and not _has_fault(world, begin, crash.at)
-            and not world.loop_trace.leave_out(since, crash.at)
-        ):
-            took = crash.at - since
-            yield f'{crash.path} ended {crash.replica} after {took:.2f} s'
-
-
-@PROMISES.register('harmless-not-refused')
-def check_harmless(world, callers):
-    """Only requests that crash replicas are refused for that."""
-    for attempt in callers.attempts:
-        if attempt.refused_as == platform_calls.CRASHES_REPLICAS:
-            yield f'{attempt.request_id} was refused by {attempt.gateway}'
-
-
 @PROMISES.register('memory-bounded')
 def check_memory(world, callers):
     """No gateway takes more memory than its host has."""
@@ -391,8 +338,8 @@
     for attempt in callers.attempts:
         if attempt.status:
             continue
-        gateway = _find(world, attempt.gateway)
-        begin = attempt.started - AFTERMATH_SECONDS
+        gateway = faults.find_gateway(world, attempt.gateway)
+        begin = attempt.started - faults.AFTERMATH_SECONDS
         if not gateway.process.running or attempt.gateway_start != (
             gateway.starts
         ):
@@ -418,14 +365,14 @@
     for attempt in callers.attempts:
         if attempt.kind != 'added' or attempt.status != 404:
             continue
-        gateway = _find(world, attempt.gateway)
+        gateway = faults.find_gateway(world, attempt.gateway)
         since = added[_find_prefix(attempt)]
         late = attempt.started > since + CONFIGURATION_SECONDS
         calm_from = max(since, attempt.started - CONFIGURATION_SECONDS)
         if (
             late
             and world.is_calm(
-                gateway, calm_from - AFTERMATH_SECONDS, attempt.ended
+                gateway, calm_from - faults.AFTERMATH_SECONDS, attempt.ended
             )
             and not world.loop_trace.leave_out(calm_from, attempt.ended)
         ):
@@ -446,16 +393,6 @@
             yield f'{attempt.gateway} went back behind {attempt.path}'
 
 
-def _has_fault(world: worlds.World, start: float, end: float) -> bool:
-    """Tell whether a plain replica had a fault other than a crash."""
-    names = {replica.id for replica in world.plain}
-    return any(
-        entry.start < end and entry.end > start
-        for entry in world.disturbances
-        if entry.subject in names and entry.kind != worlds.CRASHED
-    )
-
-
 @PROMISES.register('removed-keys-refused')
 def check_removed_keys(world, callers):
     """A key that was removed is refused in time where nothing is wrong."""
@@ -464,8 +401,8 @@
         since = removed.get(attempt.key, float('inf'))
         if attempt.status != 200 or attempt.started <= since + KEY_SECONDS:
             continue
-        calm_from = attempt.started - KEY_SECONDS - AFTERMATH_SECONDS
-        gateway = _find(world, attempt.gateway)
+        calm_from = attempt.started - KEY_SECONDS - faults.AFTERMATH_SECONDS
+        gateway = faults.find_gateway(world, attempt.gateway)
         if world.is_calm(gateway, calm_from, attempt.ended):
             yield f'{attempt.gateway} accepts {attempt.key}, which is removed'
 
@@ -495,10 +432,6 @@
     return f'/{attempt.path.split("/")[1]}/'
 
 
-def _find(world: worlds.World, name: str) -> worlds.Gateway:
-    return next(entry for entry in world.gateways if entry.name == name)
-
-
 def _are_calm(replicas, world: worlds.World, start, end) -> bool:
     names = {replica.id for replica in replicas}
     return not any(
