Close only the kept windows after a long step of the clock

Once a step of the wall clock was believed, the counter closed each window up to the new time in one loop and noted it as changed: a host that had started in 1970 would have closed 350 million. The same held for the time from the start of a process until accounts came into force. After a step back, an attempt in a window that was dropped took one off the count of its account when it was not run, and kept its window open for 2 s.

The counter goes on with the oldest window that is kept, and ignores the end of attempts in windows that were dropped.

--- a/packages/gateway/auburnroad_gateway/usage/counting.py
+++ b/packages/gateway/auburnroad_gateway/usage/counting.py
@@ -134,8 +134,7 @@
         Args:
           window: Window that note_sent() returned.
         """
-        if window >= self.first_open:
-            self._undecided[window] -= 1
+        self._note_decided(window)
 
     def note_not_run(self, handle: ClientAttempt, window: int) -> None:
         """Note that an attempt at a replica certainly was not run.
@@ -147,9 +146,8 @@
           handle: The client attempt.
           window: Window that note_sent() returned.
         """
-        if window < self.first_open:
+        if not self._note_decided(window):
             return
-        self._undecided[window] -= 1
         handle.windows.remove(window)
         if handle.counted_window == window and window not in handle.windows:
             self._counts[window][handle.account] -= 1
@@ -167,6 +165,11 @@
         current = now_ms // self._window_ms
         if self.first_open > current + 1:
             self._move_back(current)
+        oldest = current - KEPT_WINDOWS
+        if self.first_open <= oldest:
+            # The wall clock was set, perhaps by years.
+            self.first_open = oldest + 1
+            self._drop_undecided()
         while self.first_open < current:
             over_ms = now_ms - (self.first_open + 1) * self._window_ms
             if self._undecided[self.first_open] and over_ms < UNDECIDED_MS:
@@ -174,7 +177,6 @@
             self.changed.add(self.first_open)
             self._undecided.pop(self.first_open, None)
             self.first_open += 1
-        oldest = current - KEPT_WINDOWS
         for window in [entry for entry in self._counts if entry <= oldest]:
             del self._counts[window]
         self.changed = {entry for entry in self.changed if entry > oldest}
@@ -203,6 +205,26 @@
         self.first_open = current
         for window in [entry for entry in self._counts if entry > current]:
             del self._counts[window]
+        # All of them are in windows that were dropped or had been closed.
+        self._undecided.clear()
+
+    def _note_decided(self, window: int) -> bool:
+        """Note that an attempt has ended.
+
+        Returns:
+          Whether its window is open; one that was dropped is not.
+        """
+        if not self._undecided.get(window):
+            return False
+        self._undecided[window] -= 1
+        return True
+
+    def _drop_undecided(self) -> None:
+        """Forget the undecided attempts of windows that are closed."""
+        for window in [
+            entry for entry in self._undecided if entry < self.first_open
+        ]:
+            del self._undecided[window]
 
     def _count(self, handle: ClientAttempt, window: int) -> None:
         handle.counted_window = window
--- a/packages/gateway/auburnroad_gateway/usage/counting_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/counting_test.py
@@ -90,6 +90,30 @@
         self.close(10.0)
         self.assertEqual({200, 201}, self.counter.changed)
 
+    def test_long_step_forward_closes_only_the_windows_that_are_kept(self):
+        """A host may start in 1970; each window took time and memory."""
+        added = []
+
+        class Windows(set):
+            def add(self, window):
+                added.append(window)
+                super().add(window)
+
+        self.counter.changed = Windows()
+        self.close(5 * 1000)
+        self.assertEqual(list(range(1193, 1200)), added)
+        self.assertEqual(1200, self.counter.first_open)
+
+    def test_attempt_of_a_dropped_window_takes_no_count_from_others(self):
+        """The clock had been ahead; the count was dropped with its window."""
+        window = self.send(100)
+        self.close(100)
+        self.close(0)
+        self.counter.note_not_run(self.handle, window)
+        self.assertEqual({}, self.counter.find_counts(window))
+        self.close(105)
+        self.assertTrue(self.counter.is_closed(window))
+
     def test_clock_that_had_been_ahead_opens_the_true_window_again(self):
         self.send(3600.0)
         self.close(3600.0)
