Report the windows of now although a report is ahead of them

The book of reports dropped what was 32 windows behind its newest one. A holder whose clock was wrong at its start fixes windows far ahead; after that, each report of a true window was dropped as soon as it was read. It was fixed again and again, possibly with other counts, and never sent, and reporting began only with the window ahead. A holder whose own clock was set back stopped likewise.

The book keeps one report for each slot, as its topic does. Reports begin with a window before the present one, and a first window ahead of it is corrected. Windows that are given up are counted without a list of all of them.

--- a/packages/gateway/auburnroad_gateway/usage/reporter.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter.py
@@ -194,37 +194,57 @@
     def _find_next(self, oldest: int) -> int | None:
         """Find the next window to fix; windows that are too old are given up.
 
-        Without any report in the log, reports begin with the window in which
-        accounts came into force, or with the first one in which any gateway
-        has counted a request.
+        Returns:
+          The window; None if there is none yet.
         """
-        known = self._book.reports
-        if not known and self._accounts_since is None:
+        if not self._book.reports and self._accounts_since is None:
             return None
+        current = self._find_current()
         if self._first is None:
-            self._first = (
-                min(known)
-                if known
-                else min(
-                    self._accounts_since,
-                    self._fold.find_earliest() or self._accounts_since,
-                )
-            )
-        given_up = [
-            window
-            for window in range(self._first, oldest)
-            if window not in known
+            self._first = self._find_first(oldest, current)
+        self._write_given_up(self._first, oldest)
+        # A clock that was ahead must not end the reports until its time comes.
+        self._first = min(max(self._first, oldest), current)
+        return self._book.find_next(self._first, current)
+
+    def _find_first(self, oldest: int, current: int) -> int:
+        """Find the window with which reports begin.
+
+        Without any report in the log, this is the window in which accounts
+        came into force, or the first one in which any gateway has counted a
+        request.
+        """
+        known = self._book.reports
+        past = [window for window in known if window < current]
+        if past:
+            return min(past)
+        if known:
+            # A gateway whose clock was ahead has fixed them.
+            return oldest
+        return min(
+            self._accounts_since,
+            self._fold.find_earliest() or self._accounts_since,
+        )
+
+    def _write_given_up(self, first: int, oldest: int) -> None:
+        """Log the windows without a report from first on, before oldest."""
+        known = [
+            window for window in self._book.reports if first <= window < oldest
         ]
-        if given_up:
-            metrics.USAGE_WINDOWS.labels('given_up').inc(len(given_up))
-            events.write(
-                'usage_given_up',
-                window=given_up[0],
-                last=given_up[-1],
-                fixed=False,
-            )
-        self._first = max(self._first, oldest)
-        return self._book.find_next(self._first, self._find_current())
+        count = max(0, oldest - first) - len(known)
+        if not count:
+            return
+        metrics.USAGE_WINDOWS.labels('given_up').inc(count)
+        events.write(
+            'usage_given_up',
+            window=self._book.find_next(first, oldest),
+            last=next(
+                window
+                for window in range(oldest - 1, first - 1, -1)
+                if window not in known
+            ),
+            fixed=False,
+        )
 
     async def _fix_if_complete(self, window: int) -> bool:
         """Fix a window if all hosts have closed it, or at the latest time.
@@ -350,5 +370,7 @@
         self._book.note_sent(report.window)
         async with self._append_lock:
             # Without this record, the next holder repeats the report.
-            await self._append(self._book.reports[report.window])
+            confirmed = self._book.reports.get(report.window)
+            if confirmed is not None:
+                await self._append(confirmed)
         return True
--- a/packages/gateway/auburnroad_gateway/usage/reporter_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter_test.py
@@ -293,6 +293,28 @@
         ]
         self.assertIn(('usage_given_up', old), written)
 
+    async def test_report_of_a_clock_that_was_ahead_ends_no_reporting(self):
+        """All windows until that of the report were left out."""
+        ahead = self.one.records.find_time_ms() // WINDOW_MS + 1000
+        await self.log.append(
+            reports.TOPIC,
+            0,
+            [reports.encode_report(reports.FixedReport(ahead, {}, True))],
+        )
+        first = self.start(self.one)
+        await self.wait_until(
+            lambda: {first, first + 1, first + 2} <= set(self.list_fixed())
+        )
+        await self.wait_until(lambda: first + 1 in self.api.reports)
+
+    async def test_first_window_of_a_clock_that_was_ahead_is_corrected(self):
+        """Nothing was reported until the time that the clock had shown."""
+        self.one.reporter.note_accounts()
+        current = self.one.reporter._find_current()
+        self.one.reporter._first = current + 1000
+        self.one.reporter._find_next(current - 10)
+        self.assertLessEqual(self.one.reporter._first, current + 2)
+
 
 class ReportBookTest(unittest.TestCase):
     """The reports as read from the log."""
@@ -310,3 +332,26 @@
             {1: reports.FixedReport(1, {'a': 1}, True)}, book.reports
         )
         self.assertEqual([], book.list_unsent(0))
+
+    def test_window_far_ahead_takes_no_other_report_out_of_the_book(self):
+        """Its host's clock was wrong. The others were fixed once more."""
+        book = reports.ReportBook()
+        for window in (1000, 10, 11):
+            report = reports.FixedReport(window, {})
+            key, value = service.decode_keyed(reports.encode_report(report))
+            book.apply(service.KeyedRecord(key, value, 0))
+        self.assertEqual({10, 11, 1000}, set(book.reports))
+        self.assertEqual(12, book.find_next(10, 13))
+
+    def test_book_keeps_as_many_reports_as_the_topic(self):
+        book = reports.ReportBook()
+        for window in range(100):
+            report = reports.FixedReport(window, {})
+            key, value = service.decode_keyed(reports.encode_report(report))
+            book.apply(service.KeyedRecord(key, value, 0))
+        self.assertEqual(set(range(68, 100)), set(book.reports))
+
+    def test_confirmation_of_a_report_that_was_dropped_changes_nothing(self):
+        book = reports.ReportBook()
+        book.note_sent(5)
+        self.assertEqual({}, book.reports)
--- a/packages/gateway/auburnroad_gateway/usage/reports.py
+++ b/packages/gateway/auburnroad_gateway/usage/reports.py
@@ -35,7 +35,10 @@
 
 
 class ReportBook:
-    """The fixed reports of the last windows.
+    """The fixed reports that are in the topic, one for each slot.
+
+    Which are kept does not depend on the numbers of the windows: a report of a
+    gateway whose clock is wrong may be of a window far ahead.
 
     Attributes:
       reports: Reports by window.
@@ -52,20 +55,22 @@
             report = msgspec.msgpack.decode(record.value, type=FixedReport)
         except msgspec.DecodeError:
             return
-        before = self.reports.get(report.window)
-        if before is None:
-            self.reports[report.window] = report
-        elif report.sent:
-            self.note_sent(report.window)
-        oldest = max(self.reports) - SLOTS
-        for window in [entry for entry in self.reports if entry <= oldest]:
+        if report.window in self.reports:
+            if report.sent:
+                self.note_sent(report.window)
+            return
+        slot = report.window % SLOTS
+        for window in [
+            entry for entry in self.reports if entry % SLOTS == slot
+        ]:
             del self.reports[window]
+        self.reports[report.window] = report
 
     def note_sent(self, window: int) -> None:
-        """Note that the platform has confirmed a report."""
-        self.reports[window] = msgspec.structs.replace(
-            self.reports[window], sent=True
-        )
+        """Note that the platform has confirmed a report, if it is known."""
+        report = self.reports.get(window)
+        if report is not None:
+            self.reports[window] = msgspec.structs.replace(report, sent=True)
 
     def list_unsent(self, oldest: int) -> list[FixedReport]:
         """List the unconfirmed reports from a window on, in order."""
