Drop a waiting order with its service's bounds

An order that the platform's API had not answered yet was dropped only if another service still had bounds. After the last bounds, the duty or the API's address was taken away it was repeated, and sent in the end, for a service without bounds. An order above a maximum that was lowered meanwhile was sent as well. Both are dropped at the next check, and the latter is decided anew. Two new tests failed before.

--- a/packages/gateway/auburnroad_gateway/scaling/scaler.py
+++ b/packages/gateway/auburnroad_gateway/scaling/scaler.py
@@ -117,6 +117,7 @@
           now_ms: The same time in Unix milliseconds.
         """
         services = self._list_scaled()
+        self._forget_outdated({one.name: one.scaling for one in services})
         if not services or not self._is_loaded():
             return
         for service in services:
@@ -129,8 +130,6 @@
         ):
             return
         self._note_fence(self._duties.find_fence(duty.SCALE_KEY), now)
-        names = {service.name for service in services}
-        self._forget_except(names)
         for service in services:
             self._order(service, now, now_ms)
         self._answered.clear()
@@ -156,13 +155,23 @@
             self._states.clear()
             self._stop_sending()
 
-    def _forget_except(self, names: set[str]) -> None:
-        """Forget the services that have no bounds any more."""
-        for name in self._states.keys() - names:
+    def _forget_outdated(
+        self, bounds: dict[str, configuration.Scaling]
+    ) -> None:
+        """Forget services without bounds, and orders above their maximum.
+
+        Args:
+          bounds: Bounds by service, of all services that have some.
+        """
+        for name in self._states.keys() - bounds.keys():
             del self._states[name]
-        for subject in list(self._unsent):
-            if subject[0] not in names:
+        for subject, order in list(self._unsent.items()):
+            scaling = bounds.get(order.service)
+            if scaling is None or order.count > scaling.maximum:
                 del self._unsent[subject]
+                if scaling is not None:
+                    # It counts as given otherwise.
+                    self._states[order.service].ordered.pop(order.domain, None)
 
     def _order(
         self, service: configuration.Service, now: float, now_ms: int
--- a/packages/gateway/auburnroad_gateway/scaling/scaler_test.py
+++ b/packages/gateway/auburnroad_gateway/scaling/scaler_test.py
@@ -223,6 +223,30 @@
         await asyncio.sleep(3 * scaler.SEND_INTERVAL_SECONDS)
         self.assertFalse([one for one in self.duty.sent if one[0] == 's'])
 
+    async def test_order_is_dropped_with_the_last_bounds(self):
+        """Without a service to decide about, it was sent in the end."""
+        self.duty.answering = False
+        self.check(BOOT_SECONDS + 1)
+        await asyncio.sleep(0)
+        self.configure(None)
+        self.check(1)
+        self.duty.answering = True
+        await asyncio.sleep(3 * scaler.SEND_INTERVAL_SECONDS)
+        self.assertEqual([], self.duty.sent)
+
+    async def test_order_above_a_lower_maximum_is_replaced(self):
+        self.callers = 100
+        self.duty.answering = False
+        self.check(BOOT_SECONDS + 1)
+        await asyncio.sleep(0)
+        self.configure(configuration.Scaling(2, 3, SCALING.boot_ms))
+        self.check(1)
+        self.duty.answering = True
+        await self.settle()
+        self.assertEqual(
+            [('s', 'a', 3, 7), ('s', 'b', 3, 7)], sorted(self.duty.sent)
+        )
+
     async def test_cancelled_loop_sends_nothing_more(self):
         self.duty.answering = False
         loop = asyncio.create_task(self.subject.run())
