Keep the replicas of running texts in each order, below the maximum

An order of more replicas replaced a lower one that was being carried out without regard to the texts that had started since, so that it could name fewer replicas than run. An order of fewer could name more than a maximum that had been lowered below what the running texts take; it now waits until they take less. Two new tests failed before.

--- a/packages/gateway/auburnroad_gateway/scaling/decision.py
+++ b/packages/gateway/auburnroad_gateway/scaling/decision.py
@@ -363,8 +363,14 @@
     now: float,
 ) -> list[Order]:
     """Order the failure domains that need more replicas."""
+    high = inputs.scaling.maximum
     return [
-        Order(inputs.service, name, target)
+        # Texts may run on replicas that an earlier order of fewer ends.
+        Order(
+            inputs.service,
+            name,
+            max(target, min(high, _count_for_texts(inputs, state, name))),
+        )
         for name, target in targets.items()
         if target > _count_current(inputs, state, name, now)
     ]
@@ -396,17 +402,28 @@
         return []
     # Running texts keep their replicas; they do not prolong the hold time.
     for name, target in sufficient.items():
-        texts = inputs.domains[name].running_texts
-        if state.replica_slots:
-            least = math.ceil(texts / state.replica_slots)
-            sufficient[name] = max(target, least)
-    lower = _list_lower(inputs, state, sufficient, now)
+        sufficient[name] = max(target, _count_for_texts(inputs, state, name))
+    lower = {
+        name: target
+        for name, target in _list_lower(inputs, state, sufficient, now).items()
+        if target <= inputs.scaling.maximum
+    }
     if not lower:
         return []
     chosen = max(lower, key=lambda name: (inputs.domains[name].ready, name))
     return [Order(inputs.service, chosen, lower[chosen])]
 
 
+def _count_for_texts(
+    inputs: ServiceInputs, state: ServiceState, domain: str
+) -> int:
+    """Count the replicas that the running texts of a domain take."""
+    if not state.replica_slots:
+        return 0
+    texts = inputs.domains[domain].running_texts
+    return math.ceil(texts / state.replica_slots - EPSILON)
+
+
 def _list_lower(
     inputs: ServiceInputs,
     state: ServiceState,
--- a/packages/gateway/auburnroad_gateway/scaling/decision_test.py
+++ b/packages/gateway/auburnroad_gateway/scaling/decision_test.py
@@ -265,6 +265,23 @@
         orders = subject.run(14, texts={'a': 2 * SLOTS + 1})
         self.assertEqual([('a', 3)], orders)
 
+    def test_running_texts_keep_their_replicas_in_an_order_of_more(self):
+        """Replicas that an earlier order ends may have got texts since."""
+        subject = Simulation({'a': 6})
+        self.assertEqual([('a', 1)], subject.run(int(HOLD_SECONDS) + 1))
+        # 4 slots, with the margin two replicas; the texts run on four.
+        work = build_work(16, 1.0, subject.now + 4)
+        orders = subject.step(work=work, texts={'a': 4 * SLOTS})
+        self.assertEqual([('a', 4)], orders)
+
+    def test_running_texts_order_no_more_than_a_lower_maximum(self):
+        subject = Simulation({'a': 6})
+        lower = configuration.Scaling(1, 3, SCALING.boot_ms)
+        fields = {'scaling': lower, 'texts': {'a': 4 * SLOTS}}
+        self.assertEqual([], subject.run(2 * int(HOLD_SECONDS), **fields))
+        fields['texts'] = {'a': 3 * SLOTS}
+        self.assertEqual([('a', 3)], subject.step(**fields))
+
     def test_domain_with_few_replicas_is_filled_before_others_shrink(self):
         subject = Simulation({'a': 1, 'b': 5})
         # With the margin 22.8 slots: three replicas each.
