Read the duties at a stop only after own releases

Since all duties are released one after the other, a stopping gateway read the end of the topic once for each duty of the deployment, also for those that it did not hold and in deployments without duties at the platform's API. In an outage of the log service each read took its time-out. A new test failed before.

--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -212,7 +212,10 @@
         Args:
           tail: The tail that passes duty records to apply().
         """
-        for key in list(self._duties):
+        own = self._membership.incarnation
+        for key in [
+            key for key, duty in self._duties.items() if duty.holder == own
+        ]:
             await self.give_up(key, tail)
             try:
                 # The release of the next duty states the end of the topic.
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -153,6 +154,17 @@
         for name in ('s', 't'):
             self.assertEqual('', self.subject.find_holder(name))
 
+    async def test_release_reads_nothing_for_duties_of_other_gateways(self):
+        """In an outage of the log, each read would take time of the stop."""
+        for name in ('s', 't'):
+            self.log.put(duty.TOPIC, name, build_holder('other'))
+        await self.tail.catch_up()
+        with mock.patch.object(
+            tail.KeyedTail, 'catch_up', autospec=True
+        ) as catch_up:
+            await self.subject.release(self.tail)
+        catch_up.assert_not_called()
+
     async def test_duty_at_the_platform_waits_the_whole_lease(self):
         """A holder that lost the log may call until it counts as dead."""
         for key in ('s', duty.USAGE_KEY):
