End the wait for a probe at the request's deadline

A request whose run broke off shortly before its deadline waited for the whole first connection attempt of the probe, 0.4 s if the address is silent, and was answered that much later than its deadline. The wait now ends at the deadline; the request is still not sent while the probe lasts. A new test failed before.

--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch.py
@@ -108,14 +108,15 @@
 
         Args:
           fingerprint: Fingerprint of the request.
-          deadline_at: Monotonic time in seconds from which no further probe
-            is waited for.
+          deadline_at: Monotonic time in seconds at which the wait ends.
         """
-        while time.monotonic() < deadline_at:
-            probe = self._find_holding(fingerprint)
-            if probe is None:
+        while (probe := self._find_holding(fingerprint)) is not None:
+            left_seconds = deadline_at - time.monotonic()
+            try:
+                async with asyncio.timeout(left_seconds):
+                    await probe.ended.wait()
+            except TimeoutError:
                 return
-            await probe.ended.wait()
 
     def has_crashes(self, fingerprint: str) -> bool:
         """Tell whether a replica is known to have ended under a request."""
--- a/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/crash_watch_test.py
@@ -1,6 +1,7 @@
 """Tests of what counts as the end of a replica under a request."""
 
 import asyncio
+import time
 import unittest
 
 import msgspec
@@ -88,6 +89,21 @@
         )
         self.assertEqual(['r:1'], self.probed)
 
+    async def test_request_waits_for_a_probe_until_its_deadline_only(self):
+        """The gateway has to respond by then; a probe may hang for 0.4 s."""
+        hanging = asyncio.Event()
+
+        async def hang(address, timeout_seconds):
+            await hanging.wait()
+            return listener.Listener.LISTENING
+
+        self.watch = crash_watch.CrashWatch(self.facts, hang)
+        self.watch.note_broken('f', build_replica())
+        await self.watch.wait_until_probed('f', time.monotonic() + 0.01)
+        self.assertTrue(self.watch.is_held('f'))
+        hanging.set()
+        await self.settle()
+
     async def test_request_without_fingerprint_causes_no_probe(self):
         self.watch.note_broken('', build_replica())
         await self.settle()
