Close the connection of a duty's call after its answer

Each call at the platform's API opens a connection of its own, as it must not be sent twice, but returned it to the pool, from which nothing takes it. Up to 64 stayed open at each holder until its restart, also after the API had closed them. A new test failed before.

--- a/packages/gateway/auburnroad_gateway/duties/platform_calls.py
+++ b/packages/gateway/auburnroad_gateway/duties/platform_calls.py
@@ -260,7 +260,8 @@
                     fresh=True,
                     may_send=lambda: self._may_write(duty, subject, fence),
                 )
-                await reply.discard()
+            # The connection is not reused, as each call opens a new one.
+            reply.close()
             status = reply.status
             cause = f'status {status}'
         except (client.HttpError, TimeoutError) as error:
--- a/packages/gateway/auburnroad_gateway/duties/platform_calls_test.py
+++ b/packages/gateway/auburnroad_gateway/duties/platform_calls_test.py
@@ -59,7 +59,7 @@
     def __init__(self, status):
         self.status = status
 
-    async def discard(self):
+    def close(self):
         return None
 
 
--- a/packages/gateway/auburnroad_gateway/usage/reporter_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter_test.py
@@ -162,6 +162,13 @@
         self.assertEqual({'a': 2, 'b': 1}, total)
         await self.wait_until(lambda: self.list_fixed()[first].sent)
 
+    async def test_calls_leave_no_idle_connections(self):
+        """Each call opens one; 64 of them stayed open until the restart."""
+        self.start(self.one)
+        await self.wait_until(lambda: len(self.api.reports) >= 2)
+        self.one.kill()
+        self.assertFalse(self.client._idle[self.address])
+
     async def test_without_accounts_nothing_is_reported(self):
         self.one.start()
         await self.wait_until(
