Follow the clock of the usage report before accounts come into force

The clock by which windows are told apart was compared with the wall clock only once the configuration had accounts. A clock that had been ahead at the start also wrote records of windows ahead, into the slots of those of now.

Where there is the duty, the clock is followed and windows are closed from the start on.

--- a/packages/gateway/auburnroad_gateway/process/duties.py
+++ b/packages/gateway/auburnroad_gateway/process/duties.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.configuration import holder
@@ -92,6 +93,8 @@
 
     async def _run_records(self) -> None:
         while not self._counts_usage:
+            if self._settings.cloud.has_duty(gateway_settings.USAGE_REPORT):
+                self._records.advance(clock.read_boot_clock_seconds())
             await asyncio.sleep(POLL_SECONDS)
         self._reporter.note_accounts()
         await self._records.run()
--- a/packages/gateway/auburnroad_gateway/process/duties_test.py
+++ b/packages/gateway/auburnroad_gateway/process/duties_test.py
@@ -14,6 +14,7 @@
 from auburnroad_gateway.model import settings
 from auburnroad_gateway.process import gateway
 from auburnroad_gateway.process import gateway_test
+from auburnroad_gateway.usage import counting
 from auburnroad_standins import platform_api
 
 TIMEOUT_SECONDS = 60
@@ -134,6 +135,14 @@
         await self.wait_for_windows(4)
         self.assertEqual({'a': 2}, self.sum_reported())
 
+    async def test_clock_is_observed_before_accounts_come_into_force(self):
+        """A clock that was set long before was wrong for another minute."""
+        with mock.patch.object(
+            counting.WindowClock, 'observe', autospec=True
+        ) as observe:
+            await self.start('one')
+            await self.wait_until(lambda: observe.called)
+
     async def test_deployment_without_the_api_writes_no_records(self):
         self.api_address = ''
         self.publish()
--- a/packages/gateway/auburnroad_gateway/usage/records.py
+++ b/packages/gateway/auburnroad_gateway/usage/records.py
@@ -124,14 +124,22 @@
         """Find the time by which windows are told apart, in Unix ms."""
         return self._clock.find_time_ms(clock.read_boot_clock_seconds())
 
+    def advance(self, now: float) -> None:
+        """Compare the clocks, and close the windows that are over.
+
+        Args:
+          now: Seconds of the boot clock.
+        """
+        self._clock.observe(clock.time_now_ms(), now)
+        self.counter.close_windows(self._clock.find_time_ms(now))
+
     async def run(self) -> None:
         """Write the counts of this gateway until cancelled."""
         await self._read_earlier()
         while True:
             await asyncio.sleep(POLL_SECONDS)
             now = clock.read_boot_clock_seconds()
-            self._clock.observe(clock.time_now_ms(), now)
-            self.counter.close_windows(self._clock.find_time_ms(now))
+            self.advance(now)
             if self._is_due(now):
                 self._append_at = now + max(
                     APPEND_PAUSE_SECONDS,
@@ -196,7 +204,7 @@
                 self._note_failure(error)
                 await asyncio.sleep(READ_RETRY_SECONDS)
         self._failing = False
-        first = self._started_window
+        first = min(self._started_window, self.counter.first_open)
         self.counter.changed.update(
             range(first - WINDOWS_BEFORE_START, first + 1)
         )
--- a/packages/gateway/auburnroad_gateway/usage/records_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/records_test.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from auburnroad_core import clock
 from auburnroad_gateway.members import membership_test
 from auburnroad_gateway.model import settings
 from auburnroad_gateway.usage import counting
@@ -77,6 +78,15 @@
                 self.count(subject)
                 await self.wait_for(subject, {'a': number})
 
+    async def test_clock_that_was_ahead_at_the_start_writes_no_window(self):
+        """It would take the slot of a window of now."""
+        subject = self.build('i1')
+        window = subject.counter.first_open
+        subject.counter.first_open = subject._started_window = window + 1000
+        subject.advance(clock.read_boot_clock_seconds())
+        async with self.running(subject):
+            self.assertLessEqual(max(subject.counter.changed), window + 1)
+
     async def test_killed_incarnation_is_closed_by_the_next(self):
         subject = self.build('i1')
         async with self.running(subject):
