--- a/packages/e2e/auburnroad_e2e/soak/run.py
+++ b/packages/e2e/auburnroad_e2e/soak/run.py
@@ -150,6 +150,20 @@
     return schedule
 
 
+def _print_played(schedule: schedules.Schedule, played: Played) -> None:
+    verdict = 'FAILED' if played.breaches else 'held'
+    kinds = sorted({fault.kind for fault in schedule.faults})
+    print(
+        f'seed {schedule.seed}: {verdict}; {schedule.gateways} gateways,'
+        f' {schedule.engines} engines, {len(schedule.faults)} faults:'
+        f' {", ".join(kinds)}',
+        flush=True,
+    )
+    print(f'  {played.trace}', flush=True)
+    for breach in played.breaches[:10]:
+        print(f'  {breach}', flush=True)
+
+
 def main(
     seeds: int = 1,
     first: int = 0,
@@ -185,17 +199,7 @@
         played = run_schedule(schedule, timed, place)
         breaches = played.breaches
         failed += bool(breaches)
-        verdict = 'FAILED' if breaches else 'held'
-        kinds = sorted({fault.kind for fault in schedule.faults})
-        print(
-            f'seed {schedule.seed}: {verdict}; {schedule.gateways} gateways,'
-            f' {schedule.engines} engines, {len(schedule.faults)} faults:'
-            f' {", ".join(kinds)}',
-            flush=True,
-        )
-        print(f'  {played.trace}', flush=True)
-        for breach in breaches[:10]:
-            print(f'  {breach}', flush=True)
+        _print_played(schedule, played)
         if breaches and shorter:
             for fault in shrink(schedule).faults:
                 print(f'  needs {fault}', flush=True)
--- a/packages/gateway/auburnroad_gateway/usage/reporter.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter.py
@@ -52,7 +52,7 @@
         '_records',
         '_accounts_since',
         '_fold',
-        '_book',
+        '_fixed',
         '_usage_tail',
         '_report_tail',
         '_append_lock',
@@ -140,7 +140,7 @@
     def _reset(self) -> None:
         """Forget what a former term of this holder has read."""
         self._fold = fold.UsageFold()
-        self._book = reports.ReportBook()
+        self._fixed = reports.FixedReports()
         self._first: int | None = None
         # Time from which no gateway is behind because of an outage of the log
         # service, in seconds of the boot clock.
@@ -149,7 +149,7 @@
             self._log, records.TOPIC, self._apply_usage, READ_PACE_SECONDS
         )
         self._report_tail = tail.KeyedTail(
-            self._log, reports.TOPIC, self._book.apply, READ_PACE_SECONDS
+            self._log, reports.TOPIC, self._fixed.apply, READ_PACE_SECONDS
         )
 
     def _apply_usage(self, record: service.KeyedRecord) -> None:
@@ -197,7 +197,7 @@
         Returns:
           The window; None if there is none yet.
         """
-        if not self._book.reports and self._accounts_since is None:
+        if not self._fixed.reports and self._accounts_since is None:
             return None
         current = self._find_current()
         if self._first is None:
@@ -205,7 +205,7 @@
         self._write_given_up(self._first, oldest)
         # A clock that was ahead must not end the reports until its time comes.
         self._first = min(max(self._first, oldest), current)
-        return self._book.find_next(self._first, current)
+        return self._fixed.find_next(self._first, current)
 
     def _find_first(self, oldest: int, current: int) -> int:
         """Find the window with which reports begin.
@@ -214,7 +214,7 @@
         came into force, or the first one in which any gateway has counted a
         request.
         """
-        known = self._book.reports
+        known = self._fixed.reports
         past = [window for window in known if window < current]
         if past:
             return min(past)
@@ -229,7 +229,9 @@
     def _write_given_up(self, first: int, oldest: int) -> None:
         """Log the windows without a report from first on, before oldest."""
         known = [
-            window for window in self._book.reports if first <= window < oldest
+            window
+            for window in self._fixed.reports
+            if first <= window < oldest
         ]
         count = max(0, oldest - first) - len(known)
         if not count:
@@ -237,7 +239,7 @@
         metrics.USAGE_WINDOWS.labels('given_up').inc(count)
         events.write(
             'usage_given_up',
-            window=self._book.find_next(first, oldest),
+            window=self._fixed.find_next(first, oldest),
             last=next(
                 window
                 for window in range(oldest - 1, first - 1, -1)
@@ -258,7 +260,7 @@
             if not await self._read_topics():
                 return False
             unfinished = self._list_unfinished(window)
-            if window in self._book.reports or (
+            if window in self._fixed.reports or (
                 unfinished and self._may_wait(window)
             ):
                 return False
@@ -337,14 +339,15 @@
         given_up: set[int] = set()
         while True:
             oldest = self._find_oldest()
-            for report in self._book.list_unsent(0):
+            for report in self._fixed.list_unsent(0):
                 if report.window < oldest and report.window not in given_up:
                     given_up.add(report.window)
                     metrics.USAGE_WINDOWS.labels('given_up').inc()
                     events.write(
                         'usage_given_up', window=report.window, fixed=True
                     )
-            unsent = self._book.list_unsent(oldest)
+            given_up.intersection_update(self._fixed.reports)
+            unsent = self._fixed.list_unsent(oldest)
             if not unsent or not await self._send(unsent[0]):
                 await asyncio.sleep(POLL_SECONDS)
 
@@ -367,10 +370,10 @@
             late=late,
             fence=self._duties.find_fence(KEY),
         )
-        self._book.note_sent(report.window)
+        self._fixed.note_sent(report.window)
         async with self._append_lock:
             # Without this record, the next holder repeats the report.
-            confirmed = self._book.reports.get(report.window)
+            confirmed = self._fixed.reports.get(report.window)
             if confirmed is not None:
                 await self._append(confirmed)
         return True
--- a/packages/gateway/auburnroad_gateway/usage/reporter_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter_test.py
@@ -120,11 +120,11 @@
         return host.records.find_time_ms() // WINDOW_MS
 
     def list_fixed(self):
-        book = reports.ReportBook()
+        fixed = reports.FixedReports()
         for record in self.log.list_records(reports.TOPIC):
             key, value = service.decode_keyed(record)
-            book.apply(service.KeyedRecord(key, value, 0))
-        return book.reports
+            fixed.apply(service.KeyedRecord(key, value, 0))
+        return fixed.reports
 
     async def wait_until(self, condition):
         async with asyncio.timeout(TIMEOUT_SECONDS):
@@ -323,42 +323,42 @@
         self.assertLessEqual(self.one.reporter._first, current + 2)
 
 
-class ReportBookTest(unittest.TestCase):
+class FixedReportsTest(unittest.TestCase):
     """The reports as read from the log."""
 
     def test_first_report_of_a_window_stays_and_may_become_sent(self):
-        book = reports.ReportBook()
+        fixed = reports.FixedReports()
         for report in (
             reports.FixedReport(1, {'a': 1}),
             reports.FixedReport(1, {'a': 2}, True),
             reports.FixedReport(1, {'a': 1}),
         ):
             key, value = service.decode_keyed(reports.encode_report(report))
-            book.apply(service.KeyedRecord(key, value, 0))
+            fixed.apply(service.KeyedRecord(key, value, 0))
         self.assertEqual(
-            {1: reports.FixedReport(1, {'a': 1}, True)}, book.reports
+            {1: reports.FixedReport(1, {'a': 1}, True)}, fixed.reports
         )
-        self.assertEqual([], book.list_unsent(0))
+        self.assertEqual([], fixed.list_unsent(0))
 
-    def test_window_far_ahead_takes_no_other_report_out_of_the_book(self):
+    def test_window_far_ahead_takes_no_other_report_from_what_is_known(self):
         """Its host's clock was wrong. The others were fixed once more."""
-        book = reports.ReportBook()
+        fixed = reports.FixedReports()
         for window in (1000, 10, 11):
             report = reports.FixedReport(window, {})
             key, value = service.decode_keyed(reports.encode_report(report))
-            book.apply(service.KeyedRecord(key, value, 0))
-        self.assertEqual({10, 11, 1000}, set(book.reports))
-        self.assertEqual(12, book.find_next(10, 13))
+            fixed.apply(service.KeyedRecord(key, value, 0))
+        self.assertEqual({10, 11, 1000}, set(fixed.reports))
+        self.assertEqual(12, fixed.find_next(10, 13))
 
-    def test_book_keeps_as_many_reports_as_the_topic(self):
-        book = reports.ReportBook()
+    def test_as_many_reports_are_kept_as_in_the_topic(self):
+        fixed = reports.FixedReports()
         for window in range(100):
             report = reports.FixedReport(window, {})
             key, value = service.decode_keyed(reports.encode_report(report))
-            book.apply(service.KeyedRecord(key, value, 0))
-        self.assertEqual(set(range(68, 100)), set(book.reports))
+            fixed.apply(service.KeyedRecord(key, value, 0))
+        self.assertEqual(set(range(68, 100)), set(fixed.reports))
 
     def test_confirmation_of_a_report_that_was_dropped_changes_nothing(self):
-        book = reports.ReportBook()
-        book.note_sent(5)
-        self.assertEqual({}, book.reports)
+        fixed = reports.FixedReports()
+        fixed.note_sent(5)
+        self.assertEqual({}, fixed.reports)
--- a/packages/gateway/auburnroad_gateway/usage/reports.py
+++ b/packages/gateway/auburnroad_gateway/usage/reports.py
@@ -34,7 +34,7 @@
     )
 
 
-class ReportBook:
+class FixedReports:
     """The fixed reports that are in the topic, one for each slot.
 
     Which are kept does not depend on the numbers of the windows: a report of a
