--- a/packages/gateway/auburnroad_gateway/usage/reporter_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter_test.py
@@ -120,11 +120,11 @@
         return host.records.find_time_ms() // WINDOW_MS
 
     def list_fixed(self):
-        book = reports.ReportBook()
+        fixed = reports.FixedReports()
         for record in self.log.list_records(reports.TOPIC):
             key, value = service.decode_keyed(record)
-            book.apply(service.KeyedRecord(key, value, 0))
-        return book.reports
+            fixed.apply(service.KeyedRecord(key, value, 0))
+        return fixed.reports
 
     async def wait_until(self, condition):
         async with asyncio.timeout(TIMEOUT_SECONDS):
@@ -162,6 +162,13 @@
         self.assertEqual({'a': 2, 'b': 1}, total)
         await self.wait_until(lambda: self.list_fixed()[first].sent)
 
+    async def test_calls_leave_no_idle_connections(self):
+        """Each call opens one; 64 of them stayed open until the restart."""
+        self.start(self.one)
+        await self.wait_until(lambda: len(self.api.reports) >= 2)
+        self.one.kill()
+        self.assertFalse(self.client._idle[self.address])
+
     async def test_without_accounts_nothing_is_reported(self):
         self.one.start()
         await self.wait_until(
@@ -293,20 +300,65 @@
         ]
         self.assertIn(('usage_given_up', old), written)
 
+    async def test_report_of_a_clock_that_was_ahead_ends_no_reporting(self):
+        """All windows until that of the report were left out."""
+        ahead = self.one.records.find_time_ms() // WINDOW_MS + 1000
+        await self.log.append(
+            reports.TOPIC,
+            0,
+            [reports.encode_report(reports.FixedReport(ahead, {}, True))],
+        )
+        first = self.start(self.one)
+        await self.wait_until(
+            lambda: {first, first + 1, first + 2} <= set(self.list_fixed())
+        )
+        await self.wait_until(lambda: first + 1 in self.api.reports)
 
-class ReportBookTest(unittest.TestCase):
+    async def test_first_window_of_a_clock_that_was_ahead_is_corrected(self):
+        """Nothing was reported until the time that the clock had shown."""
+        self.one.reporter.note_accounts()
+        current = self.one.reporter._find_current()
+        self.one.reporter._first = current + 1000
+        self.one.reporter._find_next(current - 10)
+        self.assertLessEqual(self.one.reporter._first, current + 2)
+
+
+class FixedReportsTest(unittest.TestCase):
     """The reports as read from the log."""
 
     def test_first_report_of_a_window_stays_and_may_become_sent(self):
-        book = reports.ReportBook()
+        fixed = reports.FixedReports()
         for report in (
             reports.FixedReport(1, {'a': 1}),
             reports.FixedReport(1, {'a': 2}, True),
             reports.FixedReport(1, {'a': 1}),
         ):
             key, value = service.decode_keyed(reports.encode_report(report))
-            book.apply(service.KeyedRecord(key, value, 0))
+            fixed.apply(service.KeyedRecord(key, value, 0))
         self.assertEqual(
-            {1: reports.FixedReport(1, {'a': 1}, True)}, book.reports
+            {1: reports.FixedReport(1, {'a': 1}, True)}, fixed.reports
         )
-        self.assertEqual([], book.list_unsent(0))
+        self.assertEqual([], fixed.list_unsent(0))
+
+    def test_window_far_ahead_takes_no_other_report_from_what_is_known(self):
+        """Its host's clock was wrong. The others were fixed once more."""
+        fixed = reports.FixedReports()
+        for window in (1000, 10, 11):
+            report = reports.FixedReport(window, {})
+            key, value = service.decode_keyed(reports.encode_report(report))
+            fixed.apply(service.KeyedRecord(key, value, 0))
+        self.assertEqual({10, 11, 1000}, set(fixed.reports))
+        self.assertEqual(12, fixed.find_next(10, 13))
+
+    def test_as_many_reports_are_kept_as_in_the_topic(self):
+        fixed = reports.FixedReports()
+        for window in range(100):
+            report = reports.FixedReport(window, {})
+            key, value = service.decode_keyed(reports.encode_report(report))
+            fixed.apply(service.KeyedRecord(key, value, 0))
+        self.assertEqual(set(range(68, 100)), set(fixed.reports))
+
+    def test_confirmation_of_a_report_that_was_dropped_changes_nothing(self):
+        fixed = reports.FixedReports()
+        fixed.note_sent(5)
+        self.assertEqual({}, fixed.reports)
