Split the construction of a gateway and other long functions

Change: construction by subject; moves for speed of replicas that state no slowness are a function; the soak's configuration is a module. Nothing else changes.

--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -17,6 +17,7 @@
 from auburnroad_e2e.launch import loopback
 from auburnroad_e2e.launch import process
 from auburnroad_e2e.launch import relay
+from auburnroad_e2e.soak import configuration as configurations
 from auburnroad_e2e.soak import schedule as schedules
 from auburnroad_e2e.soak import stalls
 from auburnroad_gateway.model import settings as gateway_settings
@@ -24,10 +25,10 @@
 from auburnroad_standins import platform_replica
 from auburnroad_standins import platform_store
 
-HOST = 'soak.example'
-MODEL = 'writer'
-MODEL_SERVICE = 'engines'
-PLAIN_SERVICE = 'lookups'
+HOST = configurations.HOST
+MODEL = configurations.MODEL
+MODEL_SERVICE = configurations.MODEL_SERVICE
+PLAIN_SERVICE = configurations.PLAIN_SERVICE
 PLAIN_REPLICAS = 3
 PLAIN_SLOTS = 8
 DOMAINS = ('a', 'b', 'c')
@@ -316,7 +317,7 @@
             self.routes_added.append((f'/added{self._version}/', now))
         self.write_operator_record(
             platform_calls.CONFIGURATION_KEY,
-            _build_configuration(
+            configurations.build_configuration(
                 self._version, self.routes_added, self._list_accounts()
             ),
         )
@@ -468,36 +469,3 @@
             for replica in self.replicas:
                 replica.register(self.store.log)
             await asyncio.sleep(REGISTER_SECONDS)
-
-
-def _build_configuration(version: int, routes_added, accounts) -> dict:
-    return platform_calls.build_configuration(
-        version,
-        [
-            platform_calls.build_route(
-                HOST, '/plain/', 'idempotent', PLAIN_SERVICE
-            ),
-            platform_calls.build_route(
-                HOST, '/once/', 'non_idempotent', PLAIN_SERVICE
-            ),
-            platform_calls.build_route(
-                HOST, '/public/', 'idempotent', PLAIN_SERVICE, public=True
-            ),
-            platform_calls.build_batch_route(HOST, '/batch/', MODEL_SERVICE),
-            platform_calls.build_route(
-                HOST,
-                platform_replica.STREAM_PREFIX,
-                'streaming',
-                MODEL_SERVICE,
-                resumable=True,
-            ),
-            *(
-                platform_calls.build_route(
-                    HOST, prefix, 'idempotent', PLAIN_SERVICE
-                )
-                for prefix, _ in routes_added
-            ),
-        ],
-        {MODEL_SERVICE: MODEL, PLAIN_SERVICE: ''},
-        accounts,
-    )
--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -87,22 +87,30 @@
     ):
         others = placement.list_with_release(ready, need.release)
         return 'crawling' if set(others) - {current} else ''
-    if not must_vacate and current.pace is not None:
+    if must_vacate:
+        candidate = placement.choose_for_item(ready, failure_domain, need, now)
+        return '' if candidate in (None, current) else 'vacating'
+    if current.pace is not None:
         return speed_gain.find_reason(
             run, need, ready, failure_domain, paces, now
         )
-    if not must_vacate and (
-        has_waiting_items
-        or current.find_pace(now) <= find_min_speedup(run) * paces.fastest_ms
-    ):
+    if has_waiting_items:
+        return ''
+    return _find_speed_reason(run, need, ready, failure_domain, paces, now)
+
+
+def _find_speed_reason(
+    run, need, ready, failure_domain: str, paces: placement.Paces, now: float
+) -> str:
+    """Find whether a run leaves a replica that states no slowness."""
+    min_speedup = find_min_speedup(run)
+    if run.replica.find_pace(now) <= min_speedup * paces.fastest_ms:
         return ''
     candidate = placement.choose_for_item(ready, failure_domain, need, now)
-    if candidate is None or candidate is current:
+    if candidate in (None, run.replica):
         return ''
-    if must_vacate:
-        return 'vacating'
     faster = placement.is_faster(
-        candidate, current, ready, find_min_speedup(run), now
+        candidate, run.replica, ready, min_speedup, now
     )
     return 'slow' if faster else ''
 
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -356,7 +356,7 @@
         while attempts:
             now = time.monotonic()
             if now >= pending.deadline_at:
-                return self._build_timeout(pending, 'deadline')
+                return self._build_timeout(pending)
             wait_until = pending.deadline_at
             may_hedge = pending.may_repeat and len(attempts) == 1
             if may_hedge:
@@ -479,10 +479,8 @@
         self._write_failure(pending, 'failed', outcome.reason)
         return refusals.build_error(502, 'no_answer')
 
-    def _build_timeout(
-        self, pending: PendingRequest, reason: str
-    ) -> messages.Response:
-        self._write_failure(pending, 'timed_out', reason)
+    def _build_timeout(self, pending: PendingRequest) -> messages.Response:
+        self._write_failure(pending, 'timed_out', 'deadline')
         return refusals.build_error(504, 'timed_out')
 
     def _write_failure(
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -119,7 +119,11 @@
             self._duty_tail,
             self._configuration,
         )
-        self._build_request_handling()
+        self._build_batch_calls()
+        self._build_forwarding()
+        self._build_runs()
+        self._build_scaling()
+        self._build_servers()
 
     @property
     def is_ready(self) -> bool:
@@ -269,12 +273,11 @@
         for topic, topic_tail in self._tails.items():
             metrics.watch_tail(topic, topic_tail)
 
-    def _build_request_handling(self) -> None:
+    def _build_batch_calls(self) -> None:
         settings, adapter = self._settings, self._adapter
-        incarnation = self._members.incarnation
         self._journal = journal.Journal(
             self._log,
-            incarnation,
+            self._members.incarnation,
             settings.log_limits,
             lambda: len(self._members.alive),
         )
@@ -288,6 +291,9 @@
             settings, self._configuration, self._operator_tail
         )
         self._reader = reading.Reader(adapter, self._journal, self._access)
+
+    def _build_forwarding(self) -> None:
+        adapter = self._adapter
         self._admission = admission.Admission(
             self._configuration, self._directory
         )
@@ -295,12 +301,24 @@
             adapter,
             self._client,
             self._directory,
-            settings.failure_domain,
+            self._settings.failure_domain,
             self._permits,
             self._crash_watch,
             self._platform_duties.usage,
             self._admission,
         )
+        self._streams = streams.StreamForwarder(
+            adapter,
+            self._client,
+            self._forwarder,
+            self._crash_watch,
+            stream_releases.StreamReleases(
+                self._facts, self._fact_tail.catch_up
+            ),
+        )
+
+    def _build_runs(self) -> None:
+        settings, adapter = self._settings, self._adapter
         self._owner = owner.Owner(
             settings,
             adapter,
@@ -318,15 +336,6 @@
             ),
             self._permits,
         )
-        self._streams = streams.StreamForwarder(
-            adapter,
-            self._client,
-            self._forwarder,
-            self._crash_watch,
-            stream_releases.StreamReleases(
-                self._facts, self._fact_tail.catch_up
-            ),
-        )
         self._rollout = rollout.WeightRollout(
             settings,
             adapter,
@@ -336,19 +345,11 @@
             self._directory,
             self._owner,
         )
-        self._dispatcher = dispatch.Dispatcher(
-            adapter,
-            self._configuration,
-            self._access,
-            self._reader,
-            self._intake,
-            self._forwarder,
-            self._streams,
-            self._may_outlast_stop,
-        )
+
+    def _build_scaling(self) -> None:
         self._scaler = scaling.build_scaler(
-            settings,
-            adapter,
+            self._settings,
+            self._adapter,
             self._configuration,
             self._directory,
             self._replica_tail,
@@ -361,6 +362,18 @@
                 * max(1, len(self._members.alive))
             ),
         )
+
+    def _build_servers(self) -> None:
+        self._dispatcher = dispatch.Dispatcher(
+            self._adapter,
+            self._configuration,
+            self._access,
+            self._reader,
+            self._intake,
+            self._forwarder,
+            self._streams,
+            self._may_outlast_stop,
+        )
         self._caller_server = server.HttpServer(self._handle_caller)
         self._ready_server = server.HttpServer(self._handle_ready)
         self._peer_server = server.HttpServer(self._handle_peer)
