Split the classification of a response from its attempt, and trim modules

Change: the head of a response is classified by a function of its own; the duties are built by one; docstrings say the same in fewer lines. Nothing else changes.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -276,13 +276,10 @@
         Args:
           address: 'IP address:port'.
           request: Request to send; a missing host header is added.
-          is_own: Decides from its headers whether a response belongs to this
-            request; a response to another request, such as a late copy, is
-            skipped.
-          fresh: Whether to open a new connection even if one is idle, for a
-            request that must not be sent twice.
-          may_send: Called once the connection is open, right before the first
-            byte is sent; False if the request must no longer be sent.
+          is_own: Tells from its headers whether a response belongs to this
+            request; any other one, such as a late copy, is skipped.
+          fresh: Whether to open a connection, for what must not be sent twice.
+          may_send: Called right before the first byte; False to send nothing.
 
         Returns:
           The reply; read its body to the end or close it.
--- a/packages/gateway/auburnroad_gateway/batches/moves.py
+++ b/packages/gateway/auburnroad_gateway/batches/moves.py
@@ -62,9 +62,8 @@
       need: Requirements of the run on a replica.
       replicas: All replicas.
       failure_domain: Failure domain of this gateway.
-      has_waiting_items: Whether items wait for a slot; free slots then go to
-        these items instead of runs that would only become faster, unless the
-        replica of the run states its slowness.
+      has_waiting_items: Whether items wait for a slot; they get free slots
+        before runs on replicas that state no slowness.
       paces: Paces of the replicas that may run the item.
       now: Monotonic time in seconds.
 
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -161,7 +161,15 @@
     except client.HttpError as error:
         target.note_failure(time.monotonic())
         return _build_broken(error)
-    head = adapter.decode_response_head(reply.headers)
+    return await _classify(
+        reply, adapter.decode_response_head(reply.headers), target
+    )
+
+
+async def _classify(
+    reply: client.Reply, head: call.AnswerHead, target: replica.Replica
+) -> OpenResponse | Outcome:
+    """Record what the head of a response states, and tell whether it ran."""
     now = time.monotonic()
     target.note_load(head.load, now)
     if reply.status == MISDIRECTED_STATUS:
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -109,16 +109,7 @@
         )
         self._crash_watch = crash_watch.CrashWatch(self._facts)
         self._build_tails()
-        self._platform_duties = duties.PlatformDuties(
-            settings,
-            adapter,
-            self._client,
-            self._log,
-            self._members,
-            self._duties,
-            self._duty_tail,
-            self._configuration,
-        )
+        self._build_platform_duties()
         self._build_batch_calls()
         self._build_forwarding()
         self._build_runs()
@@ -273,6 +264,18 @@
         for topic, topic_tail in self._tails.items():
             metrics.watch_tail(topic, topic_tail)
 
+    def _build_platform_duties(self) -> None:
+        self._platform_duties = duties.PlatformDuties(
+            self._settings,
+            self._adapter,
+            self._client,
+            self._log,
+            self._members,
+            self._duties,
+            self._duty_tail,
+            self._configuration,
+        )
+
     def _build_batch_calls(self) -> None:
         settings, adapter = self._settings, self._adapter
         self._journal = journal.Journal(
