--- a/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
+++ b/packages/gateway/auburnroad_gateway/accounts/fair_queue.py
@@ -27,9 +27,9 @@
 # Bounds of the time after which a refused caller is to return.
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 2.0
-# Time of waiting over which the drain rate is measured.
+# Length of the period of waiting that the drain rate is averaged over.
 RATE_SECONDS = 1.0
-# Time without waiting requests after which a measured rate is void, since the
+# Time without waiting requests after which a drain rate expires, since the
 # replicas may have changed.
 RATE_TTL_SECONDS = 10.0
 
