--- a/packages/gateway/auburnroad_gateway/adapter.py
+++ b/packages/gateway/auburnroad_gateway/adapter.py
@@ -47,8 +47,12 @@
 
     def decode_registration(
         self, record: service.KeyedRecord
-    ) -> registration.Registration | None:
-        """Decode a registration; None if it describes no usable replica."""
+    ) -> registration.Registration:
+        """Decode the registration of a replica.
+
+        Raises:
+          InvalidMessageError: The record is not a valid registration.
+        """
 
     def decode_call(self, headers: dict[str, str]) -> call.CallHead:
         """Decode the head of a caller's request."""
--- a/packages/gateway/auburnroad_gateway/configuration/holder.py
+++ b/packages/gateway/auburnroad_gateway/configuration/holder.py
@@ -8,6 +8,7 @@
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.telemetry import metrics
 
 
 class ConfigurationHolder:
@@ -127,6 +128,7 @@
         self._notify()
 
     def _write_invalid(self, record: service.KeyedRecord, error) -> None:
+        metrics.INVALID_RECORDS.labels(self._adapter.operator_topic).inc()
         events.write(
             'operator_record_invalid',
             key=record.key,
--- a/packages/gateway/auburnroad_gateway/directory/directory.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory.py
@@ -12,6 +12,8 @@
 
 import time
 
+from auburnroad_gateway import adapter as adapters
+
 from auburnroad_gateway.directory import replica
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import registration
@@ -88,9 +90,7 @@
 
     def apply(self, record: service.KeyedRecord) -> None:
         """Apply a registration record of the log."""
-        decoded = None
-        if record.value:
-            decoded = self._adapter.decode_registration(record)
+        decoded = self._decode(record) if record.value else None
         if decoded is None:
             self._drop_registration(record.key)
         else:
@@ -110,6 +110,17 @@
             self._remove(key, 'lapsed in an outage')
             self._notify()
 
+    def _decode(
+        self, record: service.KeyedRecord
+    ) -> registration.Registration | None:
+        try:
+            return self._adapter.decode_registration(record)
+        except adapters.InvalidMessageError as error:
+            events.write_invalid_record(
+                self._adapter.replica_topic, record.key, error
+            )
+            return None
+
     def _put_registration(self, new: registration.Registration) -> None:
         self._lapsed.pop(new.id, None)
         current = self._replicas.get(new.id) or self._restore(new)
--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -1,5 +1,8 @@
 """Follows a partition and applies each record once, in order.
 
+A record that can't be applied is skipped, whatever the error, so that what one
+writer appends doesn't keep a reader from the records of the others.
+
 A tail also records the time up to which it has applied all records. A reader
 that needs every record appended so far calls catch_up first.
 """
@@ -9,6 +12,7 @@
 from auburnroad_core import clock
 from auburnroad_gateway.log import service
 from auburnroad_gateway.telemetry import events
+from auburnroad_gateway.telemetry import metrics
 
 # How long the log service holds a read that has no records to return. A dead
 # connection is detected only when a read is overdue, so the time is short.
@@ -137,11 +141,31 @@
         for record in result.records[skip:]:
             offset = self.next_offset
             self.next_offset += 1
-            self._apply(offset, record)
+            self._apply_isolated(offset, self._apply, offset, record)
         if self.next_offset >= result.end:
             self.complete_at = max(self.complete_at, requested_at)
         return result.end
 
+    def _apply_isolated(self, place: object, apply, *arguments) -> None:
+        """Apply one record; log and count it if that fails.
+
+        Args:
+          place: Offset or key of the record.
+          apply: Function that applies the record.
+          arguments: Arguments of the function.
+        """
+        try:
+            apply(*arguments)
+        except Exception as error:
+            metrics.INVALID_RECORDS.labels(self._topic).inc()
+            events.write_error(
+                'record_not_applied',
+                error,
+                topic=self._topic,
+                partition=self._partition,
+                record=place,
+            )
+
     def _handle_trimmed(self, error) -> None:
         self._write_expired(error)
         self.next_offset = max(self.next_offset, error.first_offset)
@@ -228,12 +252,13 @@
 
     def _apply_record(self, offset: int, record: bytes) -> None:
         decoded = service.decode_keyed(record)
-        if decoded is not None:
-            self._apply_keyed(service.KeyedRecord(*decoded, offset))
+        if decoded is None:
+            raise ValueError('not a record of a keyed topic')
+        self._apply_keyed(service.KeyedRecord(*decoded, offset))
 
     def _apply_keyed(self, record: service.KeyedRecord) -> None:
         if record.value:
             self._live_keys.add(record.key)
         else:
             self._live_keys.discard(record.key)
-        self._apply_key(record)
+        self._apply_isolated(record.key, self._apply_key, record)
--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -13,14 +13,16 @@
 from auburnroad_standins import partition_log
 
 PACE_SECONDS = 0.001
+TIMEOUT_SECONDS = 20
 
 
 @contextlib.asynccontextmanager
 async def running(subject):
     task = asyncio.create_task(subject.run())
     try:
-        await subject.wait_until_loaded()
-        yield
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await subject.wait_until_loaded()
+            yield
     finally:
         task.cancel()
 
@@ -52,6 +54,18 @@
         await self.subject.catch_up()
         self.assertEqual([(2, b'c')], self.applied)
 
+    async def test_record_that_can_not_be_applied_is_skipped(self):
+        """The other records of its read were applied again or not at all."""
+        self.subject = tail.Tail(self.log, 't', 0, self.refuse_b, PACE_SECONDS)
+        self.log.write('t', 0, [b'a', b'b', b'c'])
+        await self.subject.catch_up()
+        self.assertEqual([(0, b'a'), (2, b'c')], self.applied)
+
+    def refuse_b(self, offset, record):
+        if record == b'b':
+            raise RecursionError('nested too deeply')
+        self.collect(offset, record)
+
     async def test_lost_reads_are_retried_with_fewer_bytes(self):
         """Large reads time out if all gateways start and read at once."""
         self.log.write('t', 0, [bytes(1000)] * 200)
@@ -116,6 +130,24 @@
         await self.subject.catch_up()
         self.assertEqual({'a': b'', 'b': b'2'}, self.values)
 
+    async def test_record_that_can_not_be_applied_is_skipped(self):
+        """No snapshot with such a record was loaded, at any attempt."""
+        subject = tail.KeyedTail(self.log, 'k', self.refuse_b, PACE_SECONDS)
+        for key in ('a', 'b', 'c'):
+            self.log.put('k', key, b'1')
+        async with running(subject):
+            self.assertEqual({'a': b'1', 'c': b'1'}, self.values)
+            self.log.put('k', 'b', b'2')
+            self.log.write('k', 0, [b'', b'\xffshort', b'\x01\xff'])
+            self.log.put('k', 'd', b'2')
+            await wait_until(lambda: 'd' in self.values)
+        self.assertNotIn('b', self.values)
+
+    def refuse_b(self, record):
+        if record.key == 'b':
+            raise RecursionError('nested too deeply')
+        self.collect(record)
+
     async def test_snapshot_is_loaded_after_a_refused_one(self):
         """Values among deleted records stayed unknown until the next change.
 
--- a/packages/gateway/auburnroad_gateway/process/gateway_test.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway_test.py
@@ -153,6 +153,20 @@
         response = await self.send(subject, '/q/x', id='q')
         self.assertEqual((200, b'ok'), (response.status, response.body))
 
+    async def test_unreadable_registration_does_not_keep_it_from_starting(
+        self,
+    ):
+        """An entry of another writer stopped each gateway that started."""
+        self.log.put(
+            plain_adapter.PlainAdapter.replica_topic,
+            'odd',
+            b'{"other":' + b'[' * 3000 + b']' * 3000 + b'}',
+        )
+        self.publish()
+        subject = await self.start('one')
+        response = await self.send(subject, '/q/x', id='q')
+        self.assertEqual((200, b'ok'), (response.status, response.body))
+
     async def test_request_without_configuration_is_refused_with_503(self):
         subject = await self.start('one')
         response = await self.send(subject, '/q/x')
--- a/packages/gateway/auburnroad_gateway/process/supervision.py
+++ b/packages/gateway/auburnroad_gateway/process/supervision.py
@@ -1,14 +1,11 @@
 """Restarts background work that fails."""
 
 import asyncio
-import traceback
 import typing
 
 from auburnroad_gateway.telemetry import events
 
 RESTART_DELAY_SECONDS = 0.2
-# Number of innermost frames in a logged stack trace.
-TRACE_FRAMES = 4
 
 CoroutineFunction = typing.Callable[[], typing.Awaitable[None]]
 
@@ -27,10 +24,5 @@
         try:
             await function()
         except Exception as error:
-            events.write(
-                'work_failed',
-                work=repr(function),
-                error=repr(error),
-                trace=traceback.format_exc(limit=-TRACE_FRAMES),
-            )
+            events.write_error('work_failed', error, work=repr(function))
         await asyncio.sleep(RESTART_DELAY_SECONDS)
--- a/packages/gateway/auburnroad_gateway/telemetry/events.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/events.py
@@ -9,6 +9,7 @@
 import collections
 import os
 import time
+import traceback
 
 import msgspec
 
@@ -20,6 +21,10 @@
 # Maximum number of lines queued while the output is not read.
 BACKLOG_LINES = 1000
 STDOUT = 1
+# Maximum length of the text of an error in a line.
+ERROR_CHARACTERS = 300
+# Number of innermost frames in a logged stack trace.
+TRACE_FRAMES = 4
 
 
 class EventLog:
@@ -120,3 +125,37 @@
 
 LOG = EventLog()
 write = LOG.write
+
+
+def write_error(event: str, error: BaseException, **fields) -> None:
+    """Write a line about an unexpected exception, with its stack trace.
+
+    Args:
+      event: Name of the event.
+      error: The exception.
+      fields: Further fields of the line.
+    """
+    trace = traceback.format_exception(error, limit=-TRACE_FRAMES)
+    write(
+        event,
+        **fields,
+        error=repr(error)[:ERROR_CHARACTERS],
+        trace=''.join(trace)[-TRACE_FRAMES * ERROR_CHARACTERS :],
+    )
+
+
+def write_invalid_record(topic: str, record: object, error: Exception) -> None:
+    """Count a record of the log that can't be decoded, and write a line.
+
+    Args:
+      topic: Topic of the record.
+      record: Key of the record, or its partition and offset.
+      error: Error of the decoding.
+    """
+    metrics.INVALID_RECORDS.labels(topic).inc()
+    write(
+        'record_invalid',
+        topic=topic,
+        record=record,
+        error=str(error)[:ERROR_CHARACTERS],
+    )
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -27,6 +27,12 @@
     'Log lines that were not written, to bound their volume.',
     registry=REGISTRY,
 )
+INVALID_RECORDS = prometheus_client.Counter(
+    'auburnroad_invalid_records',
+    'Records of the log that were skipped, as they could not be applied.',
+    ['topic'],
+    registry=REGISTRY,
+)
 REQUESTS = prometheus_client.Counter(
     'auburnroad_requests',
     'Requests of callers answered, by kind of route and class of status.',
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -32,13 +32,13 @@
             raise adapter.InvalidMessageError(str(error)) from error
 
     def decode_registration(self, record):
-        """Decode a registration; None if the record is not a valid one."""
+        """Decode a registration."""
         try:
             return msgspec.json.decode(
                 record.value, type=registration.Registration
             )
-        except msgspec.DecodeError:
-            return None
+        except msgspec.DecodeError as error:
+            raise adapter.InvalidMessageError(str(error)) from error
 
     def decode_call(self, headers):
         """Decode the headers 'id', 'patience', 'after', 'resumes', 'key'."""
