--- a/packages/gateway/auburnroad_gateway/batches/claimer.py
+++ b/packages/gateway/auburnroad_gateway/batches/claimer.py
@@ -2,7 +2,8 @@
 
 The owner of a batch is recorded in the log. If the owner is no longer alive,
 the gateway that runs the batches of the same service appends a claim, and owns
-the batch once the claim has been read back from the log. A batch is started
+the batch once the claim has been read back from the log. Ownership may come
+back to an earlier owner, so a claim counts only until then. A batch is started
 when its contents have been read.
 """
 
@@ -30,7 +31,7 @@
         '_duties',
         '_configuration',
         '_start_batch',
-        '_claimed_from',
+        '_unread_claims',
         '_loading',
     )
 
@@ -57,8 +58,8 @@
         self._duties = duties
         self._configuration = holder
         self._start_batch = start_batch
-        # Previous owners by batch id; a claim is queued once for each of them.
-        self._claimed_from: dict[str, str] = {}
+        # Offsets of claims that were not read back yet, by batch id.
+        self._unread_claims: dict[str, asyncio.Future] = {}
         self._loading: dict[str, asyncio.Task] = {}
 
     def claim_and_load(self, running: typing.Container[str]) -> None:
@@ -67,6 +68,7 @@
         Args:
           running: Ids of the batches that have been started.
         """
+        self._drop_read_claims()
         own = self._membership.incarnation
         settled = self._membership.has_discovered_members
         for state in self._journal.fold.batches.values():
@@ -103,22 +105,29 @@
         finally:
             del self._loading[state.id]
 
+    def _drop_read_claims(self) -> None:
+        self._unread_claims = {
+            batch_id: offset
+            for batch_id, offset in self._unread_claims.items()
+            if not offset.done()
+            or not self._journal.is_folded(batch_id, offset.result())
+        }
+
     def _claim(self, state: fold.BatchState) -> None:
+        if state.id in self._unread_claims:
+            return
         route = self._find_route(state)
         if route is None:
             return
         runner = self._duties.choose_runner(route.backends[0].service)
         if runner != self._membership.incarnation:
             return
-        if self._claimed_from.get(state.id) == state.owner:
-            return
-        self._claimed_from[state.id] = state.owner
         events.write(
             'batch_claimed',
             batch=state.id,
             previous=state.owner,
             finished=len(state.finished),
         )
-        self._journal.add(
+        self._unread_claims[state.id] = self._journal.add(
             records.Claim(state.id, self._membership.incarnation, state.owner)
         )
--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -132,11 +132,17 @@
         """
         return self._tails[records.find_partition(batch_id)].complete_at
 
+    def is_folded(self, batch_id: str, offset: int) -> bool:
+        """Tell whether the record of a batch at an offset is folded."""
+        number = records.find_partition(batch_id)
+        return self._tails[number].next_offset > offset
+
     def add(self, record: records.Record) -> asyncio.Future:
         """Queue a record.
 
         Returns:
-          A future that is done once the record is in the log.
+          A future that resolves to the offset of the record once it is in the
+          log.
         """
         number = records.find_partition(record.batch_id)
         return self._appenders[number].enqueue([records.encode(record)])
