--- a/packages/gateway/auburnroad_gateway/batches/claimer.py
+++ b/packages/gateway/auburnroad_gateway/batches/claimer.py
@@ -119,7 +119,7 @@
         route = self._find_route(state)
         if route is None:
             return
-        runner = self._duties.choose_runner(route.backends[0].service)
+        runner = self._duties.choose_runner(route.services[0])
         if runner != self._membership.incarnation:
             return
         events.write(
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -11,14 +11,13 @@
 from auburnroad_core import clock
 from auburnroad_gateway.batches import claimer
 from auburnroad_gateway.batches import fold
+from auburnroad_gateway.batches import item_placement
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.batches import moves
-from auburnroad_gateway.batches import ordering
 from auburnroad_gateway.batches import owned_batches
 from auburnroad_gateway.batches import partial_runs
 from auburnroad_gateway.batches import reuse
 from auburnroad_gateway.batches import run as runs
-from auburnroad_gateway.batches import slot_search
 from auburnroad_gateway.batches import timeline
 from auburnroad_gateway.batches import workload
 from auburnroad_gateway.completion import finisher
@@ -27,7 +26,6 @@
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.log import service
 from auburnroad_gateway.members import permits as all_permits
-from auburnroad_gateway.model import configuration
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 from auburnroad_gateway.weights import duty
@@ -55,6 +53,7 @@
         '_configuration',
         '_directory',
         '_permits',
+        '_placement',
         '_owned',
         '_claimer',
         '_resume_tasks',
@@ -87,6 +86,9 @@
         self._configuration = holder
         self._directory = replicas
         self._permits = permits
+        self._placement = item_placement.ItemPlacement(
+            holder, replicas, settings.failure_domain
+        )
         self._owned: dict[str, owned_batches.OwnedBatch] = {}
         self._workload = workload.Workload(batch_journal.fold, self._owned)
         self._wake = asyncio.Event()
@@ -141,7 +143,7 @@
 
     def move_runs(self) -> None:
         """Move stalled runs and runs on slow or vacating replicas."""
-        self._recount_memory()
+        self._placement.recount_memory(self._owned.values())
         now = time.monotonic()
         for owned in list(self._owned.values()):
             self._move_runs(owned, now)
@@ -248,24 +250,33 @@
             self._scoring.start_waiting(owned)
             if not owned.waiting:
                 continue
-            candidates = self._refill_permits(route.backends[0].service, now)
+            for name in route.services:
+                self._refill_permits(name, now)
+            candidates = self._placement.list_ready(route)
             owned.note_waiting(candidates, now)
             if placement.has_free_slot(candidates, now):
-                queue.extend(self._list_queue_entries(owned))
-        queue.sort(key=lambda entry: entry[0])
-        search = slot_search.SlotSearch(
-            self._directory, self._settings.failure_domain, now
-        )
-        for _, owned, run in queue:
-            service = owned.route.backends[0].service
-            need = self._build_need(owned, run)
-            target = search.find(service, need)
-            if target is None:
-                target = search.find_for_restart(service, need, run)
-                if target is not None:
-                    self._give_up_text(owned, run)
-            if target is not None:
-                self._start_attempt(owned, run, target)
+                queue.extend(self._placement.list_queue(owned))
+        queue.sort(key=lambda entry: entry.sort_key)
+        search = self._placement.start_search(now)
+        # Only slots that no item of their own service takes are for others.
+        for find in (
+            self._placement.find_slot,
+            self._placement.find_other_slot,
+        ):
+            queue = [
+                entry
+                for entry in queue
+                if not self._start_at(entry, find(entry, search))
+            ]
+
+    def _start_at(self, entry: item_placement.QueueEntry, target) -> bool:
+        """Start an item at a replica; return whether there was one."""
+        if target is None:
+            return False
+        if entry.run.release not in (None, target.release):
+            self._give_up_text(entry.owned, entry.run)
+        self._start_attempt(entry.owned, entry.run, target)
+        return True
 
     def _give_up_text(self, owned, run: runs.ItemRun) -> None:
         events.write(
@@ -277,74 +288,13 @@
         )
         run.give_up_text()
 
-    def _refill_permits(self, service_name: str, now: float):
-        """Get permits for the replicas that need one; return all replicas."""
-        candidates = self._directory.list_ready(service_name)
-        limited = placement.list_limited_with_slot(candidates, now)
+    def _refill_permits(self, service_name: str, now: float) -> None:
+        """Get permits for the replicas that need one."""
+        limited = placement.list_limited_with_slot(
+            self._directory.list_ready(service_name), now
+        )
         if limited:
             self._permits.refill(service_name, limited, self._wake.set)
-        return candidates
-
-    def _build_need(
-        self, owned, run: runs.ItemRun
-    ) -> placement.ItemRequirements:
-        submission = owned.state.submission
-        service = self._find_service(owned)
-        return placement.ItemRequirements(
-            submission.model,
-            submission.minimum_version,
-            owned_batches.count_tokens(run, service.tokens_per_event),
-            owned_batches.estimate_final_tokens(run, service.tokens_per_event),
-            service.memory_tokens,
-            run.release,
-            service.tokens_per_event,
-        )
-
-    def _find_service(self, owned) -> configuration.Service:
-        name = owned.route.backends[0].service
-        known = self._configuration.current.services.get(name)
-        return known or configuration.Service(name)
-
-    def _recount_memory(self) -> None:
-        """Recompute the tokens that running items hold on each replica."""
-        running = [
-            (owned, owned.runs[index])
-            for owned in self._owned.values()
-            for index in owned.running
-        ]
-        for _, run in running:
-            run.replica.tokens = run.replica.final_tokens = 0
-        for owned, run in running:
-            self._add_memory(owned, run)
-
-    def _add_memory(self, owned, run: runs.ItemRun) -> None:
-        tokens_per_event = self._find_service(owned).tokens_per_event
-        run.replica.tokens += owned_batches.count_tokens(run, tokens_per_event)
-        run.replica.final_tokens += owned_batches.estimate_final_tokens(
-            run, tokens_per_event
-        )
-
-    def _list_queue_entries(self, owned: owned_batches.OwnedBatch):
-        due_ms = owned.state.submitted_ms + owned.route.due_ms
-        service = self._find_service(owned)
-        pace_ms = placement.find_median_pace(
-            self._directory.list_ready(service.name), time.monotonic()
-        )
-        groups = owned_batches.estimate_groups(
-            owned,
-            service.tokens_per_event,
-            pace_ms or slot_search.DEFAULT_PACE_MS,
-        )
-        for run in owned.waiting.values():
-            group = groups[run.item.group]
-            entry = ordering.WaitingItem(
-                due_ms,
-                run.item.group in owned.repeated_groups,
-                group.items_left,
-                group.expected_ms[run.index],
-                run.index,
-            )
-            yield ordering.build_sort_key(entry), owned, run
 
     def _start_attempt(
         self, owned: owned_batches.OwnedBatch, run: runs.ItemRun, target
@@ -362,7 +312,7 @@
             target.use_permit()
             # More permits may be left for this replica.
             self._wake.set()
-        self._add_memory(owned, run)
+        self._placement.add_memory(run)
         owned.running[run.index] = asyncio.ensure_future(
             self._run_attempt(owned, run)
         )
@@ -438,26 +388,27 @@
 
     def _move_runs(self, owned: owned_batches.OwnedBatch, now: float) -> None:
         """Move stalled runs and runs on slow or vacating replicas."""
-        submission = owned.state.submission
-        fresh = placement.list_with_minimum_version(
-            self._directory.list_ready(owned.route.backends[0].service),
-            submission.model,
-            submission.minimum_version,
-        )
-        paces = placement.measure_paces(fresh, now)
+        paces = {
+            name: self._measure_paces(owned, name, now)
+            for name in {
+                owned.runs[index].replica.registration.service
+                for index in owned.running
+            }
+        }
         for index in list(owned.running):
             run = owned.runs[index]
+            service_name = run.replica.registration.service
             if moves.is_stalled(run, now):
                 run.replica.note_failure(now)
                 reason = 'stalled'
             else:
                 reason = moves.find_move_reason(
                     run,
-                    self._build_need(owned, run),
+                    self._placement.build_need(owned, run, service_name),
                     self._directory,
                     self._settings.failure_domain,
                     bool(self.waiting_count),
-                    paces,
+                    paces[service_name],
                     now,
                 )
             if reason:
@@ -466,6 +417,17 @@
                 # only one run is moved for each slot.
                 self._start_runs()
 
+    def _measure_paces(
+        self, owned, service_name: str, now: float
+    ) -> placement.Paces:
+        submission = owned.state.submission
+        fresh = placement.list_with_minimum_version(
+            self._directory.list_ready(service_name),
+            submission.model,
+            submission.minimum_version,
+        )
+        return placement.measure_paces(fresh, now)
+
     def _move(self, owned, run: runs.ItemRun, reason: str) -> None:
         events.write(
             'item_moved',
--- a/packages/gateway/auburnroad_gateway/batches/slot_search.py
+++ b/packages/gateway/auburnroad_gateway/batches/slot_search.py
@@ -63,7 +63,11 @@
         return target
 
     def find_for_restart(
-        self, service: str, need: placement.ItemRequirements, run: runs.ItemRun
+        self,
+        service: str,
+        need: placement.ItemRequirements,
+        run: runs.ItemRun,
+        ready: list[replica.Replica] | None = None,
     ) -> replica.Replica | None:
         """Find a replica where an item may start anew without its text.
 
@@ -71,21 +75,26 @@
           service: Service of the replicas.
           need: Requirements of the item, for which no slot is free.
           run: The item's run.
+          ready: Replicas at which the text may go on; those of the service
+            that accept new work if it is None.
 
         Returns:
           A replica of any release with a free slot; None if there is none, or
           the item should wait for one of its own release.
         """
-        if run.release is None or not self._may_give_up(service, run):
+        if ready is None:
+            ready = self._directory.list_ready(service)
+        if run.release is None or not self._may_give_up(ready, run):
             return None
         return self.find(service, msgspec.structs.replace(need, release=None))
 
-    def _may_give_up(self, service: str, run: runs.ItemRun) -> bool:
+    def _may_give_up(
+        self, ready: list[replica.Replica], run: runs.ItemRun
+    ) -> bool:
         """Tell whether an item has waited for as long as its text took.
 
         If no replica of the release is left, there is nothing to wait for.
         """
-        ready = self._directory.list_ready(service)
         if not placement.list_with_release(ready, run.release):
             return True
         if math.isinf(run.restart_at):
--- a/packages/gateway/auburnroad_gateway/forwarding/requests.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests.py
@@ -21,6 +21,7 @@
 from auburnroad_gateway.forwarding import crash_records
 from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import refusals
+from auburnroad_gateway.forwarding import service_fallback
 from auburnroad_gateway.members import permits as all_permits
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
@@ -47,7 +48,7 @@
       request: Request as the caller sent it.
       head: Decoded head of the request.
       route: Route that the request matched.
-      service: Service picked at random from the route's weighted backends.
+      service: Service of the next attempt, drawn by weight.
       deadline_at: Monotonic time in seconds by which the gateway responds.
       tried_replicas: Ids of the replicas that the request was sent to.
       possible_runs: Number of attempts that may have run the request.
@@ -176,6 +177,7 @@
         if all others are busy.
         """
         now = time.monotonic()
+        service_fallback.update_service(pending, self._directory)
         best = self._choose_unlimited(pending, now)
         limited = [
             target
@@ -269,6 +271,7 @@
         """
         if self.must_refuse(pending):
             return self.refuse(pending)
+        service_fallback.update_service(pending, self._directory)
         if self._admission is not None:
             refusal = await self._admission.enter(pending)
             if refusal is not None:
@@ -356,7 +359,8 @@
         while attempts:
             now = time.monotonic()
             if now >= pending.deadline_at:
-                return self._build_timeout(pending)
+                self._write_failure(pending, 'timed_out', 'deadline')
+                return refusals.build_error(504, 'timed_out')
             wait_until = pending.deadline_at
             may_hedge = pending.may_repeat and len(attempts) == 1
             if may_hedge:
@@ -426,7 +430,7 @@
         target.note_end()
         self._crash_watch.note_run_end(pending.fingerprint)
         if self._admission is not None:
-            self._admission.note_end(pending.service)
+            self._admission.note_end(target.registration.service)
 
     async def _fetch_response(
         self, pending: PendingRequest, target: replica.Replica, request
@@ -479,10 +483,6 @@
         self._write_failure(pending, 'failed', outcome.reason)
         return refusals.build_error(502, 'no_answer')
 
-    def _build_timeout(self, pending: PendingRequest) -> messages.Response:
-        self._write_failure(pending, 'timed_out', 'deadline')
-        return refusals.build_error(504, 'timed_out')
-
     def _write_failure(
         self, pending: PendingRequest, outcome: str, reason: str
     ) -> None:
--- a/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
@@ -9,6 +9,8 @@
 import time
 import unittest
 
+import msgspec
+
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
 from auburnroad_gateway.directory import directory
@@ -38,7 +40,7 @@
     await asyncio.Event().wait()
 
 
-class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+class ForwarderTestCase(unittest.IsolatedAsyncioTestCase):
     """Two replicas, of which 'near' is tried first.
 
     'near' is in the gateway's failure domain, 'far' is not.
@@ -76,12 +78,24 @@
         )
         return await self.forwarder.forward(pending)
 
+    def register(self, name, service_name, state='ready'):
+        value = (
+            '{"id":"%s","service":"%s","address":"%s:1",'
+            '"failure_domain":"near","slots":2,"state":"%s"}'
+        ) % (name, service_name, name, state)
+        self.replicas.apply(service.KeyedRecord(name, value.encode(), 0))
+        self.client.handle(f'{name}:1', self.answer)
+
     def fail_near(self, error):
         async def fail(request):
             raise error
 
         self.client.handle('near:1', fail)
 
+
+class ForwarderTest(ForwarderTestCase):
+    """A route of one service."""
+
     async def test_silent_replica_causes_hedged_attempt(self):
         self.client.handle('near:1', hang)
         response = await self.forward()
@@ -200,3 +214,43 @@
         _, sent = self.client.requests[-1]
         self.assertLessEqual(int(sent.headers['patience']), 700)
         self.assertEqual('far', sent.headers['replica'])
+
+
+class SplitRouteTest(ForwarderTestCase):
+    """A route of two services; 's' gets almost all requests by its weight."""
+
+    def build_split_route(self, *services):
+        return msgspec.structs.replace(
+            build_route(),
+            backends=tuple(
+                configuration.Backend(name, weight)
+                for name, weight in services
+            ),
+        )
+
+    async def test_request_goes_to_the_other_service_if_its_own_is_lost(self):
+        """It was refused while the replicas of the other service were idle."""
+        self.register('other', 'o')
+        self.replicas.apply(service.KeyedRecord('near', b'', 1))
+        self.replicas.apply(service.KeyedRecord('far', b'', 2))
+        route = self.build_split_route(('s', 1e9), ('o', 1e-9))
+        self.assertEqual(200, (await self.forward(route)).status)
+        self.assertEqual(1, self.client.count('other:1'))
+
+    async def test_request_goes_on_at_the_other_service_after_failures(self):
+        self.register('other', 'o')
+        for name in ('near', 'far'):
+            self.client.handle(f'{name}:1', self.fail)
+        route = self.build_split_route(('s', 1e9), ('o', 1e-9))
+        self.assertEqual(200, (await self.forward(route)).status)
+
+    async def fail(self, request):
+        raise client.ConnectError('refused')
+
+    async def test_service_without_weight_gets_no_request(self):
+        self.register('other', 'o')
+        route = self.build_split_route(('o', 0.0), ('s', 1.0))
+        self.client.handle('near:1', self.answer)
+        for _ in range(20):
+            self.assertEqual(200, (await self.forward(route)).status)
+        self.assertEqual(0, self.client.count('other:1'))
--- a/packages/gateway/auburnroad_gateway/model/configuration.py
+++ b/packages/gateway/auburnroad_gateway/model/configuration.py
@@ -63,6 +63,26 @@
     single_version: bool = False
     public: bool = False
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of the services that get requests, each one once.
+
+        The one with the largest weight comes first. Services without weight
+        are left out, unless none has a weight.
+        """
+        if len(self.backends) == 1:
+            return (self.backends[0].service,)
+        ordered = sorted(
+            self.backends, key=lambda backend: backend.weight, reverse=True
+        )
+        return tuple(
+            dict.fromkeys(
+                backend.service
+                for backend in ordered
+                if backend.weight > 0 or not ordered[0].weight
+            )
+        )
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -245,7 +245,7 @@
 
     def _choose_owner(self, route) -> str:
         """Choose the gateway to run a batch; this gateway if none is known."""
-        chosen = self._duties.choose_runner(route.backends[0].service)
+        chosen = self._duties.choose_runner(route.services[0])
         return chosen or self._members.incarnation
 
     def _build_tails(self) -> None:
--- a/packages/gateway/auburnroad_gateway/scaling/inputs.py
+++ b/packages/gateway/auburnroad_gateway/scaling/inputs.py
@@ -9,6 +9,7 @@
 import typing
 
 from auburnroad_gateway.batches import fold
+from auburnroad_gateway.batches import item_placement
 from auburnroad_gateway.batches import owned_batches
 from auburnroad_gateway.batches import slot_search
 from auburnroad_gateway.configuration import holder as configurations
@@ -143,7 +144,7 @@
         }
         for batch_id, items in self._batches.items():
             route = self._configuration.match_route(items.host, items.path)
-            if route is None or route.backends[0].service != service.name:
+            if route is None or service.name not in route.services:
                 continue
             state = self._fold.batches[batch_id]
             due_ms = state.submitted_ms + route.due_ms
@@ -151,6 +152,10 @@
             for index, hint in enumerate(items.length_hints):
                 if index in state.finished:
                     continue
+                if service.name != item_placement.choose_service(
+                    route, batch_id, index
+                ):
+                    continue
                 saved = state.progress.get(index)
                 if saved and saved[-1].complete:
                     # Only its score is missing, which takes no slot.
