--- a/packages/gateway/auburnroad_gateway/batches/contents.py
+++ b/packages/gateway/auburnroad_gateway/batches/contents.py
@@ -13,11 +13,10 @@
 from auburnroad_gateway.log import appender
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import settings
 
 # Maximum size of the contents that are cached after a read or a write.
 CACHE_BYTES = 2_000_000
-# Size of the length prefix of a record.
-FRAME_BYTES = 4
 # Minimum size of a read. Contents of one batch have nearby offsets, so a
 # larger read returns several of them.
 READ_AHEAD_BYTES = 1 << 17
@@ -28,7 +27,7 @@
 
     __slots__ = ('_log', '_appenders', '_cache', '_cached_bytes')
 
-    def __init__(self, log, incarnation: str, call_bytes: int):
+    def __init__(self, log, incarnation: str, limits: settings.LogLimits):
         self._log = log
         self._cache: collections.OrderedDict[tuple[int, int], bytes] = (
             collections.OrderedDict()
@@ -36,7 +35,7 @@
         self._cached_bytes = 0
         self._appenders = [
             appender.Appender(
-                log, records.CONTENTS_TOPIC, number, incarnation, call_bytes
+                log, records.CONTENTS_TOPIC, number, incarnation, limits
             )
             for number in range(records.PARTITIONS)
         ]
@@ -112,7 +111,7 @@
             place.partition,
             place.offset,
             0,
-            max(place.size + FRAME_BYTES, READ_AHEAD_BYTES),
+            max(place.size + service.LENGTH_PREFIX_BYTES, READ_AHEAD_BYTES),
         )
         if not part.records:
             raise service.LogRefusedError(
--- a/packages/gateway/auburnroad_gateway/batches/contents_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/contents_test.py
@@ -7,9 +7,10 @@
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.model import settings
 from auburnroad_standins import partition_log
 
-CALL_BYTES = 10**6
+RECORD_BYTES = 2_000_000
 PARTITION = records.find_partition('b')
 
 
@@ -19,7 +20,11 @@
     async def asyncSetUp(self):
         self.log = partition_log.PartitionLog()
         self.writer, self.reader = (
-            contents.Contents(self.log, name, CALL_BYTES)
+            contents.Contents(
+                self.log,
+                name,
+                settings.LogLimits(RECORD_BYTES, 2 * RECORD_BYTES),
+            )
             for name in ('writer', 'reader')
         )
         self.tasks = [
--- a/packages/gateway/auburnroad_gateway/batches/intake.py
+++ b/packages/gateway/auburnroad_gateway/batches/intake.py
@@ -75,6 +75,7 @@
         Returns:
           Status 202 once the batch is in the log, 400 if the request is not
           a valid batch, 404 if its id is that of a batch of another account,
+          413 if the log can't hold its records,
           503 if the batch is not in the log and will not be, 504 if the
           outcome is unknown.
         """
@@ -94,6 +95,9 @@
             await self._write_batch(route, submission, started)
         except appender.AppendTimeoutError as error:
             return self._build_timeout_response(submission, error, started)
+        except service.LogTooLargeError as error:
+            events.write('batch_invalid', error=str(error))
+            return refusals.build_error(413, 'batch_too_large')
         if account is not None and not await self._catch_up(submission):
             self._write_event('batch_in_doubt', submission, started)
             return refusals.build_error(504, 'log_silent')
@@ -197,12 +201,12 @@
         calls = [[]]
         left_bytes = self._journal.call_bytes
         for record in encoded:
-            if calls[-1] and left_bytes < len(record):
+            size = service.measure_records([record])
+            if calls[-1] and left_bytes < size:
                 calls.append([])
                 left_bytes = self._journal.call_bytes
             calls[-1].append(record)
-            # Each record has a length prefix of 4 bytes.
-            left_bytes -= len(record) + 4
+            left_bytes -= size
         for call in calls:
             await self._journal.append(batch_id, call, timeout_seconds)
 
--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.batches import fold
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.log import appender
+from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.model import batch
 
@@ -72,7 +73,10 @@
         self._count_gateways = count_gateways
         self._writing: set[asyncio.Task] = set()
         self.fold = fold.Fold()
-        self.record_bytes = limits.record_bytes
+        self.record_bytes = min(
+            limits.record_bytes,
+            limits.call_bytes - service.LENGTH_PREFIX_BYTES,
+        )
         self.call_bytes = limits.call_bytes
         self._reads_per_second = limits.reads_per_second
         numbers = range(records.PARTITIONS)
@@ -87,12 +91,10 @@
             for number in numbers
         ]
         self._appenders = [
-            appender.Appender(
-                log, records.TOPIC, number, incarnation, limits.call_bytes
-            )
+            appender.Appender(log, records.TOPIC, number, incarnation, limits)
             for number in numbers
         ]
-        self._contents = contents.Contents(log, incarnation, limits.call_bytes)
+        self._contents = contents.Contents(log, incarnation, limits)
 
     @property
     def is_loaded(self) -> bool:
@@ -163,7 +165,12 @@
           progress: One record per item; texts for the separate topic are
             written before their records.
         """
-        if not self.uses_references:
+        max_text_bytes = self.record_bytes - records.RECORD_OVERHEAD_BYTES
+        # Pieces of a text must stay in order, so that none is written directly
+        # while the text of an earlier one is being written.
+        if not (self.uses_references or self._writing) and all(
+            len(record.text) <= max_text_bytes for record in progress
+        ):
             for record in progress:
                 self.add(record)
             return
@@ -285,7 +292,7 @@
         group = []
         left_bytes = self.record_bytes - records.RECORD_OVERHEAD_BYTES
         for record in progress:
-            size = len(record.text) + contents.FRAME_BYTES
+            size = len(record.text) + service.LENGTH_PREFIX_BYTES
             if group and size > left_bytes:
                 yield group
                 group = []
@@ -298,11 +305,18 @@
     async def _add_progress_by_reference(self, progress) -> None:
         batch_id = progress[0].batch_id
         data = records.pack_texts([record.text for record in progress])
-        place = await self._contents.write(batch_id, data)
+        place, *further = [
+            await self._contents.write(batch_id, piece)
+            for piece in records.split(data, self.record_bytes)
+        ]
         encoded = [
             records.encode(
                 msgspec.structs.replace(
-                    record, text=b'', place=place, part=number
+                    record,
+                    text=b'',
+                    place=place,
+                    part=number,
+                    further_locations=further,
                 )
             )
             for number, record in enumerate(progress)
@@ -328,22 +342,30 @@
 
 def _list_places(state: fold.BatchState) -> set[batch.RecordLocation]:
     return {
-        part.place
+        place
         for saved in state.progress.values()
         for part in saved
         if part.place is not None
+        for place in (part.place, *part.further_locations)
     }
 
 
 def _fill_progress(
     state: fold.BatchState, found: dict[batch.RecordLocation, bytes]
 ) -> None:
-    texts = {
-        place: records.unpack_texts(data) for place, data in found.items()
-    }
+    texts: dict[batch.RecordLocation, list[bytes]] = {}
     for saved in state.progress.values():
         for number, part in enumerate(saved):
-            if part.place in texts:
-                saved[number] = msgspec.structs.replace(
-                    part, text=texts[part.place][part.part], place=None
+            if part.place not in found:
+                continue
+            if part.place not in texts:
+                places = (part.place, *part.further_locations)
+                texts[part.place] = records.unpack_texts(
+                    b''.join(found[place] for place in places)
                 )
+            saved[number] = msgspec.structs.replace(
+                part,
+                text=texts[part.place][part.part],
+                place=None,
+                further_locations=[],
+            )
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -84,6 +84,8 @@
       piece: Id of this piece of the text; None if its writer knows none.
       continues: Id of the piece that this one goes on from; None for the
         start of a text.
+      further_locations: Locations of the rest if one record can't hold the
+        texts at the location.
     """
 
     batch_id: str
@@ -100,6 +102,7 @@
     versions_before: list[int] | None = None
     piece: lineage.PieceId | None = None
     continues: lineage.PieceId | None = None
+    further_locations: list[batch.RecordLocation] = []
 
 
 class End(msgspec.Struct, frozen=True, array_like=True, tag='e'):
@@ -288,7 +291,11 @@
     """
     if bodies is not None:
         submission = strip_bodies(submission)
-    pieces = split(pack_submission(submission), record_bytes)
+    # Each record names all locations.
+    pieces = split(
+        pack_submission(submission),
+        record_bytes - len(_ENCODER.encode(bodies)),
+    )
     return [
         encode(
             SubmissionPart(
--- a/packages/gateway/auburnroad_gateway/log/appender.py
+++ b/packages/gateway/auburnroad_gateway/log/appender.py
@@ -4,6 +4,10 @@
 sequence number makes a call idempotent, so a call whose response was lost is
 retried without a second copy. A queued record can be withdrawn only while no
 call containing it may have been carried out.
+
+A call that is refused is not repeated as it was: while nothing of it may have
+been appended, each retry carries half as many bytes. So a call that the log
+service never accepts doesn't keep the partition from its other records.
 """
 
 import asyncio
@@ -11,6 +15,7 @@
 import time
 
 from auburnroad_gateway.log import service
+from auburnroad_gateway.model import settings
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 
@@ -48,7 +53,7 @@
 
     Attributes:
       records: Encoded records in the order of the partition.
-      size: Total size of the records in bytes.
+      size: Size of the records in a call, in bytes.
       future: Resolves to the offset of the first record.
       maybe_appended: Whether a call with the records may have been carried
         out.
@@ -58,7 +63,7 @@
 
     def __init__(self, records, future):
         self.records = records
-        self.size = sum(len(record) for record in records)
+        self.size = service.measure_records(records)
         self.future = future
         self.maybe_appended = False
 
@@ -75,7 +80,8 @@
         '_topic',
         '_partition',
         '_producer',
-        '_max_call_bytes',
+        '_limits',
+        '_max_group_bytes',
         '_queue',
         '_queue_changed',
         '_sequence',
@@ -83,12 +89,20 @@
         'failing',
     )
 
-    def __init__(self, log, topic, partition, producer, max_call_bytes):
+    def __init__(
+        self,
+        log: service.LogService,
+        topic: str,
+        partition: int,
+        producer: str,
+        limits: settings.LogLimits,
+    ):
         self._log = log
         self._topic = topic
         self._partition = partition
         self._producer = producer
-        self._max_call_bytes = max_call_bytes
+        self._limits = limits
+        self._max_group_bytes = limits.call_bytes
         self._queue: list[_PendingAppend] = []
         self._queue_changed = asyncio.Event()
         self._sequence = 0
@@ -108,10 +122,18 @@
 
         Returns:
           A future that resolves to the offset of the first record once the
-          records are in the log.
+          records are in the log, or to LogTooLargeError.
         """
         future = asyncio.get_running_loop().create_future()
-        self._queue.append(_PendingAppend(records, future))
+        pending = _PendingAppend(records, future)
+        largest = max(len(record) for record in records)
+        if (
+            pending.size > self._limits.call_bytes
+            or largest > self._limits.record_bytes
+        ):
+            self._reject(pending, largest)
+            return future
+        self._queue.append(pending)
         self._queue_changed.set()
         return future
 
@@ -130,6 +152,7 @@
         Raises:
           AppendTimeoutError: If the records were not confirmed in time. Its
             state attribute tells whether the records may still be appended.
+          LogTooLargeError: If the records don't fit into one append call.
         """
         future = self.enqueue(records)
         await asyncio.wait([future], timeout=timeout_seconds)
@@ -166,8 +189,12 @@
                 await asyncio.sleep(delay)
                 delay = min(RETRY_MAX_SECONDS, delay * 2)
                 if not any(queued.maybe_appended for queued in group):
+                    self._max_group_bytes = (
+                        sum(queued.size for queued in group) // 2
+                    )
                     group = self._select_group()
                 continue
+            self._max_group_bytes = self._limits.call_bytes
             self._confirm_group(group, offset)
             metrics.APPEND_SECONDS.observe(time.monotonic() - started)
             return
@@ -176,12 +203,26 @@
         group = []
         size = 0
         for queued in self._queue:
-            if group and size + queued.size > self._max_call_bytes:
+            if group and size + queued.size > self._max_group_bytes:
                 break
             group.append(queued)
             size += queued.size
         return group
 
+    def _reject(self, pending: _PendingAppend, largest: int) -> None:
+        events.write(
+            'records_too_large',
+            topic=self._topic,
+            partition=self._partition,
+            bytes=pending.size,
+            largest=largest,
+        )
+        pending.future.set_exception(
+            service.LogTooLargeError(f'{pending.size} bytes')
+        )
+        # Many writers don't wait for the outcome; the line above reports it.
+        pending.future.exception()
+
     async def _send(self, group) -> int:
         records = [record for queued in group for record in queued.records]
         producer = service.Producer(
--- a/packages/gateway/auburnroad_gateway/log/appender_test.py
+++ b/packages/gateway/auburnroad_gateway/log/appender_test.py
@@ -10,11 +10,15 @@
 import unittest
 
 from auburnroad_gateway.log import appender
+from auburnroad_gateway.log import service
+from auburnroad_gateway.model import settings
 from auburnroad_standins import loop_clock
 from auburnroad_standins import partition_log
 
 MAX_CALL_BYTES = 100
+RECORD_BYTES = 80
 LONG_TIMEOUT_SECONDS = 20.0
+TIMEOUT_SECONDS = 5.0
 
 
 class AppenderTest(unittest.IsolatedAsyncioTestCase):
@@ -23,7 +27,11 @@
     def setUp(self):
         self.log = partition_log.PartitionLog()
         self.subject = appender.Appender(
-            self.log, 't', 0, 'me', MAX_CALL_BYTES
+            self.log,
+            't',
+            0,
+            'me',
+            settings.LogLimits(RECORD_BYTES, MAX_CALL_BYTES),
         )
 
     @contextlib.asynccontextmanager
@@ -78,6 +86,48 @@
             )
         self.assertEqual(3, len(self.log.calls))
 
+    async def test_lengths_of_records_count_for_the_size_of_a_call(self):
+        """The log refused a call that was larger by them, for good."""
+        self.log.max_call_bytes = MAX_CALL_BYTES
+        async with self.running():
+            await asyncio.gather(
+                *(
+                    self.subject.append([b'%03d' % n], LONG_TIMEOUT_SECONDS)
+                    for n in range(50)
+                )
+            )
+        self.assertEqual(50, len(self.log.list_records('t')))
+
+    async def test_refused_call_is_retried_with_fewer_records(self):
+        """A queue stood still if the log accepted less than was known."""
+        self.log.max_call_bytes = 30
+        async with self.running():
+            await asyncio.gather(
+                *(
+                    self.subject.append([b'%03d' % n], LONG_TIMEOUT_SECONDS)
+                    for n in range(10)
+                )
+            )
+        self.assertEqual(
+            [b'%03d' % n for n in range(10)], self.log.list_records('t')
+        )
+
+    async def test_record_that_no_call_can_carry_is_rejected(self):
+        """It kept all later records of its partition out of the log."""
+        self.log.max_call_bytes = MAX_CALL_BYTES
+        async with self.running():
+            for records in (
+                [bytes(RECORD_BYTES + 1)],
+                [bytes(RECORD_BYTES), bytes(MAX_CALL_BYTES - RECORD_BYTES)],
+            ):
+                with self.assertRaises(service.LogTooLargeError):
+                    async with asyncio.timeout(TIMEOUT_SECONDS):
+                        await self.subject.append(
+                            records, LONG_TIMEOUT_SECONDS
+                        )
+            await self.subject.append([b'a'], LONG_TIMEOUT_SECONDS)
+        self.assertEqual([b'a'], self.log.list_records('t'))
+
     async def test_retry_after_lost_response_appends_one_copy(self):
         self.log.lose_answers = 2
         async with self.running():
--- a/packages/gateway/auburnroad_gateway/log/service.py
+++ b/packages/gateway/auburnroad_gateway/log/service.py
@@ -16,6 +16,8 @@
 KEYED_PREFIX = 'keyed.'
 # Maximum size of one read: one megabyte, the limit of the log service.
 MAX_READ_BYTES = 1 << 20
+# Size of the length that precedes each record in an append.
+LENGTH_PREFIX_BYTES = 4
 # Connections to the log service and to relaying peers are reused only within
 # this time: all of them may go silent at once, and a call that meets a silent
 # one fails after more than a second.
@@ -38,6 +40,10 @@
     """The partition's end or the producer's sequence is not as expected."""
 
 
+class LogTooLargeError(LogError):
+    """Records that no call can carry, since they exceed its maximum size."""
+
+
 class LogTrimmedError(LogError):
     """The requested records have been deleted.
 
@@ -174,6 +180,15 @@
         """
 
 
+def measure_records(records: list[bytes]) -> int:
+    """Measure records as they count for the maximum size of an append.
+
+    Returns:
+      Total size in bytes, with the length prefix of each record.
+    """
+    return sum(len(record) + LENGTH_PREFIX_BYTES for record in records)
+
+
 def encode_keyed(key: str, value: bytes) -> bytes:
     """Encode a record of a keyed topic.
 
--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -20,6 +20,8 @@
         time out; None for no limit.
       lose_answers: Number of next appends that take effect but raise
         LogLostError.
+      max_call_bytes: Size of the largest append that is accepted, with the
+        length of each record; None for no limit.
       refuse_snapshots: Number of next calls of read_newest that are refused.
       calls: Names of the received calls in order, with 'answer' for the end of
         a waiting read and 'address ADDRESS' for a call of set_address.
@@ -30,6 +32,7 @@
         'silent',
         'bytes_in_time',
         'lose_answers',
+        'max_call_bytes',
         'refuse_snapshots',
         'calls',
         '_records',
@@ -43,6 +46,7 @@
         self.silent = False
         self.bytes_in_time: int | None = None
         self.lose_answers = 0
+        self.max_call_bytes: int | None = None
         self.refuse_snapshots = 0
         self.calls: list[str] = []
         self._records = collections.defaultdict(list)
@@ -87,6 +91,11 @@
     ) -> int:
         """Append records; see service.LogService."""
         await self._begin_call('append')
+        if (
+            self.max_call_bytes is not None
+            and service.measure_records(records) > self.max_call_bytes
+        ):
+            raise service.LogRefusedError('too large')
         end = len(self._records[topic, partition])
         if expected_end is not None and expected_end != end:
             raise service.LogConflictError(f'the end is {end}')
--- a/packages/standins/auburnroad_standins/platform_store.py
+++ b/packages/standins/auburnroad_standins/platform_store.py
@@ -16,6 +16,8 @@
 RECORD_LENGTH = struct.Struct('>I')
 READ_HEADER = struct.Struct('>QQ')
 BYTES_PER_KB = 1024
+# Of the users' platform.
+MAX_CALL_BYTES = 2_097_152
 
 
 class PlatformStore:
@@ -31,6 +33,7 @@
 
     def __init__(self):
         self.log = partition_log.PartitionLog()
+        self.log.max_call_bytes = MAX_CALL_BYTES
         self.delay_seconds = 0.0
         self.refused: set[str] = set()
         self._servers: list[server.HttpServer] = []
