Check what other programs write where it is decoded

From other operators' reports: an odd entry among those of the replicas ended processes or stopped their following. An item whose attempt ended by such an error kept its place at the replica and was never run again; a batch that can't be unpacked kept all others from being claimed.

Cause: readers expected DecodeError only, and ranges were left to the last user of a value.

--- a/packages/client/auburnroad_client/daemons.py
+++ b/packages/client/auburnroad_client/daemons.py
@@ -12,6 +12,7 @@
 
 from auburnroad_client.questionnaire import answers as answer_types
 from auburnroad_client.questionnaire import generate
+from auburnroad_core import decoding
 from auburnroad_core.http import client
 
 REQUEST_TIMEOUT_SECONDS = 3.0
@@ -134,7 +135,7 @@
     if reply.status != 200:
         return None
     try:
-        return msgspec.json.decode(reply.body, type=Status)
+        return decoding.decode_json(reply.body, Status)
     except msgspec.DecodeError:
         return None
 
--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -22,6 +22,7 @@
 import msgspec
 import prometheus_client
 
+from auburnroad_core import decoding
 from auburnroad_core import errors
 from auburnroad_core.http import messages
 
@@ -33,8 +34,7 @@
 KEEP_ALIVE_FRACTION = 0.8
 # For servers that don't send their idle timeout.
 DEFAULT_IDLE_SECONDS = 30.0
-# Interim responses, or responses to other requests, before the one to a
-# request.
+# Interim responses, or responses to other requests, before the own one.
 MAX_SKIPPED_RESPONSES = 16
 # Size of a body that is read only so that its connection can be reused.
 MAX_DISCARDED_BYTES = 65536
@@ -180,7 +180,7 @@
                     return
                 else:
                     raise BrokenError('the response ended early')
-        except (OSError, h11.ProtocolError) as error:
+        except (OSError, h11.ProtocolError, ValueError) as error:
             raise BrokenError(str(error)) from error
         finally:
             self.close()
@@ -295,7 +295,7 @@
         sent_at = _find_time()
         try:
             return await self._exchange(address, connection, request, is_own)
-        except (OSError, h11.ProtocolError) as error:
+        except (OSError, h11.ProtocolError, ValueError) as error:
             connection.writer.close()
             raise BrokenError(f'{address}: {error}') from error
         except BaseException:
@@ -375,7 +375,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
                 reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise ConnectError(f'{address}: {error}') from error
         return _Connection(reader, writer)
 
@@ -448,8 +448,9 @@
     """Parse how long a connection may be idle, in seconds."""
     for part in headers.get('keep-alive', '').split(','):
         name, _, value = part.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdecimal():
-            return int(value) * KEEP_ALIVE_FRACTION
+        seconds = decoding.parse_count(value)
+        if name.lower() == 'timeout' and seconds is not None:
+            return seconds * KEEP_ALIVE_FRACTION
     return DEFAULT_IDLE_SECONDS
 
 
@@ -494,6 +495,6 @@
     Returns:
       The request.
     """
-    body = b'' if value is None else msgspec.json.encode(value)
     merged = {'content-type': messages.JSON_TYPE, **(headers or {})}
+    body = b'' if value is None else msgspec.json.encode(value)
     return messages.Request(method, target, merged, body)
--- a/packages/core/auburnroad_core/http/client_test.py
+++ b/packages/core/auburnroad_core/http/client_test.py
@@ -38,6 +38,18 @@
         self.assertEqual(b'whole', await self.fetch())
         self.assertEqual(b'whole', await self.fetch())
 
+    async def test_malformed_idle_timeout_is_ignored(self):
+        """The number has more digits than int() converts."""
+        for value in ('timeout=' + '9' * 5000, 'timeout=\xb2', 'timeout=-1'):
+            self.headers = {'keep-alive': value}
+            self.assertEqual(b'whole', await self.fetch())
+
+    async def test_address_that_is_none_raises_connect_error(self):
+        request = messages.Request('GET', '/', {})
+        for address in ('127.0.0.1:65536', '127.0.0.1:-1', '127.0.0.1:x', ''):
+            with self.assertRaises(client.ConnectError, msg=address):
+                await self.client.fetch(address, request, 5.0)
+
     async def test_request_that_must_no_longer_be_sent_is_not_run(self):
         """Its sender lost the right to send it while it connected."""
         request = messages.Request('GET', '/', {})
--- a/packages/core/auburnroad_core/log/checkpoint.py
+++ b/packages/core/auburnroad_core/log/checkpoint.py
@@ -10,14 +10,13 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.log import records
 from auburnroad_core.log import verdict
 from auburnroad_core.platform import log_service
 
 StateType = typing.TypeVar('StateType')
 
-_DECODER = msgspec.json.Decoder(typing.Union[records.Checkpoint])
-
 
 class FoldState(msgspec.Struct):
     """Base of the states of all folds: the stream position and checkpoint.
@@ -84,7 +83,9 @@
       that covers its own offset or a later one.
     """
     try:
-        checkpoint = _DECODER.decode(entry.data)
+        checkpoint = decoding.decode_json(
+            entry.data, typing.Union[records.Checkpoint]
+        )
     except msgspec.DecodeError:
         return None
     return checkpoint if checkpoint.covers < entry.offset else None
@@ -117,7 +118,7 @@
 
 def _parse_state(checkpoint, state_type):
     try:
-        state = msgspec.json.decode(checkpoint.state, type=state_type)
+        state = decoding.decode_json(checkpoint.state, state_type)
     except msgspec.DecodeError:
         return None
     return state if state.applied == checkpoint.covers else None
--- a/packages/core/auburnroad_core/log/configuration_fold.py
+++ b/packages/core/auburnroad_core/log/configuration_fold.py
@@ -5,8 +5,11 @@
 revision in force never decreases.
 """
 
+import typing
+
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.log import checkpoint
 from auburnroad_core.log import records
 from auburnroad_core.log import verdict
@@ -22,7 +25,6 @@
 # revision is no longer in force.
 DEDUPLICATION_RECORDS = 4096
 
-_DECODER = msgspec.json.Decoder(records.ConfigurationRecord)
 _JSON_NULL = msgspec.Raw(b'null')
 
 
@@ -108,7 +110,7 @@
       The deployment, or None when it is not valid.
     """
     try:
-        value = msgspec.json.decode(document)
+        value = decoding.decode_json(document, typing.Any)
     except msgspec.DecodeError:
         return None
     parsed, error_records = check.check_document(
@@ -121,7 +123,7 @@
     if entry.record_id in state.seen:
         return verdict.Verdict.DUPLICATE
     try:
-        record = _DECODER.decode(entry.data)
+        record = decoding.decode_json(entry.data, records.ConfigurationRecord)
     except msgspec.DecodeError:
         return verdict.Verdict.INVALID
     if isinstance(record, records.Publish):
--- a/packages/core/auburnroad_core/log/intent_fold.py
+++ b/packages/core/auburnroad_core/log/intent_fold.py
@@ -25,6 +25,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.log import checkpoint
 from auburnroad_core.log import keys
 from auburnroad_core.log import records
@@ -38,8 +39,6 @@
 # The floor is raised in steps, because each step scans all keys.
 FLOOR_STEP_MS = 60_000
 
-_DECODER = msgspec.json.Decoder(records.IntentRecord)
-
 
 class KeyState(msgspec.Struct):
     """State of one idempotency key.
@@ -131,7 +130,7 @@
 
 def _apply(state, entry) -> verdict.Verdict:
     try:
-        record = _DECODER.decode(entry.data)
+        record = decoding.decode_json(entry.data, records.IntentRecord)
     except msgspec.DecodeError:
         return verdict.Verdict.INVALID
     if isinstance(record, records.Checkpoint):
@@ -192,7 +191,7 @@
 
 def _apply_checkpoint(state, entry, record) -> verdict.Verdict:
     try:
-        stored_state = msgspec.json.decode(record.state, type=State)
+        stored_state = decoding.decode_json(record.state, State)
     except msgspec.DecodeError:
         return verdict.Verdict.INVALID
     outcome = checkpoint.apply_checkpoint(state, entry, record)
--- a/packages/core/auburnroad_core/log/trainer_fold.py
+++ b/packages/core/auburnroad_core/log/trainer_fold.py
@@ -26,6 +26,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.log import checkpoint
 from auburnroad_core.log import records
 from auburnroad_core.log import verdict
@@ -34,8 +35,6 @@
 STREAM = records.TRAINERS_STREAM
 MAX_CARRY_STEPS = 4
 
-_DECODER = msgspec.json.Decoder(records.TrainerRecord)
-
 
 class SealedStep(msgspec.Struct):
     """A step whose contents are fixed.
@@ -171,7 +170,7 @@
 
 def _apply(state, entry) -> verdict.Verdict:
     try:
-        record = _DECODER.decode(entry.data)
+        record = decoding.decode_json(entry.data, records.TrainerRecord)
     except msgspec.DecodeError:
         return verdict.Verdict.INVALID
     if isinstance(record, records.Checkpoint):
--- a/packages/core/auburnroad_core/platform/host_list.py
+++ b/packages/core/auburnroad_core/platform/host_list.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core import errors
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
@@ -78,6 +79,6 @@
             )
             if response.status != 200:
                 raise HostListError(f'refused with {response.status}')
-            return msgspec.json.decode(response.body, type=list[Host])
+            return decoding.decode_json(response.body, list[Host])
         except (client.HttpError, msgspec.DecodeError) as error:
             raise HostListError(str(error)) from error
--- a/packages/core/auburnroad_core/platform/log_service.py
+++ b/packages/core/auburnroad_core/platform/log_service.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core import errors
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
@@ -162,6 +163,6 @@
 
     def _parse(self, response: messages.Response, response_type):
         try:
-            return msgspec.json.decode(response.body, type=response_type)
+            return decoding.decode_json(response.body, response_type)
         except msgspec.DecodeError as error:
             raise LogUnavailableError(f'invalid response: {error}') from error
--- a/packages/daemon/auburnroad_daemon/connection/http_engine.py
+++ b/packages/daemon/auburnroad_daemon/connection/http_engine.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
 from auburnroad_daemon.connection import engine
@@ -14,8 +15,6 @@
 DATA_PREFIX = b'data:'
 END_OF_STREAM = b'[DONE]'
 
-_TOKENS_DECODER = msgspec.json.Decoder(engine.Tokens)
-
 
 class _OrderResponse(msgspec.Struct):
     versions: dict[str, int]
@@ -139,7 +138,7 @@
         message = response.body.decode('utf-8', 'replace')
         raise engine.EngineRejectedError(response.status, message)
     try:
-        return msgspec.json.decode(response.body, type=response_type)
+        return decoding.decode_json(response.body, response_type)
     except msgspec.DecodeError as error:
         raise engine.EngineBrokenError(str(error)) from error
 
@@ -147,7 +146,7 @@
 def _parse_events(lines: list[bytes]) -> list[engine.Tokens]:
     """Parse complete lines of a stream of server-sent events."""
     return [
-        _TOKENS_DECODER.decode(line[len(DATA_PREFIX) :])
+        decoding.decode_json(line[len(DATA_PREFIX) :], engine.Tokens)
         for line in lines
         if line.startswith(DATA_PREFIX)
         and line[len(DATA_PREFIX) :].strip() != END_OF_STREAM
--- a/packages/daemon/auburnroad_daemon/request/answers.py
+++ b/packages/daemon/auburnroad_daemon/request/answers.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_core.http import messages
 from auburnroad_core import types
 from auburnroad_daemon.process import entry_metrics as metrics
@@ -48,13 +49,13 @@
         error contains the name of the field.
     """
     try:
-        return msgspec.json.decode(body, type=body_type)
+        return decoding.decode_json(body, body_type)
     except msgspec.ValidationError as error:
         text, _, path = str(error).partition(' - at `$.')
         missing = re.search(r'required field `(\w+)`', text)
         field = path.rstrip('`') or (missing.group(1) if missing else '')
         raise BadRequestError('bad_field', text, field) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         raise BadRequestError('bad_json', str(error)) from error
 
 
--- a/packages/daemon/auburnroad_daemon/request/run.py
+++ b/packages/daemon/auburnroad_daemon/request/run.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_core.http import client
 from auburnroad_core.http import messages as http_messages
 from auburnroad_core import refusals
@@ -64,7 +65,7 @@
     """
     submit = attempt.submit
     try:
-        body = msgspec.json.decode(submit.body, type=CompletionBody)
+        body = decoding.decode_json(submit.body, CompletionBody)
     except msgspec.DecodeError:
         return Result(_refuse(submit, refusals.BAD_REQUEST))
     completion = engine.Completion(
--- a/packages/daemon/auburnroad_daemon/version/copies.py
+++ b/packages/daemon/auburnroad_daemon/version/copies.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.wire import messages
 from auburnroad_daemon.connection import peer_link
 from auburnroad_daemon.process import entry_metrics as metrics
@@ -19,8 +20,6 @@
 ACKNOWLEDGE_TIMEOUT_SECONDS = 1.0
 FETCH_TIMEOUT_SECONDS = 1.0
 
-_CHANGE_DECODER = msgspec.msgpack.Decoder(ledgers.Change)
-
 
 class Holder(typing.Protocol):
     """Link to an entry that can hold a copy; see connection/peer_link.py."""
@@ -190,7 +189,7 @@
           The acknowledgement; None if the change was not applied, because its
           owner was superseded or an earlier change is missing.
         """
-        change = _CHANGE_DECODER.decode(message.change)
+        change = decoding.decode_msgpack(message.change, ledgers.Change)
         copy = self._copies.get(message.trainer)
         if isinstance(change, ledgers.ReplaceLedger):
             if copy is not None and copy.claim > message.claim:
@@ -248,7 +247,7 @@
     if not non_empty:
         return None
     newest = max(non_empty, key=lambda a: (a.claim, a.sequence))
-    return msgspec.msgpack.decode(newest.ledger, type=ledgers.Ledger)
+    return decoding.decode_msgpack(newest.ledger, ledgers.Ledger)
 
 
 async def fetch_newest_ledger(
--- a/packages/gateway/auburnroad_gateway/batches/fold.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold.py
@@ -11,6 +11,7 @@
 from auburnroad_gateway.batches import lineage
 from auburnroad_gateway.batches import records
 from auburnroad_gateway.model import batch
+from auburnroad_gateway.telemetry import events
 
 
 class BatchState:
@@ -64,7 +65,7 @@
         Separately stored bodies are empty until fill_bodies is called.
         """
         if self._submission is None:
-            self._submission = records.unpack_submission(self._data)
+            self._submission = self._unpack()
         return self._submission
 
     @property
@@ -74,7 +75,19 @@
 
     def decode_submission(self) -> batch.Submission:
         """Decode the submission, without keeping it in memory."""
-        return self._submission or records.unpack_submission(self._data)
+        return self._submission or self._unpack()
+
+    def _unpack(self) -> batch.Submission:
+        """Unpack the submission.
+
+        One that can't be read has no route and no items, so that it has no
+        effect on other batches.
+        """
+        try:
+            return records.unpack_submission(self._data)
+        except msgspec.DecodeError as error:
+            events.write_invalid_record(records.TOPIC, self.id, error)
+            return batch.Submission(self.id, '', '', 0, '', 0, 0, [])
 
     def fill_bodies(self, bodies: list[bytes]) -> None:
         """Add the items' bodies after they were read from the log."""
@@ -115,13 +128,14 @@
         """Apply the next record of a partition.
 
         Args:
-          offset: Offset of the record; unused, since only the order matters.
+          offset: Offset of the record.
           data: Encoded record; data of other writers that cannot be decoded
-            is ignored.
+            is skipped.
         """
         try:
             record = records.decode(data)
-        except msgspec.DecodeError:
+        except msgspec.DecodeError as error:
+            events.write_invalid_record(records.TOPIC, offset, error)
             return
         if isinstance(record, records.SubmissionPart):
             changed = self._add_part(record)
@@ -178,6 +192,8 @@
 
 def _apply_results(target: BatchState, record: records.Results) -> None:
     for result in record.results:
+        if not 0 <= result.index < target.items:
+            continue
         if result.index not in target.finished and not target.ended:
             target.finished.add(result.index)
             target.results.append(result)
@@ -187,6 +203,8 @@
 def _apply_progress(target: BatchState, record: records.Progress) -> None:
     if record.index in target.finished or target.ended:
         return
+    if not 0 <= record.index < target.items:
+        return
     known = target.progress.setdefault(record.index, [])
     lineage.extend(known, record, target.owner)
 
--- a/packages/gateway/auburnroad_gateway/batches/fold_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/fold_test.py
@@ -1,6 +1,7 @@
 """Tests that all gateways fold the same records into the same state."""
 
 import unittest
+import zlib
 
 import hypothesis
 from hypothesis import strategies
@@ -84,6 +85,28 @@
         self.apply(parts[-1])
         self.assertEqual(build_submission(), self.fold.batches['b'].submission)
 
+    def test_unreadable_submission_has_no_items(self):
+        """Each look at the batches of all owners failed at it."""
+        for data in (b'', b'x', zlib.compress(b'\x91' * 3000 + b'\x90')):
+            part = records.SubmissionPart('odd', 'a', 0, 1, 'o', 1, data, 3)
+            self.setUp()
+            self.apply(records.encode(part))
+            state = self.fold.batches['odd']
+            self.assertEqual('', state.decode_submission().host)
+            self.assertEqual([], state.submission.items)
+
+    def test_record_of_an_item_that_does_not_exist_is_ignored(self):
+        state = self.submit()
+        for index in (-1, 3, 1 << 40):
+            self.apply(
+                records.encode(records.Results('b', [build_result(index)])),
+                records.encode(
+                    records.Progress('b', index, -1, 0, b'', [], 0)
+                ),
+            )
+        self.assertEqual([], state.results)
+        self.assertEqual({}, state.progress)
+
     def test_first_submission_of_a_batch_counts(self):
         self.submit()
         self.apply(*encode_submission('a2', 'o2'))
--- a/packages/gateway/auburnroad_gateway/batches/lineage_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/lineage_test.py
@@ -193,7 +193,10 @@
         self.owner.generate()
         piece = lineage.PieceId('w', 0)
         record = owned_batches.checkpoint_run('b', self.owner.run, piece)
-        self.assertEqual(('piece', 'continues'), record.__struct_fields__[-2:])
+        self.assertEqual(
+            ('piece', 'continues', 'further_locations'),
+            record.__struct_fields__[-3:],
+        )
 
 
 class AllOrdersTest(unittest.TestCase):
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -325,6 +325,17 @@
             end = await runs.run_attempt(
                 self._client, self._adapter, run, owned.constraints
             )
+        except Exception as error:
+            # What a replica answers must not leave the item without a run.
+            events.write_error(
+                'item_attempt_failed',
+                error,
+                batch=owned.state.id,
+                item=run.item.id,
+                replica=target.id,
+            )
+            target.note_failure(time.monotonic())
+            end = runs.AttemptEnd.BROKEN
         finally:
             target.in_flight -= 1
             if not target.in_flight:
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -322,6 +322,46 @@
         self.tasks.append(asyncio.create_task(keep_waking()))
         self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
 
+    async def test_item_runs_again_after_an_unexpected_error(self):
+        """It kept its place at the replica and was never run again."""
+
+        async def fail(request):
+            raise OverflowError('what the replica sent')
+
+        self.add_replica('one')
+        self.client.handle('one:1', fail)
+        self.submit()
+        await self.wait(lambda: self.client.count('one:1'))
+        self.add_replica('two')
+        self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
+
+    async def test_event_with_an_impossible_id_breaks_the_run(self):
+        """The id has more digits than int() converts."""
+
+        async def answer(request):
+            headers = {'signed': '1', 'id': request.headers['id']}
+            event = scripted_replicas.build_event('9' * 5000)
+            return scripted_replicas.Reply(
+                200, headers, scripted_replicas.iterate([event])
+            )
+
+        self.add_replica('one')
+        self.client.handle('one:1', answer)
+        self.submit()
+        await self.wait(lambda: self.client.count('one:1'))
+        self.add_replica('two')
+        self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
+
+    async def test_unreadable_batch_of_another_writer_stops_no_other(self):
+        part = records.SubmissionPart('odd', 'a', 0, 1, 'gone', 1, b'x', 1)
+        number = records.find_partition('odd')
+        self.log.write(records.TOPIC, number, [records.encode(part)])
+        self.members._observing_since = 1.0
+        self.members._checked_at = 10.0
+        self.add_replica('one')
+        self.submit()
+        self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
+
     async def test_run_leaves_a_draining_replica(self):
         self.add_replica('one', pause_seconds=0.05)
         self.submit()
--- a/packages/gateway/auburnroad_gateway/batches/records.py
+++ b/packages/gateway/auburnroad_gateway/batches/records.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from auburnroad_core import decoding
 from auburnroad_gateway.batches import lineage
 from auburnroad_gateway.model import batch
 from auburnroad_gateway.model import call
@@ -129,9 +130,6 @@
 Record = SubmissionPart | Results | Progress | End | Claim
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Record)
-_SUBMISSIONS = msgspec.msgpack.Decoder(batch.Submission)
-_BYTES = msgspec.msgpack.Decoder(list[bytes])
 
 
 def encode(record: Record) -> bytes:
@@ -145,7 +143,7 @@
     Raises:
       msgspec.DecodeError: If the data is not a valid record.
     """
-    return _DECODER.decode(data)
+    return decoding.decode_msgpack(data, Record)
 
 
 def find_partition(batch_id: str) -> int:
@@ -170,7 +168,7 @@
 
 def unpack_texts(data: bytes) -> list[bytes]:
     """Decode the compressed texts of a record of contents."""
-    return _BYTES.decode(data)
+    return decoding.decode_msgpack(data, list[bytes])
 
 
 def pack_bodies(submission: batch.Submission) -> bytes:
@@ -185,7 +183,7 @@
 
 def unpack_bodies(data: bytes) -> list[bytes]:
     """Decompress and decode the bodies of a batch; see pack_bodies."""
-    return _BYTES.decode(zlib.decompress(data))
+    return decoding.decode_msgpack(zlib.decompress(data), list[bytes])
 
 
 def hash_body(owner: batch.Item | call.RewardCall) -> int:
@@ -264,8 +262,16 @@
 
 
 def unpack_submission(data: bytes) -> batch.Submission:
-    """Decompress and decode a submission."""
-    return _SUBMISSIONS.decode(zlib.decompress(data))
+    """Decompress and decode a submission.
+
+    Raises:
+      msgspec.DecodeError: If the data is not a valid submission.
+    """
+    try:
+        plain = zlib.decompress(data)
+    except zlib.error as error:
+        raise msgspec.DecodeError(str(error)) from error
+    return decoding.decode_msgpack(plain, batch.Submission)
 
 
 def build_submission_records(
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -187,7 +187,9 @@
     target = run.replica
     run.attempt_events = 0
     headers = adapter.build_attempt_headers(
-        adapter.build_item_headers(run.item, constraints.host),
+        attempt.drop_hop_by_hop_headers(
+            adapter.build_item_headers(run.item, constraints.host)
+        ),
         target.id,
         None,
         run.last_event,
--- a/packages/gateway/auburnroad_gateway/forwarding/event_stream.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/event_stream.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.http import client
 from auburnroad_gateway import adapter as adapters
 
@@ -87,6 +88,6 @@
         value = value.removeprefix(' ')
         if name == 'data':
             data.append(value)
-        elif name == 'id' and value.isdecimal():
-            event_id = int(value)
+        elif name == 'id':
+            event_id = decoding.parse_count(value)
     return Event(event_id, '\n'.join(data), version, raw + b'\n\n')
--- a/packages/gateway/auburnroad_gateway/forwarding/releases_in_service.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/releases_in_service.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_gateway.log import service
 from auburnroad_gateway.members import facts as all_facts
 from auburnroad_gateway.model import registration
@@ -145,10 +146,11 @@
 
     def _apply(self, fact: all_facts.Fact) -> None:
         try:
-            release = msgspec.json.decode(
-                fact.value, type=registration.Release
+            release = decoding.decode_json(
+                fact.value.encode(), registration.Release
             )
-        except msgspec.DecodeError:
-            # Written by another version of gateways.
+        except msgspec.DecodeError as error:
+            # Perhaps of another version of gateways.
+            events.write_invalid_record(all_facts.TOPIC, fact.key, error)
             return
         self.note_use((fact.key, release), fact.until_ms)
--- a/packages/gateway/auburnroad_gateway/forwarding/stream_releases.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/stream_releases.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_gateway.forwarding import releases_in_service
 from auburnroad_gateway.log import service
 from auburnroad_gateway.members import facts as all_facts
@@ -197,9 +198,10 @@
         start = self._starts.get(fact.value)
         if start is None:
             try:
-                start = msgspec.json.decode(fact.value, type=_StreamStart)
-            except msgspec.DecodeError:
-                # Written by another version of gateways.
+                start = decoding.decode_json(fact.value.encode(), _StreamStart)
+            except msgspec.DecodeError as error:
+                # Perhaps of another version of gateways.
+                events.write_invalid_record(all_facts.TOPIC, fact.key, error)
                 return
             self._starts[fact.value] = start
         self._streams[fact.key] = start
--- a/packages/gateway/auburnroad_gateway/members/facts.py
+++ b/packages/gateway/auburnroad_gateway/members/facts.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_gateway.log import service
 from auburnroad_gateway.telemetry import events
 
@@ -176,14 +177,17 @@
 
     def apply(self, record: service.KeyedRecord) -> None:
         """Apply a record of the topic."""
+        if not record.value:
+            return
         name, _, place = record.key.partition('/')
         host, _, slot = place.rpartition('/')
         try:
-            facts = msgspec.msgpack.decode(record.value, type=list[Fact])
+            facts = decoding.decode_msgpack(record.value, list[Fact])
             if host == self._host:
                 self._note_written(FactKind(name), record.offset, int(slot))
-        except (msgspec.DecodeError, ValueError):
-            # A record that was dropped, or is of another version of gateways.
+        except (msgspec.DecodeError, ValueError) as error:
+            # Perhaps of another version of gateways.
+            events.write_invalid_record(TOPIC, record.key, error)
             return
         for fact in facts:
             self._notify(fact)
--- a/packages/gateway/auburnroad_gateway/members/facts_test.py
+++ b/packages/gateway/auburnroad_gateway/members/facts_test.py
@@ -92,6 +92,17 @@
         self.log.down = False
         await two.hear('f')
 
+    async def test_malformed_record_does_not_keep_others_from_being_read(self):
+        one = self.start('a')
+        for key, value in (
+            ('crash/b/0', b'\x91' * 3000 + b'\x90'),
+            ('crash/a/x', b'\x90'),
+            ('odd', b'\xff'),
+        ):
+            self.log.put(facts.TOPIC, key, value)
+        self.start('b').facts.share(build_fact('f'))
+        await one.hear('f')
+
     async def test_fact_is_ignored_after_its_deadline(self):
         one = self.start('a')
         one.facts.share(build_fact('old', left_ms=0))
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_gateway.log import service
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import events
@@ -305,9 +306,8 @@
 
     def apply(self, record: service.KeyedRecord) -> None:
         """Apply a heartbeat record of the log."""
-        try:
-            heartbeat = msgspec.msgpack.decode(record.value, type=Heartbeat)
-        except msgspec.DecodeError:
+        heartbeat = _decode_heartbeat(record)
+        if heartbeat is None:
             self._members.pop(record.key, None)
             self._alive = None
             return
@@ -478,3 +478,14 @@
         DEAD_HEARTBEATS * interval_seconds,
         (DEAD_HEARTBEATS - 1) * interval_seconds + DEAD_ALLOWANCE_SECONDS,
     )
+
+
+def _decode_heartbeat(record: service.KeyedRecord) -> Heartbeat | None:
+    """Decode a heartbeat; None if its key was dropped, or it is malformed."""
+    if not record.value:
+        return None
+    try:
+        return decoding.decode_msgpack(record.value, Heartbeat)
+    except msgspec.DecodeError as error:
+        events.write_invalid_record(TOPIC, record.key, error)
+        return None
--- a/packages/gateway/auburnroad_gateway/members/permits.py
+++ b/packages/gateway/auburnroad_gateway/members/permits.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
 from auburnroad_gateway.directory import rate_limit
@@ -112,7 +113,7 @@
           409 if this gateway doesn't grant the permits of the service.
         """
         try:
-            call = msgspec.msgpack.decode(request.body, type=PermitCall)
+            call = decoding.decode_msgpack(request.body, PermitCall)
         except msgspec.DecodeError as error:
             return messages.Response(400, {}, str(error).encode())
         if self._find_granting(call.service) != self._members.incarnation:
@@ -182,7 +183,7 @@
         response = await self._client.fetch(address, request, TIMEOUT_SECONDS)
         if response.status != 200:
             raise client.HttpError(f'status {response.status}')
-        return msgspec.msgpack.decode(response.body, type=rate_limit.Grants)
+        return decoding.decode_msgpack(response.body, rate_limit.Grants)
 
     def _note_failure(self, service: str, granting: str, error: str) -> None:
         metrics.PERMITS.labels('unreachable').inc()
--- a/packages/gateway/auburnroad_gateway/members/relay.py
+++ b/packages/gateway/auburnroad_gateway/members/relay.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
 from auburnroad_gateway.log import service
@@ -83,9 +84,9 @@
       The encoded RelayAnswer; status 400 if the request isn't a valid call.
     """
     try:
-        call = msgspec.msgpack.decode(request.body, type=RelayCall)
+        call = decoding.decode_msgpack(request.body, RelayCall)
         argument_types = ARGUMENT_TYPES[call.verb]
-        arguments = msgspec.msgpack.decode(call.arguments, type=argument_types)
+        arguments = decoding.decode_msgpack(call.arguments, argument_types)
     except (msgspec.DecodeError, KeyError) as error:
         return messages.Response(400, {}, str(error).encode())
     try:
@@ -158,11 +159,9 @@
 
 def _decode_result(verb: str, response: messages.Response):
     try:
-        answer = msgspec.msgpack.decode(response.body, type=RelayAnswer)
+        answer = decoding.decode_msgpack(response.body, RelayAnswer)
         if not answer.error:
-            return msgspec.msgpack.decode(
-                answer.result, type=RESULT_TYPES[verb]
-            )
+            return decoding.decode_msgpack(answer.result, RESULT_TYPES[verb])
     except msgspec.DecodeError as error:
         raise service.LogLostError(f'peer: invalid answer: {error}') from error
     if answer.error == service.LogTrimmedError.__name__:
--- a/packages/gateway/auburnroad_gateway/scaling/paces.py
+++ b/packages/gateway/auburnroad_gateway/scaling/paces.py
@@ -6,6 +6,7 @@
 """
 
 from auburnroad_gateway.members import facts
+from auburnroad_gateway.telemetry import events
 
 # A pace is shared again when it has changed by more than this share, or when
 # this time has passed.
@@ -13,6 +14,8 @@
 MIN_INTERVAL_MS = 3_000
 MAX_INTERVAL_MS = 15_000
 # Time for which a shared pace counts: longer than the pauses between batches.
+# Events come at least once in this time, whatever the replica.
+MAX_PACE_MS = 60_000.0
 LIFE_MS = 60_000
 
 
@@ -72,6 +75,11 @@
         try:
             value = float(fact.value)
         except ValueError:
+            value = 0.0
+        if not 0.0 < value <= MAX_PACE_MS:
+            events.write_invalid_record(
+                facts.TOPIC, fact.key, ValueError(f'pace {fact.value!a:.40}')
+            )
             return
         known = self._known.get(fact.key)
         if known is None or fact.until_ms >= known[1]:
--- a/packages/gateway/auburnroad_gateway/usage/records.py
+++ b/packages/gateway/auburnroad_gateway/usage/records.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_gateway.log import service
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.usage import counting
@@ -46,11 +47,12 @@
       None if the key was dropped or other software wrote the record.
     """
     host, _, _ = record.key.rpartition('/')
+    if not record.value:
+        return None
     try:
-        return host, msgspec.msgpack.decode(
-            record.value, type=fold.UsageRecord
-        )
-    except msgspec.DecodeError:
+        return host, decoding.decode_msgpack(record.value, fold.UsageRecord)
+    except msgspec.DecodeError as error:
+        events.write_invalid_record(TOPIC, record.key, error)
         return None
 
 
--- a/packages/gateway/auburnroad_gateway/usage/reports.py
+++ b/packages/gateway/auburnroad_gateway/usage/reports.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
+from auburnroad_core import decoding
 from auburnroad_gateway.log import service
+from auburnroad_gateway.telemetry import events
 
 TOPIC = service.KEYED_PREFIX + 'usage-reports'
 SLOTS = 32
@@ -51,9 +53,12 @@
 
     def apply(self, record: service.KeyedRecord) -> None:
         """Apply a record of the topic; the first counts of a window stay."""
+        if not record.value:
+            return
         try:
-            report = msgspec.msgpack.decode(record.value, type=FixedReport)
-        except msgspec.DecodeError:
+            report = decoding.decode_msgpack(record.value, FixedReport)
+        except msgspec.DecodeError as error:
+            events.write_invalid_record(TOPIC, record.key, error)
             return
         if report.window in self.reports:
             if report.sent:
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_core import decoding
 from auburnroad_gateway.log import service as log_service
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.model import settings as gateway_settings
@@ -101,9 +102,12 @@
 
     def apply(self, record: log_service.KeyedRecord) -> None:
         """Apply a duty record of the log."""
+        if not record.value:
+            return
         try:
-            holder = msgspec.msgpack.decode(record.value, type=DutyRecord)
-        except msgspec.DecodeError:
+            holder = decoding.decode_msgpack(record.value, DutyRecord)
+        except msgspec.DecodeError as error:
+            events.write_invalid_record(TOPIC, record.key, error)
             return
         # Offsets start at zero, fencing numbers at one.
         fence = record.offset + 1
