--- a/packages/gateway/auburnroad_gateway/adapter.py
+++ b/packages/gateway/auburnroad_gateway/adapter.py
@@ -81,6 +81,13 @@
             request without an account, None if the deployment has no accounts.
         """
 
+    def has_version_condition(self, headers: dict[str, str]) -> bool:
+        """Tell whether a request may run on one weight version only.
+
+        Args:
+          headers: Headers of an attempt at a replica.
+        """
+
     def build_item_headers(
         self, item: batch.Item, host: str
     ) -> dict[str, str]:
--- a/packages/gateway/auburnroad_gateway/batches/item_placement.py
+++ b/packages/gateway/auburnroad_gateway/batches/item_placement.py
@@ -7,7 +7,6 @@
 the service that began it.
 """
 
-import time
 import typing
 
 import xxhash
@@ -94,19 +93,24 @@
         )
 
     def list_queue(
-        self, owned: owned_batches.OwnedBatch
+        self, owned: owned_batches.OwnedBatch, now: float
     ) -> typing.Iterator[QueueEntry]:
-        """List the waiting items of a batch."""
+        """List the items of a batch that may start.
+
+        Args:
+          owned: The batch.
+          now: Monotonic time in seconds.
+        """
         due_ms = owned.state.submitted_ms + owned.route.due_ms
-        pace_ms = placement.find_median_pace(
-            self.list_ready(owned.route), time.monotonic()
-        )
+        pace_ms = placement.find_median_pace(self.list_ready(owned.route), now)
         groups = owned_batches.estimate_groups(
             owned,
             self._find_service(owned.route.services[0]).tokens_per_event,
             pace_ms or slot_search.DEFAULT_PACE_MS,
         )
         for run in owned.waiting.values():
+            if run.not_before > now:
+                continue
             group = groups[run.item.group]
             entry = ordering.WaitingItem(
                 due_ms,
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -32,6 +32,9 @@
 
 # Interval of the checks for stalled runs, expired items and orphaned batches.
 TICK_SECONDS = 0.1
+# Time after which an item is sent again that asks for other weights than its
+# replica has.
+UNMET_RETRY_SECONDS = 0.5
 # Time for which batches stay readable after the promised read life.
 EXPIRY_MARGIN_MS = 10_000
 
@@ -255,7 +258,7 @@
             candidates = self._placement.list_ready(route)
             owned.note_waiting(candidates, now)
             if placement.has_free_slot(candidates, now):
-                queue.extend(self._placement.list_queue(owned))
+                queue.extend(self._placement.list_queue(owned, now))
         queue.sort(key=lambda entry: entry.sort_key)
         search = self._placement.start_search(now)
         # Only slots that no item of their own service takes are for others.
@@ -372,6 +375,8 @@
             return
         if end is runs.AttemptEnd.FAILED:
             self._finisher.save(owned, [run])
+        if end is runs.AttemptEnd.UNMET:
+            run.not_before = time.monotonic() + UNMET_RETRY_SECONDS
         if end is not runs.AttemptEnd.NOT_RUN:
             events.write(
                 'item_attempt_ended',
--- a/packages/gateway/auburnroad_gateway/batches/owner_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner_test.py
@@ -322,6 +322,23 @@
         self.tasks.append(asyncio.create_task(keep_waking()))
         self.assertEqual(['0\n1\n2\n3\n4'], await self.wait_texts())
 
+    async def test_item_that_asks_for_other_weights_stops_no_other(self):
+        """Its refusals kept the replica from all items."""
+        replica = self.add_replica('one')
+
+        async def answer(request):
+            if 'wants-version' in request.headers:
+                return scripted_replicas.answer(421, **{'not-run': '1'})
+            return await replica.handle(request)
+
+        self.client.handle('one:1', answer)
+        submission = build_submission(3)
+        submission.items[0].headers['wants-version'] = '7'
+        self.submit(submission)
+        await self.wait_results(2)
+        refused = self.client.count('one:1') - 2
+        self.assertLessEqual(refused, 3)
+
     async def test_item_runs_again_after_an_unexpected_error(self):
         """It kept its place at the replica and was never run again."""
 
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -30,6 +30,7 @@
       FAILED: The replica answered with status 500.
       IMPOSSIBLE: The replica answered that the item cannot be processed.
       NOT_RUN: The replica certainly did not run the item.
+      UNMET: The same, as it may not meet a condition of the item.
       STALE: The weight version violates the constraints.
     """
 
@@ -38,6 +39,7 @@
     FAILED = 'failed'
     IMPOSSIBLE = 'impossible'
     NOT_RUN = 'not run'
+    UNMET = 'unmet'
     STALE = 'stale'
 
 
@@ -54,6 +56,7 @@
       given_up_release: Release whose text was given up last; None for none.
       restart_at: Monotonic time in seconds from which the text is given up if
         its release has no free slot; infinite if no slot was sought yet.
+      not_before: Monotonic time in seconds before which no attempt starts.
       failures: Number of attempts that count towards the route's limit.
       progress_at: Monotonic time in seconds of the last event, or of the start
         of the attempt before its first event.
@@ -81,6 +84,7 @@
         'release',
         'given_up_release',
         'restart_at',
+        'not_before',
         'failures',
         'progress_at',
         'started_at',
@@ -103,6 +107,7 @@
         self.release: registration.Release | None = None
         self.given_up_release: registration.Release | None = None
         self.restart_at = float('inf')
+        self.not_before = float('-inf')
         self.failures = 0
         self.progress_at = 0.0
         self.started_at = 0.0
@@ -201,6 +206,8 @@
             http_client, adapter, target, request, run.item.id, False
         )
         if isinstance(opened, attempt.Outcome):
+            if opened.unmet:
+                return AttemptEnd.UNMET
             if opened.end is attempt.AttemptOutcomeKind.NOT_RUN:
                 return AttemptEnd.NOT_RUN
             return AttemptEnd.BROKEN
--- a/packages/gateway/auburnroad_gateway/forwarding/attempt.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/attempt.py
@@ -17,6 +17,8 @@
 from auburnroad_gateway.model import call
 
 MISDIRECTED_STATUS = 421
+# A replica without a free slot; other refusals are about the request.
+UNAVAILABLE_STATUSES = (429, 503)
 FIRST_SERVER_ERROR_STATUS = 500
 INTERNAL_ERROR_STATUS = 500
 # Covers the time until the registry shows that the address was reassigned.
@@ -56,12 +58,14 @@
       reason: Cause of the end, for logs.
       response: The replica's response if the end is ANSWERED, else None.
       broken: Whether the connection failed after sending began.
+      unmet: Whether the replica may not meet a condition of the request.
     """
 
     end: AttemptOutcomeKind
     reason: str
     response: messages.Response | None = None
     broken: bool = False
+    unmet: bool = False
 
     @property
     def succeeded(self) -> bool:
@@ -161,8 +165,34 @@
     except client.HttpError as error:
         target.note_failure(time.monotonic())
         return _build_broken(error)
-    return await _classify(
-        reply, adapter.decode_response_head(reply.headers), target
+    head = adapter.decode_response_head(reply.headers)
+    if reply.status == MISDIRECTED_STATUS:
+        target.note_load(head.load, time.monotonic())
+        return await _classify_misdirected(
+            reply, target, adapter.has_version_condition(request.headers)
+        )
+    return await _classify(reply, head, target)
+
+
+async def _classify_misdirected(
+    reply: client.Reply, target: replica.Replica, has_condition: bool
+) -> Outcome:
+    """Record that a replica refused what a request states of its receiver.
+
+    Each request states the id of the replica. If it also asks for a weight
+    version, the refusal tells nothing of the address: other requests will.
+    """
+    if has_condition:
+        await reply.discard()
+    else:
+        reply.close()
+        target.avoid_until = time.monotonic() + MISDIRECTED_AVOID_SECONDS
+    return Outcome(
+        AttemptOutcomeKind.NOT_RUN,
+        'status 421: other weights, or another replica has the address'
+        if has_condition
+        else 'status 421: another replica has the address',
+        unmet=has_condition,
     )
 
 
@@ -172,19 +202,13 @@
     """Record what the head of a response states, and tell whether it ran."""
     now = time.monotonic()
     target.note_load(head.load, now)
-    if reply.status == MISDIRECTED_STATUS:
-        reply.close()
-        target.avoid_until = now + MISDIRECTED_AVOID_SECONDS
-        return Outcome(
-            AttemptOutcomeKind.NOT_RUN,
-            'status 421: another replica has the address',
-        )
     target.note_rate_limit(head.rate_limit)
     if head.leaving:
         target.note_leaving()
     if head.not_run:
         await reply.discard()
-        target.note_refusal(now)
+        if reply.status in UNAVAILABLE_STATUSES:
+            target.note_refusal(now)
         return Outcome(
             AttemptOutcomeKind.NOT_RUN,
             f'replica refused the request with status {reply.status}',
--- a/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/requests_test.py
@@ -69,9 +69,9 @@
     async def answer(self, request):
         return scripted_replicas.answer()
 
-    async def forward(self, route=None, patience_ms=None):
+    async def forward(self, route=None, patience_ms=None, **headers):
         pending = requests.PendingRequest(
-            messages.Request('POST', '/x', {'host': 'h'}, b'body'),
+            messages.Request('POST', '/x', {'host': 'h', **headers}, b'body'),
             call.CallHead('q', patience_ms),
             route or build_route(),
             time.monotonic(),
@@ -120,6 +120,40 @@
         route = build_route(configuration.RouteKind.ONCE, max_attempts=1)
         self.assertEqual(200, (await self.forward(route)).status)
 
+    def list_avoided(self):
+        now = time.monotonic()
+        return sorted(
+            target.id
+            for target in self.replicas.list_all('s')
+            if target.avoid_until > now
+        )
+
+    def answer_all(self, status, **headers):
+        async def refuse(request):
+            return scripted_replicas.answer(status, **headers)
+
+        for name in ('near', 'far'):
+            self.client.handle(f'{name}:1', refuse)
+
+    async def test_replica_with_other_weights_is_not_avoided(self):
+        """A request a second kept all replicas from the items of batches."""
+        self.answer_all(421, **{'not-run': '1'})
+        response = await self.forward(**{'wants-version': '1'})
+        self.assertEqual(503, response.status)
+        self.assertEqual([], self.list_avoided())
+
+    async def test_replica_at_the_address_of_another_one_is_avoided(self):
+        self.answer_all(421, **{'not-run': '1'})
+        await self.forward()
+        self.assertEqual(['far', 'near'], self.list_avoided())
+
+    async def test_replica_that_refuses_a_malformed_request_is_not_avoided(
+        self,
+    ):
+        self.answer_all(400, **{'not-run': '1'})
+        await self.forward()
+        self.assertEqual([], self.list_avoided())
+
     async def test_unsigned_success_is_not_forwarded(self):
         async def forge(request):
             return scripted_replicas.Reply(
--- a/packages/standins/auburnroad_standins/plain_adapter.py
+++ b/packages/standins/auburnroad_standins/plain_adapter.py
@@ -68,6 +68,10 @@
             built['patience'] = str(remaining_ms)
         return built
 
+    def has_version_condition(self, headers):
+        """Tell whether there is a header 'wants-version'."""
+        return 'wants-version' in headers
+
     def build_item_headers(self, item, host):
         """Build headers with the item's id."""
         return {**item.headers, 'host': host, 'id': item.id}
