Read the registrations before a resumed stream is believed

From other operators' reports: a gateway that was out of step during a release took streams up at replicas of another version. The case as reported can't happen here: the facts are read up to now, which OutOfStepTest shows with replicas that join while one gateway stands still. A variant does: replicas started with another release under their old ids and addresses, which is allowed. The gateway went by the registration that it had read last, and answered 200 with the rest of v2 after the beginning of v1.

Cause: of facts and registrations, which have to agree, only the facts were made current.

Change: registrations are read up to now before a stream is taken up, and after the head of each answer that goes on with a stream; if they can't be read, those of the last 3 s count. A removed replica that comes back with another release is superseded.

Failed before, on with the new test: replica_that_was_started_anew_with_another_release (200, events of v2). After: passes. Texts of items have the same gap for the moment until the next read; only suspected, no run shows it.

--- a/packages/gateway/auburnroad_gateway/directory/directory.py
+++ b/packages/gateway/auburnroad_gateway/directory/directory.py
@@ -170,7 +170,10 @@
         sent before its removal may still tell that it leaves.
         """
         removed = self._removed.pop(new.id, None)
-        if removed is None or _is_restarted(removed.registration, new):
+        if removed is None:
+            return None
+        if _is_restarted(removed.registration, new):
+            removed.superseded = removed.release != new.release
             return None
         self._replicas[new.id] = removed
         self._write('replica_registered', new)
--- a/packages/gateway/auburnroad_gateway/forwarding/stream_releases.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/stream_releases.py
@@ -16,7 +16,7 @@
 from auburnroad_core import clock
 from auburnroad_core import decoding
 from auburnroad_gateway.forwarding import releases_in_service
-from auburnroad_gateway.log import service
+from auburnroad_gateway.log import shared_refresh
 from auburnroad_gateway.members import facts as all_facts
 from auburnroad_gateway.model import registration
 from auburnroad_gateway.telemetry import events
@@ -66,8 +66,6 @@
         'in_service',
         '_facts',
         '_refresh',
-        '_refreshing',
-        '_read_up_to',
         '_streams',
         '_starts',
     )
@@ -85,10 +83,7 @@
             service.LogError.
         """
         self._facts = facts
-        self._refresh = refresh
-        self._refreshing: asyncio.Task | None = None
-        # All facts that were written up to this monotonic time are known.
-        self._read_up_to = float('-inf')
+        self._refresh = shared_refresh.SharedRefresh('facts_not_read', refresh)
         self.in_service = releases_in_service.ReleasesInService(facts, refresh)
         self._streams: collections.OrderedDict[str, _StreamStart] = (
             collections.OrderedDict()
@@ -158,12 +153,12 @@
         asked_at = time.monotonic()
         give_up_at = asked_at + FETCH_SECONDS
         while True:
-            if not await self._refresh_until(give_up_at):
+            if not await self._refresh.read(give_up_at):
                 return Origin(self.find(begun_by), 'facts not read')
             release = self.find(begun_by)
             if release is not None:
                 return Origin(release, 'stream recorded')
-            if self._read_up_to < asked_at:
+            if self._refresh.read_up_to < asked_at:
                 # The read had begun before; the stream may have begun since.
                 continue
             in_service = self.in_service.list_in_service(host)
@@ -176,24 +171,6 @@
                 )
             await asyncio.sleep(FETCH_PAUSE_SECONDS)
 
-    async def _refresh_until(self, give_up_at: float) -> bool:
-        """Read new facts, in one call for all that wait; tell if it worked."""
-        if self._refreshing is None or self._refreshing.done():
-            self._refreshing = asyncio.create_task(self._refresh_once())
-        task = self._refreshing
-        await asyncio.wait({task}, timeout=give_up_at - time.monotonic())
-        return task.done() and task.result()
-
-    async def _refresh_once(self) -> bool:
-        started_at = time.monotonic()
-        try:
-            await self._refresh()
-        except service.LogError as error:
-            events.write('facts_not_read', error=str(error))
-            return False
-        self._read_up_to = started_at
-        return True
-
     def _apply(self, fact: all_facts.Fact) -> None:
         start = self._starts.get(fact.value)
         if start is None:
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -1,8 +1,15 @@
-"""Forwards event streams and resumes broken streams of resumable routes."""
+"""Forwards event streams and resumes broken streams of resumable routes.
+
+A stream goes on at replicas of the release that began it. Which release a
+replica runs is known from its registration. A gateway that stood still or was cut off may not have read that
+another release was started under the id of a replica, so registrations are
+read once more before the events of a resumed stream are believed.
+"""
 
 import asyncio
 import time
 
+from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
 from auburnroad_gateway import adapter as adapters
@@ -12,11 +19,18 @@
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.forwarding import stream_releases
+from auburnroad_gateway.log import shared_refresh
+from auburnroad_gateway.log import tail
 from auburnroad_gateway.telemetry import events
 
 
 # Time for which a stream waits until the release of its replica is recorded.
 RECORD_SECONDS = 0.5
+# Time for which a resumed stream waits for the registrations to be read.
+REGISTRATION_READ_SECONDS = 0.5
+# While the log service is away, a stream goes on if the registrations were
+# read within this time.
+MAX_REGISTRATION_AGE_SECONDS = 3.0
 # Share of the route's target latency for which the first event of a stream
 # waits until the log has the stream's release.
 FIRST_EVENT_LATENCY_SHARE = 0.25
@@ -31,6 +45,8 @@
         '_forwarder',
         '_crash_watch',
         '_releases',
+        '_replica_tail',
+        '_registrations',
     )
 
     def __init__(
@@ -40,12 +56,27 @@
         forwarder: requests.Forwarder,
         watch: crash_watch.CrashWatch,
         releases: stream_releases.StreamReleases,
+        replica_tail: tail.KeyedTail,
     ):
+        """Create a forwarder.
+
+        Args:
+          adapter: Decodes and builds messages.
+          http_client: Connections to replicas.
+          forwarder: Chooses replicas.
+          watch: What is known of requests that crash replicas.
+          releases: Releases that began streams.
+          replica_tail: Tail of the registrations.
+        """
         self._adapter = adapter
         self._client = http_client
         self._forwarder = forwarder
         self._crash_watch = watch
         self._releases = releases
+        self._replica_tail = replica_tail
+        self._registrations = shared_refresh.SharedRefresh(
+            'registrations_not_read', replica_tail.catch_up
+        )
 
     async def forward(
         self, pending: requests.PendingRequest
@@ -138,6 +169,8 @@
           Why the stream can't go on; empty if it can.
         """
         route = pending.route
+        if not await self._read_registrations():
+            return 'registrations not read'
         origin = await self._releases.find_origin(
             pending.head.begun_by,
             route.host,
@@ -186,10 +219,19 @@
         finally:
             self._note_end(pending, target)
             count.note_outcome(opened)
-        if isinstance(opened, attempt.Outcome) and opened.broken:
-            self._crash_watch.note_broken(pending.fingerprint, target)
+        if isinstance(opened, attempt.Outcome):
+            if opened.broken:
+                self._crash_watch.note_broken(pending.fingerprint, target)
+            return opened
         return opened
 
+    async def _read_registrations(self) -> bool:
+        """Read the registrations; tell whether they are known to be new."""
+        if await self._registrations.read_from_now(REGISTRATION_READ_SECONDS):
+            return True
+        age = clock.read_boot_clock_seconds() - self._replica_tail.complete_at
+        return age <= MAX_REGISTRATION_AGE_SECONDS
+
     async def _build_response(
         self, pending, target, opened
     ) -> messages.Response:
@@ -213,6 +255,8 @@
         while True:
             self._note_start(pending, target)
             try:
+                if last_event_id is not None:
+                    await self._check_release(target)
                 async for event in event_stream.iterate_events(
                     opened.reply, self._adapter
                 ):
@@ -244,6 +288,16 @@
             )
             target, opened = await self._resume(pending, last_event_id)
 
+    async def _check_release(self, target) -> None:
+        """Check that a replica that goes on with a stream is what it was.
+
+        Raises:
+          client.BrokenError: It may run another release than the one that it
+            was chosen for.
+        """
+        if not await self._read_registrations() or target.superseded:
+            raise client.BrokenError('release of the replica is unknown')
+
     def _note_start(self, pending, target) -> None:
         target.in_flight += 1
         self._crash_watch.note_run_start(pending.fingerprint)
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -61,6 +61,7 @@
             forwarder,
             crash_watches.build_crash_watch(),
             stream_memories.build_stream_releases(),
+            stream_memories.build_replica_tail(replicas),
         )
         self.script('far:1', EVENTS)
 
@@ -155,6 +156,7 @@
             forwarder,
             crash_watches.build_crash_watch(),
             self.memory,
+            stream_memories.build_replica_tail(self.replicas),
         )
 
     def add(self, name, software, break_after=len(EVENTS)):
--- a/packages/gateway/auburnroad_gateway/members/permits_test.py
+++ b/packages/gateway/auburnroad_gateway/members/permits_test.py
@@ -64,6 +64,7 @@
             self.forwarder,
             crash_watches.build_crash_watch(),
             stream_memories.build_stream_releases(),
+            stream_memories.build_replica_tail(self.replicas),
         )
 
     def find(self, replica_id):
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -336,6 +336,7 @@
             self._forwarder,
             self._crash_watch,
             self._releases,
+            self._replica_tail,
         )
 
     def _build_runs(self) -> None:
--- a/packages/gateway/auburnroad_gateway/process/resumed_stream_test.py
+++ b/packages/gateway/auburnroad_gateway/process/resumed_stream_test.py
@@ -55,10 +55,19 @@
 
     async def start(self):
         host, port = await self._server.start('127.0.0.1', 0)
+        self._address = f'{host}:{port}'
+        self._register()
+
+    async def restart(self, software):
+        """Start anew under the same id and address."""
+        self._software = software
+        self._register()
+
+    def _register(self):
         entry = {
             'id': self._id,
             'service': 's',
-            'address': f'{host}:{port}',
+            'address': self._address,
             'failure_domain': 'a',
             'slots': 32,
             'state': 'ready',
@@ -102,11 +111,13 @@
                 msgspec.json.encode(CONFIGURATION),
             )
         self.logs = logs
+        self.replicas = []
 
     async def add_replicas(self, software):
         for number in range(2):
             replica = Replica(f'{software}-{number}', software, self.logs)
             await replica.start()
+            self.replicas.append(replica)
             self.addAsyncCleanup(replica.close)
 
     def remove_replicas(self, software):
@@ -301,3 +312,75 @@
                 await asyncio.sleep(0.01)
         statuses = await self.check_not_joined(watching)
         self.assertEqual([REFUSED_STATUS] * 3, statuses)
+
+
+class StandingLog:
+    """Log whose calls and answers wait while their gateway stands still."""
+
+    def __init__(self, log):
+        self._log = log
+        self.moving = asyncio.Event()
+        self.moving.set()
+
+    def __getattr__(self, name):
+        call = getattr(self._log, name)
+
+        async def wait(*arguments):
+            await self.moving.wait()
+            result = await call(*arguments)
+            await self.moving.wait()
+            return result
+
+        return wait
+
+
+class OutOfStepTest(StreamTestCase):
+    """One gateway stands still while the other one begins streams."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.add_replicas('v1')
+        self.standing = StandingLog(self.log)
+        self.first = await self.start_gateway('one', replicas=2)
+        self.second = await self.start_gateway(
+            'two', log=self.standing, replicas=2
+        )
+
+    async def begin(self, software):
+        """Begin a stream of a software version at the first gateway."""
+        async with asyncio.timeout(gateway_test.TIMEOUT_SECONDS):
+            while len(self.first._directory.list_ready('s')) != 4:
+                await asyncio.sleep(0.01)
+        for target in self.first._directory.list_ready('s'):
+            if target.release.software_version != software:
+                target.in_flight += STREAMS
+        _, data = await self.read(self.first, FIRST_EVENTS, id='begun')
+        self.assertEqual([f'{software}.0', f'{software}.1'], data)
+
+    async def take_up(self, begun_by):
+        """Take a stream up at the second gateway while it moves again."""
+        taken = asyncio.create_task(self.go_on(self.second, begun_by))
+        await asyncio.sleep(0.05)
+        self.standing.moving.set()
+        return await taken
+
+    async def test_stream_of_a_release_that_joined_meanwhile(self):
+        """It went on at the one release that the gateway knew."""
+        for begun_by in ('begun', 'unknown', ''):
+            with self.subTest(begun_by=begun_by):
+                self.standing.moving.clear()
+                await self.add_replicas('v2')
+                await self.begin('v2')
+                status, versions = await self.take_up(begun_by)
+                if status != REFUSED_STATUS:
+                    self.assertEqual((200, {'v2'}), (status, versions))
+
+    async def test_replica_that_was_started_anew_with_another_release(self):
+        """It was believed to run the release of its last registration."""
+        await self.read(self.first, FIRST_EVENTS, id='begun')
+        await asyncio.sleep(0.3)
+        self.standing.moving.clear()
+        for replica in self.replicas:
+            await replica.restart('v2')
+        status, versions = await self.take_up('begun')
+        self.assertEqual((REFUSED_STATUS, set()), (status, versions))
--- a/packages/gateway/auburnroad_gateway/usage/attempts_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/attempts_test.py
@@ -58,6 +58,7 @@
             self.forwarder,
             crash_watches.build_crash_watch(),
             stream_memories.build_stream_releases(),
+            stream_memories.build_replica_tail(replicas),
         )
 
     def build_pending(self, account, **fields):
