Check origin, order and form of the events of a stream

From other operators' reports: after a stream had broken off, the error of the next replica stood in it, or it ended as if it were complete. Here statuses other than 200 were never passed on, but a body of status 200 with an error's text or a whole head ended the stream as complete; events of any number, or without one, were taken for the next ones; and the head needed no signature.

Cause: an answer was believed for its status. Items of batches check the order of their events, streams of callers did not.

Change: on resumable routes each event follows the last one; a block without data has to be of the format, also for items; a stream's head has to be signed and unencoded.

After: streams_test passes.

--- a/packages/gateway/auburnroad_gateway/forwarding/event_stream.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/event_stream.py
@@ -14,6 +14,9 @@
 from auburnroad_gateway import adapter as adapters
 
 
+# Names of fields without data (HTML standard, section 9.2.6); a comment has an
+# empty name.
+FIELD_NAMES = (b'', b'event', b'id', b'retry', b'data')
 # Size of one event, with the bytes before it that are no events.
 MAX_EVENT_BYTES = 1 << 20
 
@@ -47,8 +50,8 @@
       Complete events.
 
     Raises:
-      client.BrokenError: If the stream breaks before its end, or has too
-        many bytes without an event.
+      client.BrokenError: If the stream breaks before its end, or has bytes
+        that belong to no event stream, or too many without an event.
     """
     buffer = b''
     skipped_bytes = 0
@@ -58,6 +61,8 @@
         for raw in complete:
             event = parse_event(raw, adapter)
             if event.id is None and not event.data:
+                if event.version is None:
+                    _check_fields(raw)
                 skipped_bytes += len(event.raw)
                 continue
             skipped_bytes = 0
@@ -70,6 +75,18 @@
         )
 
 
+def _check_fields(raw: bytes) -> None:
+    """Check that lines without data may be part of an event stream.
+
+    Raises:
+      client.BrokenError: A line is neither a comment nor a field.
+    """
+    for line in raw.splitlines():
+        name = line.partition(b':')[0]
+        if line and name not in FIELD_NAMES:
+            raise client.BrokenError(f'no line of an event: {line[:60]!a}')
+
+
 def parse_event(raw: bytes, adapter: adapters.Adapter) -> Event:
     """Parse one event.
 
--- a/packages/gateway/auburnroad_gateway/forwarding/streams.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams.py
@@ -1,7 +1,8 @@
 """Forwards event streams and resumes broken streams of resumable routes.
 
-A stream goes on at replicas of the release that began it. Which release a
-replica runs is known from its registration. A gateway that stood still or was cut off may not have read that
+A stream goes on at replicas of the release that began it, and only with the
+event that follows the last one. Which release a replica runs is known from its
+registration. A gateway that stood still or was cut off may not have read that
 another release was started under the id of a replica, so registrations are
 read once more before the events of a resumed stream are believed.
 """
@@ -223,7 +224,20 @@
             if opened.broken:
                 self._crash_watch.note_broken(pending.fingerprint, target)
             return opened
-        return opened
+        return self._check_head(target, opened)
+
+    def _check_head(self, target, opened):
+        """Return an outcome in place of a response of unknown origin."""
+        if opened.reply.status >= attempt.FIRST_SERVER_ERROR_STATUS or (
+            opened.head.signed and not opened.head.encoded
+        ):
+            return opened
+        opened.reply.close()
+        target.note_failure(time.monotonic())
+        return attempt.Outcome(
+            attempt.AttemptOutcomeKind.UNKNOWN,
+            'unsigned or re-encoded response',
+        )
 
     async def _read_registrations(self) -> bool:
         """Read the registrations; tell whether they are known to be new."""
@@ -264,6 +278,8 @@
                         raise ConnectionResetError(
                             'release of the replica is unknown'
                         )
+                    if pending.route.resumable:
+                        _check_order(event, last_event_id)
                     if event.id is not None:
                         last_event_id = event.id
                     if pending.release is None:
@@ -340,6 +356,20 @@
         raise ConnectionResetError('event stream broke and was not resumed')
 
 
+def _check_order(event: event_stream.Event, last_event_id: int | None) -> None:
+    """Check that an event of a resumable stream follows the last one.
+
+    Raises:
+      client.BrokenError: The event has no number, or another one.
+    """
+    if event.id is None:
+        raise client.BrokenError('event without a number')
+    if last_event_id is not None and event.id != last_event_id + 1:
+        raise client.BrokenError(
+            f'event {event.id} does not follow {last_event_id}'
+        )
+
+
 def _to_loop_time(monotonic_at: float) -> float:
     loop = asyncio.get_running_loop()
     return loop.time() + (monotonic_at - time.monotonic())
--- a/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/streams_test.py
@@ -100,6 +100,60 @@
         self.assertEqual('near:1', response.headers['from'])
         self.assertEqual(b''.join(EVENTS), await self.read(response))
 
+    async def test_answer_of_the_next_replica_is_no_part_of_the_stream(self):
+        """Its error or its head would stand in the middle of the stream."""
+        signed = {'signed': '1'}
+        error = b'{"error":"no"}'
+        head = b'HTTP/1.1 500 Internal Server Error\r\n\r\n'
+        for status, headers, parts in (
+            (500, signed, [error]),
+            (404, signed, [error + b'\n\n']),
+            (503, {'not-run': '1'}, [error]),
+            (204, signed, []),
+            (200, {}, EVENTS[2:]),
+            (200, signed, [error]),
+            (200, signed, [error + b'\n\n']),
+            (200, signed, [head, error, b'\n\n']),
+            (200, signed, [head, *EVENTS[2:]]),
+            (200, signed, EVENTS),
+            (200, signed, EVENTS[3:]),
+            (200, signed, [b'data: x\n\n', *EVENTS[2:]]),
+        ):
+            with self.subTest(status=status, parts=parts):
+                self.setUp()
+                self.script(
+                    'near:1', [*EVENTS[:2], client.BrokenError('reset')]
+                )
+                reply = scripted_replicas.Reply(
+                    status, headers, scripted_replicas.iterate(parts)
+                )
+
+                async def answer(request, reply=reply):
+                    return reply
+
+                self.client.handle('far:1', answer)
+                response = await self.forward(resumable=True)
+                sent = []
+                with self.assertRaises(ConnectionResetError):
+                    async for part in response.chunks:
+                        sent.append(part)
+                self.assertEqual(EVENTS[:2], sent)
+
+    async def test_comments_between_events_are_passed_over(self):
+        self.script('near:1', [EVENTS[0], b': busy\n\n', *EVENTS[1:]])
+        response = await self.forward(resumable=True)
+        self.assertEqual(b''.join(EVENTS), await self.read(response))
+
+    async def test_unsigned_stream_is_not_forwarded(self):
+        async def forge(request):
+            return scripted_replicas.Reply(
+                200, {}, scripted_replicas.iterate(EVENTS)
+            )
+
+        self.client.handle('near:1', forge)
+        response = await self.forward(resumable=True)
+        self.assertEqual('far:1', response.headers['from'])
+
     async def test_broken_stream_of_unresumable_route_raises(self):
         self.script('near:1', [EVENTS[0], client.BrokenError('reset')])
         response = await self.forward()
