Log what a holder's right to order rested on

Change: `order_sent` states the age of the duty records at the decision, `heartbeats_resumed` a gap in which others may have considered this gateway dead. The rollout gets the tail of the duty records when it is built.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -349,11 +349,7 @@
             )
             try:
                 await self._log.append(TOPIC, 0, [record])
-                self.presumed_alive_until = (
-                    sent_at
-                    + find_dead_timeout(interval)
-                    - CLOCK_MARGIN_SECONDS
-                )
+                self._note_sent(sent_at, interval)
             except service.LogError as error:
                 interval = HEARTBEAT_RETRY_SECONDS
                 events.write('heartbeat_not_sent', error=str(error))
@@ -414,6 +410,24 @@
                 )
                 self._notify()
 
+    def _note_sent(self, sent_at: float, interval: float) -> None:
+        """Note a heartbeat that the log has, and a gap before it.
+
+        Args:
+          sent_at: Time of the heartbeat in seconds of the boot clock.
+          interval: Seconds until the next heartbeat.
+        """
+        lapsed_seconds = sent_at - self.presumed_alive_until
+        if self.presumed_alive_until and lapsed_seconds > 0:
+            events.write(
+                'heartbeats_resumed',
+                lapsed_ms=int(lapsed_seconds * 1000),
+                holds_duty=self._holds_duty,
+            )
+        self.presumed_alive_until = (
+            sent_at + find_dead_timeout(interval) - CLOCK_MARGIN_SECONDS
+        )
+
     def _write_changes(self) -> None:
         """Log the members that changed since the last check in one line.
 
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -177,7 +177,7 @@
                 self._releases.in_service.watch, self._list_release_uses
             ),
             self._owner.run,
-            functools.partial(self._rollout.run, self._duty_tail),
+            self._rollout.run,
             functools.partial(expiry.run, self._directory, self._replica_tail),
             *self._platform_duties.list_background_tasks(),
             self._scaler.run,
@@ -366,6 +366,7 @@
             self._configuration,
             self._directory,
             self._owner,
+            self._duty_tail,
         )
 
     def _build_scaling(self) -> None:
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -64,10 +64,19 @@
         '_tasks',
         '_announced_at',
         '_assignments',
+        '_tail',
     )
 
     def __init__(
-        self, settings, adapter, http_client, duties, holder, replicas, owner
+        self,
+        settings,
+        adapter,
+        http_client,
+        duties,
+        holder,
+        replicas,
+        owner,
+        duty_tail,
     ):
         self._settings = settings
         self._adapter: adapters.Adapter = adapter
@@ -79,13 +88,10 @@
         self._tasks: dict[replica.Replica, asyncio.Task] = {}
         self._announced_at: dict[tuple[str, int], float] = {}
         self._assignments: dict[str, dict[str, str]] = {}
+        self._tail = duty_tail
 
-    async def run(self, tail) -> None:
-        """Claim duties and start loads until cancelled.
-
-        Args:
-          tail: The tail of the duty records.
-        """
+    async def run(self) -> None:
+        """Claim duties and start loads until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             current = self._configuration.current
@@ -98,7 +104,9 @@
             }
             for service in current.services.values():
                 if service.models:
-                    await self._duties.claim_if_vacant(service.name, tail)
+                    await self._duties.claim_if_vacant(
+                        service.name, self._tail
+                    )
                     self._start_service_loads(service, time.monotonic())
 
     def _may_act(self, service_name: str) -> bool:
@@ -227,7 +235,8 @@
             report.order_count,
         )
         target.loading_until = time.monotonic() + EXPECTED_LOAD_SECONDS
-        self._duties.note_order(service, clock.read_boot_clock_seconds())
+        now = clock.read_boot_clock_seconds()
+        self._duties.note_order(service, now)
         status = await self._send(target, order)
         events.write(
             'order_sent',
@@ -236,6 +245,7 @@
             version=version,
             fence=order.fence,
             expected_orders=order.expected_orders,
+            duties_age_ms=int((now - self._tail.complete_at) * 1000),
             status=status,
         )
         if status in (200, 202):
--- a/packages/gateway/auburnroad_gateway/weights/rollout_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout_test.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_gateway.batches import workload
 from auburnroad_gateway.configuration import holder
@@ -79,6 +80,14 @@
         pass
 
 
+class StubTail:
+    """The tail of the duty records, read a moment ago."""
+
+    @property
+    def complete_at(self):
+        return clock.read_boot_clock_seconds()
+
+
 class StubOwner:
     """A batch owner with a given number of waiting items.
 
@@ -136,8 +145,9 @@
             self.holder,
             self.replicas,
             self.owner,
+            StubTail(),
         )
-        self.task = asyncio.create_task(self.subject.run(None))
+        self.task = asyncio.create_task(self.subject.run())
 
     async def asyncTearDown(self):
         self.task.cancel()
