Let a holder act only by duty records that it has just read

Cause: the right to order rested on a write that this gateway renews, its heartbeat in `keyed.members`, and on the claim in `keyed.duties` that it had read before, however long ago. After a cut the log takes the heartbeat first and the long poll for the duties returns up to 2.5 s later; in between the gateway acted by its old fence. Calls at the platform's API were already limited by the age of the records; orders were not.

Change: `duties/lease.py` decides on each act, for orders and for calls at the API alike. The right ends half of the next holder's wait after the last read of the duty records that reached their end was sent; it is asked right before the first byte, and an order whose right has ended meanwhile isn't sent. The other half of the wait is for what is on its way. Why this works: whoever claims waits at least that long from its claim, and a read sent before the claim can't be younger.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -305,7 +305,11 @@
             raise
 
     async def fetch(
-        self, address: str, request: messages.Request, timeout_seconds: float
+        self,
+        address: str,
+        request: messages.Request,
+        timeout_seconds: float,
+        may_send: typing.Callable[[], bool] | None = None,
     ) -> messages.Response:
         """Send a request and read its complete response.
 
@@ -313,6 +317,7 @@
           address: 'IP address:port'.
           request: Request to send.
           timeout_seconds: Timeout from connecting to the end of the body.
+          may_send: Called right before the first byte; False to send nothing.
 
         Returns:
           The response with its body.
@@ -323,7 +328,7 @@
         """
         try:
             async with asyncio.timeout(timeout_seconds):
-                reply = await self.open(address, request)
+                reply = await self.open(address, request, may_send=may_send)
                 body = await reply.read()
         except TimeoutError as error:
             raise BrokenError(f'{address}: timed out') from error
--- a/packages/gateway/auburnroad_gateway/duties/platform_calls.py
+++ b/packages/gateway/auburnroad_gateway/duties/platform_calls.py
@@ -16,8 +16,8 @@
 from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.duties import suspension
-from auburnroad_gateway.log import service
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -29,11 +29,6 @@
 CALL_TIMEOUT_SECONDS = 1.0
 BACKOFF_MIN_SECONDS = 0.2
 BACKOFF_MAX_SECONDS = 2.0
-READ_TIMEOUT_SECONDS = 0.4
-# Maximum age of the duty records at a call, as a share of the lease. Another
-# gateway that has claimed the duty since then still waits for the lease.
-# Records that are half as old are read again before a call.
-MAX_AGE_LEASE_SHARE = 0.5
 STATUS_OK = 200
 STATUS_FENCED = 409
 STATUS_RATE_LIMITED = 429
@@ -86,7 +81,7 @@
         '_settings',
         '_client',
         '_duties',
-        '_tail',
+        '_lease',
         '_watch',
         '_backoffs',
         '_refused_fences',
@@ -98,7 +93,7 @@
         settings: gateway_settings.Settings,
         http_client: client.HttpClient,
         duties: holding.Duties,
-        tail,
+        holder_lease: lease.HolderLease,
     ):
         """Create a caller.
 
@@ -106,12 +101,12 @@
           settings: Settings of the gateway.
           http_client: Connections to the platform's API.
           duties: Holders of the duties.
-          tail: The tail that passes duty records to duties.
+          holder_lease: Right to act for these duties.
         """
         self._settings = settings
         self._client = http_client
         self._duties = duties
-        self._tail = tail
+        self._lease = holder_lease
         self._watch = suspension.SuspensionWatch()
         self._backoffs: dict[tuple[str, str], Backoff] = {}
         self._refused_fences: dict[str, int] = {}
@@ -121,11 +116,6 @@
     def _thaw_seconds(self) -> float:
         return self._settings.bounds.thaw_ms / 1000
 
-    @property
-    def _max_age(self) -> float:
-        """Maximum age of the duty records at a call, in seconds."""
-        return MAX_AGE_LEASE_SHARE * self._settings.bounds.lease_ms / 1000
-
     def apply_settings(self, settings: gateway_settings.Settings) -> None:
         """Use changed settings from the next call on."""
         self._settings = settings
@@ -168,7 +158,9 @@
           Whether the platform answered 200. Otherwise the call was not sent,
           was refused, or may still be carried out.
         """
-        if not self.may_send(duty, subject) or not await self._read_duties():
+        if not self.may_send(duty, subject) or not await self._lease.renew(
+            duty
+        ):
             return False
         await self._wait_for_rate(duty)
         if not self.may_send(duty, subject):
@@ -196,9 +188,9 @@
                     continue
                 refused = self._refused_fences.get(key)
                 if refused and self._duties.find_fence(key) == refused:
-                    await self._duties.give_up(key, self._tail)
+                    await self._duties.give_up(key, self._lease.tail)
                     await asyncio.sleep(holding.CLAIM_RETRY_SECONDS)
-                await self._duties.claim_if_vacant(key, self._tail)
+                await self._duties.claim_if_vacant(key, self._lease.tail)
 
     async def watch_suspension(self) -> None:
         """Observe the clocks until cancelled, apart from all other work."""
@@ -214,18 +206,6 @@
         self._watch.observe(now, time.monotonic())
         return now
 
-    async def _read_duties(self) -> bool:
-        """Read the duty records if they are not fresh."""
-        now = clock.read_boot_clock_seconds()
-        if now - self._tail.complete_at < self._max_age / 2:
-            return True
-        try:
-            async with asyncio.timeout(READ_TIMEOUT_SECONDS):
-                await self._tail.catch_up()
-        except (service.LogError, TimeoutError):
-            return False
-        return True
-
     async def _wait_for_rate(self, duty: str) -> None:
         """Wait for this call's turn; the duties share the rate evenly."""
         now = clock.read_boot_clock_seconds()
@@ -236,16 +216,7 @@
 
     def _may_write(self, duty: str, subject: str, fence: int) -> bool:
         """Decide right before the first byte, and record the call."""
-        if not self.may_send(duty, subject):
-            return False
-        now = clock.read_boot_clock_seconds()
-        if (
-            self._duties.find_fence(duty) != fence
-            or now - self._tail.complete_at > self._max_age
-        ):
-            return False
-        self._duties.note_order(duty, now)
-        return True
+        return self.may_send(duty, subject) and self._lease.begin(duty, fence)
 
     async def _exchange(
         self, duty: str, subject: str, request: messages.Request, fence: int
--- a/packages/gateway/auburnroad_gateway/duties/platform_calls_test.py
+++ b/packages/gateway/auburnroad_gateway/duties/platform_calls_test.py
@@ -14,6 +14,7 @@
 from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_core.http import messages
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.duties import platform_calls
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
@@ -86,7 +87,7 @@
         self.tail = tail.KeyedTail(log, duty.TOPIC, self.duties.apply, 0.0)
         self.tail._initial_read_done.set()
         self.caller = platform_calls.DutyCaller(
-            own, api, self.duties, self.tail
+            own, api, self.duties, lease.HolderLease(self.duties, self.tail)
         )
 
     async def claim(self):
--- a/packages/gateway/auburnroad_gateway/process/duties.py
+++ b/packages/gateway/auburnroad_gateway/process/duties.py
@@ -6,6 +6,7 @@
 from auburnroad_core.http import client
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.configuration import holder
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.duties import platform_calls
 from auburnroad_gateway.log import service
 from auburnroad_gateway.members import membership
@@ -43,13 +44,13 @@
         log: service.LogService,
         members: membership.Membership,
         duties: duty.Duties,
-        duty_tail,
+        holder_lease: lease.HolderLease,
         current_configuration: holder.ConfigurationHolder,
     ):
         self._settings = settings
         self._configuration = current_configuration
         self.caller = platform_calls.DutyCaller(
-            settings, http_client, duties, duty_tail
+            settings, http_client, duties, holder_lease
         )
         self._records = records.UsageRecords(
             settings, log, members.incarnation, lambda: len(members.alive)
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -18,6 +18,7 @@
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.directory import expiry
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.forwarding import admission
 from auburnroad_gateway.forwarding import crash_watch
 from auburnroad_gateway.forwarding import releases_in_service
@@ -268,6 +269,7 @@
         self._duty_tail = tail.KeyedTail(
             log, duty.TOPIC, self._duties.apply, MEMBER_PACE_SECONDS
         )
+        self._holder_lease = lease.HolderLease(self._duties, self._duty_tail)
         self._fact_tail = tail.KeyedTail(
             log, facts.TOPIC, self._facts.apply, MEMBER_PACE_SECONDS
         )
@@ -289,7 +291,7 @@
             self._log,
             self._members,
             self._duties,
-            self._duty_tail,
+            self._holder_lease,
             self._configuration,
         )
 
@@ -366,7 +368,7 @@
             self._configuration,
             self._directory,
             self._owner,
-            self._duty_tail,
+            self._holder_lease,
         )
 
     def _build_scaling(self) -> None:
--- a/packages/gateway/auburnroad_gateway/usage/reporter_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter_test.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from auburnroad_core.http import client
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.duties import platform_calls
 from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
@@ -52,7 +53,10 @@
         self.duties = duty.Duties(self.members, log, LEASE_MS)
         self.tail = tail.KeyedTail(log, duty.TOPIC, self.duties.apply, 0.0)
         self.caller = platform_calls.DutyCaller(
-            own, http_client, self.duties, self.tail
+            own,
+            http_client,
+            self.duties,
+            lease.HolderLease(self.duties, self.tail),
         )
         self.records = records.UsageRecords(own, log, name + '1')
         self.members.incarnation = name + '1'
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -20,6 +20,8 @@
 
 TOPIC = log_service.KEYED_PREFIX + 'duties'
 CLAIM_RETRY_SECONDS = 0.5
+# A next holder waits at least for this share of the lease, however short.
+MIN_WAIT_LEASE_SHARE = 0.5
 # Keys of the duties at the platform's API. They end with a colon, so that they
 # differ from the name of each service.
 USAGE_KEY = 'usage:'
@@ -187,8 +189,33 @@
         """Find the fencing number of a service's duty."""
         return self._duties[service].fence
 
+    def find_takeover_wait(self, key: str) -> float:
+        """Find how long a gateway waits after it has claimed a duty.
+
+        A holder that was declared dead had sent no heartbeat for at least the
+        dead timeout less one heartbeat interval. At the platform's API, where
+        nothing else may reject a late call, the full lease is waited.
+
+        Args:
+          key: Key of the duty.
+
+        Returns:
+          Minimum time in seconds from the claim to the first act, if another
+          host held the duty and has not released it.
+        """
+        if key in PLATFORM_KEYS.values():
+            return self._lease_seconds
+        interval_seconds = membership.HOLDER_HEARTBEAT_SECONDS
+        silent_seconds = (
+            membership.find_dead_timeout(interval_seconds) - interval_seconds
+        )
+        return max(
+            self._lease_seconds - silent_seconds,
+            MIN_WAIT_LEASE_SHARE * self._lease_seconds,
+        )
+
     def may_act(self, service: str, now: float) -> bool:
-        """Tell whether this gateway may send orders at present.
+        """Tell whether this gateway holds a duty, by what it has read.
 
         Args:
           service: Service whose replicas get the orders.
@@ -197,7 +224,7 @@
         Returns:
           Whether this gateway holds the duty, the lease of the previous
           holder has expired, and no other gateway can consider this gateway
-          dead yet.
+          dead yet. What was read may be old: duties/lease.py decides on acts.
         """
         duty = self._duties.get(service)
         return (
@@ -273,13 +300,8 @@
     ) -> float:
         """Find the time from which a new holder may send orders.
 
-        The previous holder may have sent an order until its last heartbeat,
-        and its lease must expire first. A released duty states the time
-        since the last order. A holder that was declared dead had sent no
-        heartbeat for at least the dead timeout less one heartbeat interval.
-        At the platform's API, where nothing else may reject a late call, the
-        full lease is waited: a holder without a connection to the log service
-        may go on until it has to consider itself dead.
+        The lease of the previous holder must expire first. A released duty
+        states the time since the last order.
         """
         if not holder.incarnation:
             return now + self._lease_seconds - holder.idle_ms / 1000
@@ -288,19 +310,14 @@
             return 0.0
         if not previous.holder:
             return previous.act_not_before
-        if key in PLATFORM_KEYS.values():
-            return now + self._lease_seconds
-        if previous.act_not_before_ms and membership.is_same_host(
-            previous.holder, holder.incarnation
+        if key not in PLATFORM_KEYS.values() and (
+            previous.act_not_before_ms
+            and membership.is_same_host(previous.holder, holder.incarnation)
         ):
             # Holders are told apart by their hosts, so that this one goes on.
             left_ms = previous.act_not_before_ms - clock.time_now_ms()
             return now + max(0, left_ms) / 1000
-        interval_seconds = membership.HOLDER_HEARTBEAT_SECONDS
-        silent_seconds = (
-            membership.find_dead_timeout(interval_seconds) - interval_seconds
-        )
-        return now + self._lease_seconds - silent_seconds
+        return now + self.find_takeover_wait(key)
 
     async def _append(self, service, holder: DutyRecord, expected_end) -> None:
         record = log_service.encode_keyed(
--- a/packages/gateway/auburnroad_gateway/weights/former_holder_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/former_holder_test.py
@@ -14,6 +14,7 @@
 from auburnroad_core import clock
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.directory import directory
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
@@ -29,8 +30,6 @@
 
 LIMIT_SECONDS = 20
 LEASE_MS = 1200
-# A holder that counts as dead was silent for this part of the lease.
-WAIT_SECONDS = 0.4
 # Heartbeats after which a gateway that goes on by them alone has ordered.
 HEARTBEATS = 8
 
@@ -181,7 +180,7 @@
             self.holder,
             replicas,
             rollout_test.StubOwner(),
-            self.tail,
+            lease.HolderLease(self.duties, self.tail),
         )
 
     def announce(self, version):
@@ -207,8 +206,11 @@
 
     async def wait_for_next_holder(self):
         """Wait as long as the next holder does after its claim."""
-        waits_until = clock.read_boot_clock_seconds() + WAIT_SECONDS
-        await self.wait(lambda: clock.read_boot_clock_seconds() > waits_until)
+        acts_at = (
+            clock.read_boot_clock_seconds()
+            + self.duties.find_takeover_wait('s')
+        )
+        await self.wait(lambda: clock.read_boot_clock_seconds() > acts_at)
 
     def claim_elsewhere(self):
         record = duty.DutyRecord(membership.build_incarnation('other'))
@@ -227,6 +229,7 @@
         self.path.refused = {membership.TOPIC, duty.TOPIC}
         await self.lapse()
         self.claim_elsewhere()
+        await self.wait_for_next_holder()
         self.order_elsewhere()
         self.path.refused = {duty.TOPIC}
         await self.wait_for_heartbeats()
@@ -234,6 +237,20 @@
         await self.wait(lambda: self.duties.find_fence('s') == 2)
         self.assertEqual([1, 2], self.engine.fences)
 
+    async def test_duty_lost_while_connecting_sends_no_order(self):
+        """The right was checked, and ended before the first byte."""
+
+        def lose_duty():
+            if not self.path.refused:
+                self.members.leave()
+                self.path.refused = {duty.TOPIC}
+
+        self.engine.connecting = lose_duty
+        self.announce(3)
+        await self.wait(lambda: self.path.refused)
+        await self.wait_for_heartbeats()
+        self.assertEqual([1], self.engine.fences)
+
     async def test_a_read_that_is_answered_late_does_not_renew_the_right(self):
         """The log serves the members in time, and the duties late."""
         self.path.held = {duty.TOPIC}
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -23,6 +23,7 @@
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.directory import replica
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.forwarding import attempt
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
@@ -58,13 +59,13 @@
         '_adapter',
         '_client',
         '_duties',
+        '_lease',
         '_configuration',
         '_directory',
         '_owner',
         '_tasks',
         '_announced_at',
         '_assignments',
-        '_tail',
     )
 
     def __init__(
@@ -76,19 +77,19 @@
         holder,
         replicas,
         owner,
-        duty_tail,
+        holder_lease,
     ):
         self._settings = settings
         self._adapter: adapters.Adapter = adapter
         self._client: client.HttpClient = http_client
         self._duties = duties
+        self._lease: lease.HolderLease = holder_lease
         self._configuration = holder
         self._directory = replicas
         self._owner = owner
         self._tasks: dict[replica.Replica, asyncio.Task] = {}
         self._announced_at: dict[tuple[str, int], float] = {}
         self._assignments: dict[str, dict[str, str]] = {}
-        self._tail = duty_tail
 
     async def run(self) -> None:
         """Claim duties and start loads until cancelled."""
@@ -105,19 +106,16 @@
             for service in current.services.values():
                 if service.models:
                     await self._duties.claim_if_vacant(
-                        service.name, self._tail
+                        service.name, self._lease.tail
                     )
                     self._start_service_loads(service, time.monotonic())
 
-    def _may_act(self, service_name: str) -> bool:
-        return self._duties.may_act(
-            service_name, clock.read_boot_clock_seconds()
-        )
-
     def _start_service_loads(
         self, service: configuration.Service, now: float
     ) -> None:
-        if not self._may_act(service.name):
+        if not self._duties.may_act(
+            service.name, clock.read_boot_clock_seconds()
+        ):
             return
         announced = self._configuration.announced_versions
         demand = self._owner.workload.estimate_demand(service.models)
@@ -196,6 +194,8 @@
         self, target, service, model, version: int
     ) -> None:
         try:
+            if not await self._lease.renew(service):
+                return
             await self._vacate(target)
             await self._order_load(target, service, model, version)
         except (client.HttpError, adapters.InvalidMessageError) as error:
@@ -223,7 +223,7 @@
         report = await self._read_report(target)
         if self._note_report(target, report, model, version):
             return
-        if report.busy or not self._may_act(service):
+        if report.busy or not await self._lease.renew(service):
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             return
         order = call.VersionOrder(
@@ -235,9 +235,8 @@
             report.order_count,
         )
         target.loading_until = time.monotonic() + EXPECTED_LOAD_SECONDS
-        now = clock.read_boot_clock_seconds()
-        self._duties.note_order(service, now)
-        status = await self._send(target, order)
+        age_seconds = self._lease.records_age
+        status = await self._send(service, target, order)
         events.write(
             'order_sent',
             replica=target.id,
@@ -245,15 +244,17 @@
             version=version,
             fence=order.fence,
             expected_orders=order.expected_orders,
-            duties_age_ms=int((now - self._tail.complete_at) * 1000),
+            duties_age_ms=int(age_seconds * 1000),
             status=status,
         )
         if status in (200, 202):
             await self._wait_loaded(target, model, version)
 
-    async def _send(self, target, order: call.VersionOrder) -> int:
+    async def _send(self, service, target, order: call.VersionOrder) -> int:
         response = await self._fetch(
-            target, self._adapter.build_order_call(order, target.id)
+            target,
+            self._adapter.build_order_call(order, target.id),
+            lambda: self._lease.begin(service, order.fence),
         )
         return response.status
 
@@ -281,9 +282,11 @@
         response = await self._fetch(target, self._adapter.build_report_call())
         return self._adapter.decode_report(response.body)
 
-    async def _fetch(self, target, request) -> messages.Response:
+    async def _fetch(
+        self, target, request, may_send=None
+    ) -> messages.Response:
         response = await self._client.fetch(
-            target.address, request, CALL_TIMEOUT_SECONDS
+            target.address, request, CALL_TIMEOUT_SECONDS, may_send
         )
         if response.status != attempt.MISDIRECTED_STATUS:
             head = self._adapter.decode_response_head(response.headers)
--- a/packages/gateway/auburnroad_gateway/weights/rollout_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout_test.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from auburnroad_core import clock
 from auburnroad_core.http import client
 from auburnroad_gateway.batches import workload
 from auburnroad_gateway.configuration import holder
@@ -76,16 +75,18 @@
     def find_fence(self, service_name):
         return 7
 
-    def note_order(self, service_name, now):
-        pass
 
+class StubLease:
+    """The right to act, which does not end."""
 
-class StubTail:
-    """The tail of the duty records, read a moment ago."""
+    tail = None
+    records_age = 0.0
 
-    @property
-    def complete_at(self):
-        return clock.read_boot_clock_seconds()
+    async def renew(self, key):
+        return True
+
+    def begin(self, key, fence):
+        return True
 
 
 class StubOwner:
@@ -145,7 +146,7 @@
             self.holder,
             self.replicas,
             self.owner,
-            StubTail(),
+            StubLease(),
         )
         self.task = asyncio.create_task(self.subject.run())
 
--- a/packages/standins/auburnroad_standins/scripted_replicas.py
+++ b/packages/standins/auburnroad_standins/scripted_replicas.py
@@ -73,9 +73,9 @@
             raise client.ConnectError(f'{address}: no longer to be sent')
         return await self._handlers[address](request)
 
-    async def fetch(self, address, request, timeout_seconds):
+    async def fetch(self, address, request, timeout_seconds, may_send=None):
         """Send a request and read the whole response."""
-        reply = await self.open(address, request)
+        reply = await self.open(address, request, may_send=may_send)
         return messages.Response(
             reply.status, reply.headers, await reply.read()
         )
