--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from auburnroad_core import clock
 from auburnroad_gateway.log import service
@@ -163,3 +164,27 @@
             await self.subject.catch_up()
         await self.subject.catch_up()
         self.assertEqual({'a': b'2'}, self.values)
+
+    async def test_snapshot_that_comes_late_does_not_undo_newer_records(self):
+        """Two reads overlapped, and the older one brought old values back."""
+        self.log.put('k', 'a', b'1')
+        late = asyncio.Event()
+        read_newest = self.log.read_newest
+
+        async def read_late(topic):
+            snapshot = await read_newest(topic)
+            await late.wait()
+            return snapshot
+
+        with mock.patch.object(
+            partition_log.PartitionLog, 'read_newest', side_effect=read_late
+        ):
+            overtaken = asyncio.create_task(self.subject.catch_up())
+            await asyncio.sleep(0.01)
+        self.log.put('k', 'b', b'2')
+        self.log.put('k', 'a', b'')
+        await self.subject.catch_up()
+        late.set()
+        await overtaken
+        self.assertEqual({'b': b'2'}, self.values)
+        self.assertEqual(3, self.subject.next_offset)
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -114,8 +114,8 @@
         # Offsets start at zero, fencing numbers at one.
         fence = record.offset + 1
         before = self._duties.get(record.key)
-        if before is not None and before.fence == fence:
-            # A snapshot repeats the record; the last order is still known.
+        if before is not None and before.fence >= fence:
+            # A snapshot repeats the record, or is older than what was read.
             return
         act_not_before = self._find_act_not_before(
             record.key, holder, clock.read_boot_clock_seconds()
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -115,6 +115,16 @@
         self.assertEqual(1, len(self.log.list_records(duty.TOPIC)))
         self.assertFalse(self.may_act())
 
+    async def test_older_record_does_not_bring_a_former_holder_back(self):
+        """An old snapshot gave a duty back to the holder before."""
+        own = build_holder(self.members.incarnation)
+        self.log.put(duty.TOPIC, 's', own)
+        self.log.put(duty.TOPIC, 's', build_holder('other'))
+        await self.tail.catch_up()
+        self.subject.apply(service.KeyedRecord('s', own, 0))
+        self.assertEqual(2, self.subject.find_fence('s'))
+        self.assertFalse(self.may_act())
+
     async def test_new_holder_waits_until_the_previous_lease_expires(self):
         self.log.put(duty.TOPIC, 's', build_holder('dead'))
         await self.claim()
