Move the connections of the HTTP client to a module of their own

Change: a move without any change of what is done; `BYTES` moves along.

Measured: unit tests of auburnroad_core.http pass.

--- a/packages/core/auburnroad_core/http/client_test.py
+++ b/packages/core/auburnroad_core/http/client_test.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from auburnroad_core.http import client
+from auburnroad_core.http import connections
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
 
@@ -163,11 +164,11 @@
         http_client = await self.open_two()
         self.silent = 2
         with self.assertRaises(client.BrokenError):
-            await self.fetch(http_client, 2 * client.SILENCE_SECONDS)
+            await self.fetch(http_client, 2 * connections.SILENCE_SECONDS)
         await self.fetch(http_client)
         self.assertEqual(3, self.connections)
 
-    @mock.patch.object(client, 'SILENCE_SECONDS', 60.0)
+    @mock.patch.object(connections, 'SILENCE_SECONDS', 60.0)
     async def test_idle_connections_stay_if_a_request_ends_soon(self):
         http_client = await self.open_two()
         self.silent = 2
--- a/packages/daemon/auburnroad_daemon/process/entry_metrics.py
+++ b/packages/daemon/auburnroad_daemon/process/entry_metrics.py
@@ -6,7 +6,7 @@
 
 import prometheus_client
 
-from auburnroad_core.http import client
+from auburnroad_core.http import connections
 from auburnroad_core.log import counters
 from auburnroad_core.wire import stream
 
@@ -79,6 +79,6 @@
     registry=REGISTRY,
 )
 REGISTRY.register(stream.BYTES)
-REGISTRY.register(client.BYTES)
+REGISTRY.register(connections.BYTES)
 for _collector in counters.COLLECTORS:
     REGISTRY.register(_collector)
--- a/packages/daemon/auburnroad_daemon/process/side_metrics.py
+++ b/packages/daemon/auburnroad_daemon/process/side_metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-from auburnroad_core.http import client
+from auburnroad_core.http import connections
 from auburnroad_core.wire import stream
 
 RUN_BUCKETS_SECONDS = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0)
@@ -34,7 +34,7 @@
     def __init__(self):
         self.registry = prometheus_client.CollectorRegistry()
         self.registry.register(stream.BYTES)
-        self.registry.register(client.BYTES)
+        self.registry.register(connections.BYTES)
         self.submitted = self._counter(
             'submitted', 'Requests received', 'service'
         )
--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -171,13 +171,16 @@
         late = asyncio.Event()
         read_newest = self.log.read_newest
 
-        async def read_late(topic):
+        async def read_late(_, topic):
             snapshot = await read_newest(topic)
             await late.wait()
             return snapshot
 
         with mock.patch.object(
-            partition_log.PartitionLog, 'read_newest', side_effect=read_late
+            partition_log.PartitionLog,
+            'read_newest',
+            autospec=True,
+            side_effect=read_late,
         ):
             overtaken = asyncio.create_task(self.subject.catch_up())
             await asyncio.sleep(0.01)
--- a/packages/gateway/auburnroad_gateway/telemetry/metrics.py
+++ b/packages/gateway/auburnroad_gateway/telemetry/metrics.py
@@ -7,11 +7,11 @@
 import prometheus_client
 
 from auburnroad_core import clock
-from auburnroad_core.http import client
+from auburnroad_core.http import connections
 from auburnroad_core.http import messages
 
 REGISTRY = prometheus_client.CollectorRegistry()
-REGISTRY.register(client.BYTES)
+REGISTRY.register(connections.BYTES)
 
 # From a fast answer of a plain service to the longest run of a batch item.
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16)
