Drop an order on its way once its sender stops waiting

Cause: an order or API call that got no answer was given up by closing its connection. Bytes held up on the way are delivered after that all the same, so that an order may arrive long after the right to send it has ended.

Change: a request that needs a right to be sent (\`may_send\`) is given up by resetting its connection, which drops what has not arrived.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -214,6 +214,7 @@
             request; any other one, such as a late copy, is skipped.
           fresh: Whether to open a connection, for what must not be sent twice.
           may_send: Called right before the first byte; False to send nothing.
+            A request that is given up is then dropped on its way, too.
 
         Returns:
           The reply; read its body to the end or close it.
@@ -233,6 +234,9 @@
             connection.writer.close()
             raise BrokenError(f'{address}: {error}') from error
         except BaseException:
+            if may_send is not None:
+                # The right to send may end: nothing may arrive from now on.
+                connection.reset()
             connection.writer.close()
             if connection.was_silent(sent_at):
                 self._discard_idle(address, sent_at)
--- a/packages/core/auburnroad_core/http/client_test.py
+++ b/packages/core/auburnroad_core/http/client_test.py
@@ -51,6 +51,29 @@
             with self.assertRaises(client.ConnectError, msg=address):
                 await self.client.fetch(address, request, 5.0)
 
+    async def test_request_given_up_with_its_right_is_reset(self):
+        """An order arrived after its sender had stopped waiting for it."""
+        ends = asyncio.Queue()
+
+        async def handle(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            try:
+                ends.put_nowait(await reader.read())
+            except ConnectionResetError as error:
+                ends.put_nowait(error)
+            writer.close()
+
+        listener = await asyncio.start_server(handle, '127.0.0.1', 0)
+        host, port = listener.sockets[0].getsockname()
+        request = messages.Request('GET', '/', {})
+        for may_send, end in ((None, bytes), (lambda: True, OSError)):
+            with self.assertRaises(client.BrokenError):
+                await self.client.fetch(
+                    f'{host}:{port}', request, 0.1, may_send
+                )
+            self.assertIsInstance(await ends.get(), end)
+        listener.close()
+
     async def test_request_that_must_no_longer_be_sent_is_not_run(self):
         """Its sender lost the right to send it while it connected."""
         request = messages.Request('GET', '/', {})
