--- a/packages/e2e/auburnroad_e2e/paired/plays_test.py
+++ b/packages/e2e/auburnroad_e2e/paired/plays_test.py
@@ -1,6 +1,7 @@
 """Tests that plays are made once each, and some at a time.
 
-A small program takes the place of the bench.
+A small program takes the place of the bench. Like the bench, it refuses flags
+that are written with an equals sign.
 """
 
 import pathlib
@@ -15,8 +16,11 @@
 
 FAKE_BENCH = """
 import pathlib, sys
-verb, site, day, *options = sys.argv[1:]
-options = dict(option.lstrip('-').partition('=')[::2] for option in options)
+verb, site, day, *flags = sys.argv[1:]
+flags.remove('--no-cpu')
+if any('=' in name for name in flags[::2]):
+    sys.exit(2)
+options = {name.lstrip('-'): value for name, value in zip(*[iter(flags)] * 2)}
 with open('calls', 'a') as file:
     file.write(f'{verb} {site} {day} {options["seed"]}\\n')
 if day == 'broken':
@@ -57,6 +61,7 @@
         return len((self.tree / 'calls').read_text().splitlines())
 
     async def test_each_play_leaves_a_report(self):
+        """Guards against flags in a form that the bench refuses."""
         self.assertEqual([], await self.play(['day']))
         for play in self.plays:
             self.assertTrue(self.bench.find_report(play).exists())
