--- /dev/null
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -0,0 +1,52 @@
+"""Tests that a claim that takes effect late gives no right too soon.
+
+The log service may carry out an append seconds after it was sent, and return
+records late. Another host may have held the duty until then.
+"""
+
+from unittest import mock
+
+import msgspec
+
+from auburnroad_core import clock
+from auburnroad_gateway.members import membership
+from auburnroad_gateway.members import membership_test
+from auburnroad_gateway.weights import duty
+from auburnroad_gateway.weights import duty_test
+
+STEP_MS = 2000
+
+
+class LateClaimTest(duty_test.DutiesTestCase):
+    """A gateway whose host has claimed a duty before it was started again."""
+
+    def hold(self, incarnation, left_ms):
+        """Record a claim that was decided some time ago."""
+        record = duty.DutyRecord(
+            incarnation, 0, clock.time_now_ms() + left_ms
+        )
+        self.log.put(duty.TOPIC, 's', msgspec.msgpack.encode(record))
+
+    def build_former(self):
+        return membership.build_incarnation(
+            membership_test.build_settings().name
+        )
+
+    async def test_claim_of_before_that_is_carried_out_late_is_waited_for(
+        self,
+    ):
+        """The other holder acted until then, and the restarted one at once."""
+        self.hold('other', left_ms=-60_000)
+        await self.tail.catch_up()
+        self.hold(self.build_former(), left_ms=-1000)
+        await self.claim()
+        self.assertFalse(self.may_act(1.0))
+        self.assertTrue(self.may_act(duty_test.LEASE_MS / 1000))
+
+    async def test_clock_that_is_set_ahead_does_not_shorten_the_wait(self):
+        """What was left of the wait was taken from the wall clock."""
+        self.hold(self.build_former(), left_ms=STEP_MS)
+        ahead_ms = clock.time_now_ms() + STEP_MS
+        with mock.patch.object(clock, 'time_now_ms', lambda: ahead_ms):
+            await self.claim()
+        self.assertFalse(self.may_act(1.0))
