--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_gateway.log import service
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import membership_test
 from auburnroad_gateway.weights import duty
@@ -50,3 +51,17 @@
         with mock.patch.object(clock, 'time_now_ms', lambda: ahead_ms):
             await self.claim()
         self.assertFalse(self.may_act(1.0))
+
+
+class LateRecordTest(duty_test.DutiesTestCase):
+    """A gateway that has lost its duty to another one."""
+
+    async def test_record_of_before_does_not_bring_the_duty_back(self):
+        """A snapshot that was returned late made it the holder again."""
+        await self.claim()
+        (record,) = (await self.log.read_newest(duty.TOPIC)).records
+        self.log.put(duty.TOPIC, 's', duty_test.build_holder('other'))
+        await self.tail.catch_up()
+        self.subject.apply(service.KeyedRecord('s', record.value, 0))
+        self.assertEqual(2, self.subject.find_fence('s'))
+        self.assertFalse(self.may_act(10.0))
