--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -23,9 +23,7 @@
 
     def hold(self, incarnation, left_ms):
         """Record a claim that was decided some time ago."""
-        record = duty.DutyRecord(
-            incarnation, 0, clock.time_now_ms() + left_ms
-        )
+        record = duty.DutyRecord(incarnation, 0, clock.time_now_ms() + left_ms)
         self.log.put(duty.TOPIC, 's', msgspec.msgpack.encode(record))
 
     def build_former(self):
