--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -233,6 +233,9 @@
 
     async def _load_snapshot(self) -> None:
         snapshot = await self._log.read_newest(self._topic)
+        if snapshot.next_offset < self.next_offset:
+            # Other reads have gone beyond it while it was on its way.
+            return
         present = {record.key for record in snapshot.records}
         for key in self._live_keys - present:
             self._apply_keyed(
--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -163,3 +163,43 @@
             await self.subject.catch_up()
         await self.subject.catch_up()
         self.assertEqual({'a': b'2'}, self.values)
+
+    async def test_snapshot_that_is_returned_late_is_not_applied(self):
+        """It brought old values back, and offsets of other records."""
+        applied = []
+        log = LateSnapshotLog()
+        subject = tail.KeyedTail(log, 'k', applied.append, PACE_SECONDS)
+        log.put('k', 'a', b'1')
+        late = asyncio.create_task(subject.catch_up())
+        await wait_until(lambda: log.is_holding)
+        log.put('k', 'a', b'2')
+        await subject.catch_up()
+        log.released.set()
+        await late
+        log.put('k', 'a', b'3')
+        await subject.catch_up()
+        self.assertEqual(
+            [(1, b'2'), (2, b'3')],
+            [(record.offset, record.value) for record in applied],
+        )
+
+
+class LateSnapshotLog(partition_log.PartitionLog):
+    """A log that returns its first snapshot once it is released.
+
+    Attributes:
+      is_holding: Whether the first snapshot was taken.
+      released: Set to return it.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.is_holding = False
+        self.released = asyncio.Event()
+
+    async def read_newest(self, topic):
+        snapshot = await super().read_newest(topic)
+        if not self.is_holding:
+            self.is_holding = True
+            await self.released.wait()
+        return snapshot
