Scaling: decide by registrations and batches that are read up to now

Cause: numbers of replicas were decided once registrations and batches had been read a first time, however old they were since: the holder reads `keyed.duties` up to now before a call, but one partition of the log service may be late or down alone. Orders then follow replicas and work of before; batches that were not read count as no work, and fewer replicas are ordered.

--- a/packages/gateway/auburnroad_gateway/batches/journal.py
+++ b/packages/gateway/auburnroad_gateway/batches/journal.py
@@ -101,6 +101,14 @@
         """Whether all records that existed at the start have been read."""
         return all(entry.is_loaded for entry in self._tails)
 
+    @property
+    def complete_at(self) -> float:
+        """Time up to which all records are folded.
+
+        Seconds of the boot clock; minus infinity before the first reads.
+        """
+        return min(entry.complete_at for entry in self._tails)
+
     @property
     def is_idle(self) -> bool:
         """Whether no record waits to be appended."""
--- a/packages/gateway/auburnroad_gateway/process/scaling.py
+++ b/packages/gateway/auburnroad_gateway/process/scaling.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from auburnroad_core import clock
 from auburnroad_gateway import adapter as adapters
 from auburnroad_gateway.batches import journal
 from auburnroad_gateway.configuration import holder as configurations
@@ -14,6 +15,10 @@
 from auburnroad_gateway.scaling import scaler
 from auburnroad_gateway.weights import duty
 
+# Maximum age of the registrations and batches of a decision. Without new
+# records, what a tail knows is up to two waiting reads old.
+INPUTS_MAX_AGE_SECONDS = 4.0
+
 
 def build_scaler(
     settings: gateway_settings.Settings,
@@ -59,5 +64,15 @@
         paces,
         duties,
         caller,
-        lambda: replica_tail.is_loaded and batches.is_loaded,
+        lambda: _are_current(replica_tail, batches),
     )
+
+
+def _are_current(replica_tail, batches: journal.Journal) -> bool:
+    """Tell whether registrations and batches have been read up to now.
+
+    One partition may be late or unavailable alone, while the duty is held.
+    """
+    complete_at = min(replica_tail.complete_at, batches.complete_at)
+    age_seconds = clock.read_boot_clock_seconds() - complete_at
+    return age_seconds <= INPUTS_MAX_AGE_SECONDS
--- a/packages/gateway/auburnroad_gateway/process/scaling_test.py
+++ b/packages/gateway/auburnroad_gateway/process/scaling_test.py
@@ -137,6 +137,20 @@
             while len(self.orders) < count:
                 await asyncio.sleep(0.01)
 
+    async def test_nothing_is_decided_by_old_registrations_or_batches(self):
+        """One late partition of the log let orders follow what was before."""
+        self.publish()
+        subject = await self.start('one')
+        is_current = subject._scaler._is_current
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not is_current():
+                await asyncio.sleep(0.01)
+        for late in (subject._replica_tail, *subject._journal._tails):
+            complete_at, late.complete_at = late.complete_at, -60.0
+            self.assertFalse(is_current())
+            late.complete_at = complete_at
+        self.assertTrue(is_current())
+
     async def test_one_holder_orders_the_minimum_once(self):
         self.failures = 2
         self.publish(configuration.Scaling(2, 4, 100))
--- a/packages/gateway/auburnroad_gateway/scaling/scaler.py
+++ b/packages/gateway/auburnroad_gateway/scaling/scaler.py
@@ -43,7 +43,7 @@
         '_paces',
         '_duties',
         '_caller',
-        '_is_loaded',
+        '_is_current',
         '_fence',
         '_started_at',
         '_states',
@@ -62,7 +62,7 @@
         paces: shared_paces.SharedPaces,
         duties: duty.Duties,
         caller: platform_calls.DutyCaller,
-        is_loaded: typing.Callable[[], bool],
+        is_current: typing.Callable[[], bool],
     ):
         """Create a scaler.
 
@@ -75,7 +75,8 @@
           paces: Paces that the gateways share.
           duties: Holders of the duties.
           caller: Sends the calls.
-          is_loaded: Tells whether replicas and batches have been read.
+          is_current: Tells whether replicas and batches have been read up
+            to now.
         """
         self._settings = settings
         self._adapter = adapter
@@ -85,7 +86,7 @@
         self._paces = paces
         self._duties = duties
         self._caller = caller
-        self._is_loaded = is_loaded
+        self._is_current = is_current
         self._fence = 0
         self._started_at = 0.0
         self._states: dict[str, decision.ServiceState] = {}
@@ -118,7 +119,7 @@
         """
         services = self._list_scaled()
         self._forget_outdated({one.name: one.scaling for one in services})
-        if not services or not self._is_loaded():
+        if not services or not self._is_current():
             return
         for service in services:
             pace_ms = placement.find_median_pace(
