Facts: an append that is carried out late replaces nothing newer

Cause: each host writes its facts to its slots in turn, after the slot of its newest record. After an append without an answer the next facts went into the same slot; if the log service carried the first one out later, it replaced them, and gateways that started later did not know what the writer had been told is in the log. A late copy of a record, as by a hedged call, was taken for the newest one: the next facts replaced the newest records instead of the oldest. Among them may be the releases at which streams have begun, by which a stream goes on after a loss of all gateways.

Change: the offset of each slot is kept, and the next record takes the place of the lowest one. The slot of an append without an answer isn't used again before all others; that of a refused one is used next.

--- a/packages/gateway/auburnroad_gateway/members/facts.py
+++ b/packages/gateway/auburnroad_gateway/members/facts.py
@@ -92,7 +92,7 @@
         '_listeners',
         '_queues',
         '_queue_changed',
-        '_newest',
+        '_offsets',
         '_unwritten',
         '_failing',
     )
@@ -118,8 +118,10 @@
             kind: collections.deque(maxlen=MAX_QUEUED) for kind in FactKind
         }
         self._queue_changed = asyncio.Event()
-        # Offset and slot of this host's newest record.
-        self._newest: dict[FactKind, tuple[int, int]] = {}
+        # Offset of this host's record in each slot, negative if there is none.
+        self._offsets: dict[FactKind, list[int]] = {
+            kind: [-1] * SLOTS[kind] for kind in FactKind
+        }
         # Facts whose writing somebody waits for.
         self._unwritten: dict[Fact, asyncio.Event] = {}
         self._failing = False
@@ -166,14 +168,7 @@
         Raises:
           service.LogError: If the record may not be in the log.
         """
-        offset, slot = self._newest.get(kind, (-1, -1))
-        slot = (slot + 1) % SLOTS[kind]
-        # Reserved before the call, since others may be made meanwhile.
-        self._newest[kind] = (offset, slot)
-        offset = await self._log.append(
-            TOPIC, 0, [self._encode(kind, slot, new)]
-        )
-        self._note_written(kind, offset, slot)
+        await self._append_oldest(kind, new)
 
     def apply(self, record: service.KeyedRecord) -> None:
         """Apply a record of the topic."""
@@ -218,10 +213,8 @@
         queue = self._queues[kind]
         count = min(len(queue), MAX_FACTS_PER_RECORD)
         group = [queue.popleft() for _ in range(count)]
-        slot = (self._newest.get(kind, (-1, -1))[1] + 1) % SLOTS[kind]
-        record = self._encode(kind, slot, group)
         try:
-            offset = await self._log.append(TOPIC, 0, [record])
+            await self._append_oldest(kind, group)
         except service.LogError as error:
             if not self._failing:
                 events.write('facts_not_written', error=str(error))
@@ -230,19 +223,39 @@
             await asyncio.sleep(RETRY_SECONDS)
             return
         self._failing = False
-        self._note_written(kind, offset, slot)
         for fact in group:
             if fact in self._unwritten:
                 self._unwritten[fact].set()
 
+    async def _append_oldest(self, kind: FactKind, group: list[Fact]) -> None:
+        """Append facts in place of the oldest record of this host.
+
+        A call without an answer may be carried out seconds later. Its slot is
+        not used again soon, so that it doesn't replace what is newer.
+        """
+        offsets = self._offsets[kind]
+        slot = min(range(SLOTS[kind]), key=offsets.__getitem__)
+        # Reserved before the call, since others may be made meanwhile.
+        before, offsets[slot] = offsets[slot], max(offsets) + 1
+        try:
+            offset = await self._log.append(
+                TOPIC, 0, [self._encode(kind, slot, group)]
+            )
+        except service.LogRefusedError:
+            offsets[slot] = before
+            raise
+        self._note_written(kind, offset, slot)
+
     def _encode(self, kind: FactKind, slot: int, group: list[Fact]) -> bytes:
         return service.encode_keyed(
             f'{kind}/{self._host}/{slot}', msgspec.msgpack.encode(group)
         )
 
     def _note_written(self, kind: FactKind, offset: int, slot: int) -> None:
-        newest = self._newest.get(kind, (-1, -1))
-        self._newest[kind] = max(newest, (offset, slot))
+        offsets = self._offsets[kind]
+        # Gateways of another version may use more slots.
+        if 0 <= slot < len(offsets):
+            offsets[slot] = max(offsets[slot], offset)
 
     def _notify(self, fact: Fact) -> None:
         listener = self._listeners.get(fact.kind)
--- a/packages/gateway/auburnroad_gateway/members/facts_test.py
+++ b/packages/gateway/auburnroad_gateway/members/facts_test.py
@@ -45,6 +45,23 @@
                 await task
 
 
+class LateLog:
+    """A log that carries out the first append later, without an answer."""
+
+    def __init__(self, log):
+        self._log = log
+        self._late = None
+
+    async def append(self, topic, partition, records):
+        if self._late is None:
+            self._late = (topic, partition, records)
+            raise service.LogLostError('no answer')
+        return await self._log.append(topic, partition, records)
+
+    def carry_out(self):
+        self._log.write(*self._late)
+
+
 class SharedFactsTest(unittest.IsolatedAsyncioTestCase):
     """Gateways 'a' and 'b' on one log."""
 
@@ -123,6 +140,36 @@
         await self.start('b').hear('next')
         self.assertEqual('crash/a/3', self.list_keys()[-1])
 
+    async def test_late_copy_of_a_record_does_not_change_the_oldest(self):
+        """The records after it, the newest ones, were overwritten next."""
+        one = self.start('a')
+        for number in range(3):
+            one.facts._queues[CRASH].append(build_fact(f'f{number}'))
+            await one.facts._write_group(CRASH)
+        self.log.write(facts.TOPIC, 0, self.log.list_records(facts.TOPIC)[:1])
+        for slot in (3, 4):
+            await one.tail.wait_until_loaded()
+            await one.tail.catch_up()
+            one.facts._queues[CRASH].append(build_fact('next'))
+            await one.facts._write_group(CRASH)
+            self.assertEqual(f'crash/a/{slot}', self.list_keys()[-1])
+            await one.close()
+            one = self.start('a')
+
+    async def test_append_that_is_carried_out_late_replaces_no_newer_facts(
+        self,
+    ):
+        """Gateways that started later did not know what was in the log."""
+        log = LateLog(self.log)
+        one = facts.SharedFacts('a', log)
+        for key in ('f1', 'f2'):
+            one._queues[CRASH].append(build_fact(key))
+            await one._write_group(CRASH)
+        log.carry_out()
+        later = self.start('b')
+        await later.tail.wait_until_loaded()
+        self.assertLessEqual({'f1', 'f2'}, set(later.heard))
+
     async def test_topic_is_bounded(self):
         one = self.start('a')
         for number in range(facts.SLOTS[CRASH] + 2):
