Red test: a late read makes a live member count as dead

Cause: silence is counted up to the return of the last read of the heartbeats. A read that is answered late by what the log held when it was asked, within 1.2 s, so that it doesn't count as an outage, moves that time by its delay; the heartbeats of that time are read next. The holder of a duty, dead after 1.0 s, is replaced although it runs.

--- a/packages/gateway/auburnroad_gateway/members/late_heartbeat_test.py
+++ b/packages/gateway/auburnroad_gateway/members/late_heartbeat_test.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
 from auburnroad_core import clock
 from auburnroad_gateway.log import service
+from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import membership_test
+from auburnroad_standins import partition_log
 
 
 class LateHeartbeatTest(unittest.TestCase):
@@ -64,3 +67,57 @@
             membership.HOLDER_HEARTBEAT_SECONDS
         )
         self.assertLess(subject.presumed_alive_until, dead_at)
+
+
+class LateReadLog(partition_log.PartitionLog):
+    """A log whose reads are answered late, by what they found before.
+
+    Attributes:
+      now: Seconds of the boot clock.
+      delay: Seconds until a read is answered.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.delay = 0.0
+
+    def beat(self, name):
+        """Record a heartbeat of the holder of a duty."""
+        heartbeat = membership.Heartbeat(name, 'h:1', False, interval_ms=200)
+        self.put(membership.TOPIC, name, msgspec.msgpack.encode(heartbeat))
+
+    async def read(self, *arguments):
+        found = await super().read(*arguments)
+        self.now += self.delay
+        return found
+
+
+class LateReadTest(unittest.IsolatedAsyncioTestCase):
+    """A gateway that watches two members, and reads them late once."""
+
+    async def test_silence_ends_with_what_has_been_read(self):
+        """A live holder was replaced; its heartbeats lay in the log."""
+        log = LateReadLog()
+        self.enterContext(
+            mock.patch.object(
+                clock, 'read_boot_clock_seconds', lambda: log.now
+            )
+        )
+        self.enterContext(
+            mock.patch.object(membership, 'CHECK_INTERVAL_SECONDS', 0.0)
+        )
+        subject = membership.Membership(membership_test.build_settings(), None)
+        members = tail.KeyedTail(log, membership.TOPIC, subject.apply, 0.0)
+        checks = asyncio.create_task(subject.run_checks(members))
+        for name in ('o1', 'o2'):
+            log.beat(name)
+        await members.catch_up()
+        await asyncio.sleep(0.01)
+        log.beat('o2')
+        log.delay = 1.1
+        await members.catch_up()
+        log.beat('o1')
+        await asyncio.sleep(0.01)
+        self.assertTrue(subject.is_alive('o1'))
+        checks.cancel()
