Red test: silence is taken off the lease of a holder that was not silent

Cause: a claim after a holder that has not released the duty waits the lease less 0.8 s, in which a dead holder sent no heartbeat. A holder whose heartbeat says that it leaves, that is back before a late claim is carried out, or that was taken for dead by mistake may have ordered right before; and a holder may act until 0.8 s after its last confirmed heartbeat (1.4 s of one with 0.5 s between heartbeats). The lease of 3.0 s between two holders is then 2.2 s.

--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -50,6 +50,18 @@
             await self.claim()
         self.assertFalse(self.may_act(1.0))
 
+    async def test_holder_that_was_not_silent_is_waited_for_in_full(self):
+        """It ordered until its stop began; silence was taken off the lease."""
+        heartbeat = membership.Heartbeat('other', 'b:1', True)
+        self.members.apply(
+            service.KeyedRecord('b', msgspec.msgpack.encode(heartbeat), 0)
+        )
+        self.log.put(duty.TOPIC, 's', duty_test.build_holder('other'))
+        await self.claim()
+        self.assertEqual(2, self.subject.find_fence('s'))
+        self.assertFalse(self.may_act(2.5))
+        self.assertTrue(self.may_act(duty_test.LEASE_MS / 1000))
+
 
 class LateRecordTest(duty_test.DutiesTestCase):
     """A gateway that has lost its duty to another one."""
