--- a/packages/gateway/auburnroad_gateway/log/tail_test.py
+++ b/packages/gateway/auburnroad_gateway/log/tail_test.py
@@ -6,7 +6,6 @@
 import asyncio
 import contextlib
 import unittest
-from unittest import mock
 
 from auburnroad_core import clock
 from auburnroad_gateway.log import service
@@ -165,29 +164,42 @@
         await self.subject.catch_up()
         self.assertEqual({'a': b'2'}, self.values)
 
-    async def test_snapshot_that_comes_late_does_not_undo_newer_records(self):
-        """Two reads overlapped, and the older one brought old values back."""
-        self.log.put('k', 'a', b'1')
-        late = asyncio.Event()
-        read_newest = self.log.read_newest
-
-        async def read_late(_, topic):
-            snapshot = await read_newest(topic)
-            await late.wait()
-            return snapshot
-
-        with mock.patch.object(
-            partition_log.PartitionLog,
-            'read_newest',
-            autospec=True,
-            side_effect=read_late,
-        ):
-            overtaken = asyncio.create_task(self.subject.catch_up())
-            await asyncio.sleep(0.01)
-        self.log.put('k', 'b', b'2')
-        self.log.put('k', 'a', b'')
-        await self.subject.catch_up()
-        late.set()
-        await overtaken
-        self.assertEqual({'b': b'2'}, self.values)
-        self.assertEqual(3, self.subject.next_offset)
+    async def test_snapshot_that_is_returned_late_is_not_applied(self):
+        """It brought old values back, and offsets of other records."""
+        applied = []
+        log = LateSnapshotLog()
+        subject = tail.KeyedTail(log, 'k', applied.append, PACE_SECONDS)
+        log.put('k', 'a', b'1')
+        late = asyncio.create_task(subject.catch_up())
+        await wait_until(lambda: log.is_holding)
+        log.put('k', 'a', b'2')
+        await subject.catch_up()
+        log.released.set()
+        await late
+        log.put('k', 'a', b'3')
+        await subject.catch_up()
+        self.assertEqual(
+            [(1, b'2'), (2, b'3')],
+            [(record.offset, record.value) for record in applied],
+        )
+
+
+class LateSnapshotLog(partition_log.PartitionLog):
+    """A log that returns its first snapshot once it is released.
+
+    Attributes:
+      is_holding: Whether the first snapshot was taken.
+      released: Set to return it.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.is_holding = False
+        self.released = asyncio.Event()
+
+    async def read_newest(self, topic):
+        snapshot = await super().read_newest(topic)
+        if not self.is_holding:
+            self.is_holding = True
+            await self.released.wait()
+        return snapshot
