Wait for the holder before by what the log says, not by a clock

A clock step of 2 s, or a claim that the log carried out seconds late, ended the wait at once, while the holder before could still act. And 0.8 s of silence were taken off the wait also where the holder before had not been silent: one that had begun a planned stop, or was back.

Change: a holder records once that its wait is over (\`settled\`); only after such a record of its host does a restarted gateway go on at once, else it waits like any other. Silence counts only where the holder before is known to send no heartbeats. \`act_not_before_ms\` is written as zero for older gateways.

The tests of a returned holder stated a time by the wall clock; they now state what the log records, and the one with a wait that isn't over asks for the whole lease in place of the 2.0 s that the record had stated, since that time can't be trusted; the liveness part is later by that, the safety part is stricter.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -219,6 +219,17 @@
         """Tell whether an incarnation is alive and not leaving."""
         return incarnation in self.alive
 
+    def is_silent(self, incarnation: str) -> bool:
+        """Tell whether an incarnation is known to send no heartbeats.
+
+        One that leaves, or that is not known to have been missing, may have
+        acted a moment ago.
+        """
+        return any(
+            member.heartbeat.incarnation == incarnation and not member.alive
+            for member in self._members.values()
+        )
+
     def is_former_self(self, incarnation: str) -> bool:
         """Tell whether an incarnation is an earlier one of this host.
 
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -39,13 +39,14 @@
       incarnation: Incarnation of the holder; empty after a planned stop.
       idle_ms: Milliseconds from the last order to the release in a planned
         stop.
-      act_not_before_ms: Unix milliseconds by the holder's clock before which
-        it must not send orders; zero if not stated.
+      act_not_before_ms: Always zero; older gateways wrote and read it.
+      settled: Whether the holder has waited for the holder before.
     """
 
     incarnation: str
     idle_ms: int = 0
     act_not_before_ms: int = 0
+    settled: bool = False
 
 
 class Duty:
@@ -56,8 +57,8 @@
       fence: Fencing number of the holder.
       act_not_before: Time before which the holder must not send orders, in
         seconds of the boot clock.
-      act_not_before_ms: The same in Unix milliseconds by the holder's clock;
-        zero if not stated.
+      settled: Whether the holder's host has waited for the holder before, as
+        the log says.
       last_order_at: Time of the last order, in seconds of the boot clock: of
         this gateway, or the latest that the previous holder may have sent.
     """
@@ -66,7 +67,7 @@
         'holder',
         'fence',
         'act_not_before',
-        'act_not_before_ms',
+        'settled',
         'last_order_at',
     )
 
@@ -78,7 +79,7 @@
         lease_seconds: float,
     ):
         self.holder = record.incarnation
-        self.act_not_before_ms = record.act_not_before_ms
+        self.settled = record.settled
         self.fence = fence
         self.act_not_before = act_not_before
         self.last_order_at = act_not_before - lease_seconds
@@ -120,9 +121,10 @@
         act_not_before = self._find_act_not_before(
             record.key, holder, clock.read_boot_clock_seconds()
         )
-        self._duties[record.key] = Duty(
-            holder, fence, act_not_before, self._lease_seconds
-        )
+        after = Duty(holder, fence, act_not_before, self._lease_seconds)
+        if before is not None and before.holder == after.holder:
+            after.last_order_at = before.last_order_at
+        self._duties[record.key] = after
         self._membership.holds_duty = any(
             duty.holder == self._membership.incarnation
             for duty in self._duties.values()
@@ -201,7 +203,7 @@
 
         Returns:
           Minimum time in seconds from the claim to the first act, if another
-          host held the duty and has not released it.
+          host held the duty, was silent and has not released it.
         """
         if key in PLATFORM_KEYS.values():
             return self._lease_seconds
@@ -238,6 +240,9 @@
     async def claim_if_vacant(self, service: str, tail) -> None:
         """Claim a duty without a live holder if this gateway is chosen.
 
+        A holder records once that its wait is over. Its host need not wait
+        again after a restart, and no clock has to tell.
+
         The host that held the duty claims it again right after its start,
         before the live members are known.
 
@@ -248,22 +253,34 @@
         now = clock.read_boot_clock_seconds()
         if not tail.is_loaded or tail.failing:
             return
-        if now < self._retry_at.get(service, 0.0) or self.find_holder(service):
+        if now < self._retry_at.get(service, 0.0):
+            return
+        if self.find_holder(service):
+            if self._is_to_settle(service, now):
+                await self._append_own(service, True, tail)
             return
         own = self._membership.incarnation
         duty = self._duties.get(service)
         was_own = duty and self._membership.is_former_self(duty.holder)
         if not was_own and self._membership.choose_member(service) != own:
             return
-        self._retry_at[service] = now + CLAIM_RETRY_SECONDS
-        wait_seconds = max(
-            0.0, self._find_act_not_before(service, DutyRecord(own), now) - now
+        waits_until = self._find_act_not_before(service, DutyRecord(own), now)
+        await self._append_own(service, waits_until <= now, tail)
+
+    def _is_to_settle(self, key: str, now: float) -> bool:
+        """Tell whether the wait of this gateway is over, and not recorded."""
+        return (
+            key not in PLATFORM_KEYS.values()
+            and not self._duties[key].settled
+            and self.may_act(key, now)
         )
-        claim = DutyRecord(
-            own,
-            act_not_before_ms=clock.time_now_ms() + int(wait_seconds * 1000),
+
+    async def _append_own(self, service: str, settled: bool, tail) -> None:
+        self._retry_at[service] = (
+            clock.read_boot_clock_seconds() + CLAIM_RETRY_SECONDS
         )
-        await self._append(service, claim, tail.next_offset)
+        record = DutyRecord(self._membership.incarnation, settled=settled)
+        await self._append(service, record, tail.next_offset)
 
     async def release(self, tail) -> None:
         """Release all duties of this gateway before a planned stop.
@@ -308,16 +325,16 @@
         previous = self._duties.get(key)
         if previous is None:
             return 0.0
-        if not previous.holder:
+        if not previous.holder or previous.holder == holder.incarnation:
             return previous.act_not_before
-        if key not in PLATFORM_KEYS.values() and (
-            previous.act_not_before_ms
-            and membership.is_same_host(previous.holder, holder.incarnation)
+        if previous.settled and membership.is_same_host(
+            previous.holder, holder.incarnation
         ):
             # Holders are told apart by their hosts, so that this one goes on.
-            left_ms = previous.act_not_before_ms - clock.time_now_ms()
-            return now + max(0, left_ms) / 1000
-        return now + self.find_takeover_wait(key)
+            return now
+        if self._membership.is_silent(previous.holder):
+            return now + self.find_takeover_wait(key)
+        return now + self._lease_seconds
 
     async def _append(self, service, holder: DutyRecord, expected_end) -> None:
         record = log_service.encode_keyed(
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -47,6 +47,14 @@
         with contextlib.suppress(Exception):
             await self.tail.catch_up()
 
+    def die(self, incarnation):
+        """Let a gateway be known to send no heartbeats."""
+        heartbeat = membership.Heartbeat(incarnation, 'd:1', False)
+        self.members.apply(
+            service.KeyedRecord('d', msgspec.msgpack.encode(heartbeat), 0)
+        )
+        self.members._members['d'].alive = False
+
     def may_act(self, seconds_later=0.0):
         now = clock.read_boot_clock_seconds() + seconds_later
         self.members.presumed_alive_until = now + 1
@@ -181,6 +189,7 @@
 
     async def test_duty_at_the_platform_waits_the_whole_lease(self):
         """A holder that lost the log may call until it counts as dead."""
+        self.die('dead')
         for key in ('s', duty.USAGE_KEY):
             self.log.put(duty.TOPIC, key, build_holder('dead'))
         await self.tail.catch_up()
@@ -223,11 +232,9 @@
             membership_test.build_settings().name
         )
 
-    def hold(self, incarnation, left_ms=0):
+    def hold(self, incarnation, settled=True):
         """Let a gateway have claimed the duty some time ago."""
-        claimed = duty.DutyRecord(
-            incarnation, 0, clock.time_now_ms() + left_ms
-        )
+        claimed = duty.DutyRecord(incarnation, settled=settled)
         self.log.put(duty.TOPIC, 's', msgspec.msgpack.encode(claimed))
 
     async def test_same_host_goes_on_at_once(self):
@@ -249,17 +256,37 @@
 
     async def test_wait_for_the_holder_before_outlives_a_restart(self):
         """Orders of two hosts must be a lease apart."""
-        self.hold(self.former, left_ms=2000)
+        self.hold(self.former, settled=False)
         await self.claim()
-        self.assertFalse(self.may_act(1.5))
-        self.assertTrue(self.may_act(2.5))
+        self.assertFalse(self.may_act(2.5))
+        self.assertTrue(self.may_act(LEASE_MS / 1000))
+
+    async def test_holder_records_the_end_of_its_wait_once(self):
+        """By the wall clock, a step of it cut the wait of the next start."""
+        self.hold(membership.build_incarnation('elsewhere'))
+        await self.tail.catch_up()
+        self.hold(self.members.incarnation, settled=False)
+        await self.tail.catch_up()
+        later = clock.read_boot_clock_seconds() + LEASE_MS / 1000
+        for now, records in ((later - 1, 2), (later, 3), (later + 9, 3)):
+            self.members.presumed_alive_until = now + 1
+            with mock.patch.object(
+                clock,
+                'read_boot_clock_seconds',
+                autospec=True,
+                return_value=now,
+            ):
+                await self.claim()
+            self.assertEqual(records, len(self.log.list_records(duty.TOPIC)))
+        self.assertTrue(self.subject._duties['s'].settled)
+        self.assertTrue(self.may_act(LEASE_MS / 1000))
 
     async def test_another_host_waits_until_members_are_known(self):
         self.hold(membership.build_incarnation('elsewhere'))
         await self.claim()
         self.assertEqual(1, len(self.log.list_records(duty.TOPIC)))
 
-    async def test_holder_that_states_no_time_is_waited_for(self):
+    async def test_holder_that_states_nothing_is_waited_for(self):
         """Guards against a duty that an older gateway had claimed."""
         self.log.put(duty.TOPIC, 's', build_holder(self.former))
         await self.claim()
--- a/packages/gateway/auburnroad_gateway/weights/former_holder_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/former_holder_test.py
@@ -151,8 +151,8 @@
             )
         ]
         await self.tail.wait_until_loaded()
-        own = msgspec.msgpack.encode(duty.DutyRecord(self.members.incarnation))
-        self.log.put(duty.TOPIC, 's', own)
+        own = duty.DutyRecord(self.members.incarnation, settled=True)
+        self.log.put(duty.TOPIC, 's', msgspec.msgpack.encode(own))
         self.announce(2)
         await self.wait(lambda: self.engine.fences == [1])
 
--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -21,9 +21,9 @@
 class LateClaimTest(duty_test.DutiesTestCase):
     """A gateway whose host has claimed a duty before it was started again."""
 
-    def hold(self, incarnation, left_ms):
+    def hold(self, incarnation, **stated):
         """Record a claim that was decided some time ago."""
-        record = duty.DutyRecord(incarnation, 0, clock.time_now_ms() + left_ms)
+        record = duty.DutyRecord(incarnation, **stated)
         self.log.put(duty.TOPIC, 's', msgspec.msgpack.encode(record))
 
     def build_former(self):
@@ -35,17 +35,19 @@
         self,
     ):
         """The other holder acted until then, and the restarted one at once."""
-        self.hold('other', left_ms=-60_000)
+        self.hold('other', settled=True)
         await self.tail.catch_up()
-        self.hold(self.build_former(), left_ms=-1000)
+        self.hold(
+            self.build_former(), act_not_before_ms=clock.time_now_ms() - 1000
+        )
         await self.claim()
         self.assertFalse(self.may_act(1.0))
         self.assertTrue(self.may_act(duty_test.LEASE_MS / 1000))
 
     async def test_clock_that_is_set_ahead_does_not_shorten_the_wait(self):
         """What was left of the wait was taken from the wall clock."""
-        self.hold(self.build_former(), left_ms=STEP_MS)
         ahead_ms = clock.time_now_ms() + STEP_MS
+        self.hold(self.build_former(), act_not_before_ms=ahead_ms)
         with mock.patch.object(clock, 'time_now_ms', lambda: ahead_ms):
             await self.claim()
         self.assertFalse(self.may_act(1.0))
