Presume to be alive no longer than others do

Change: sending a heartbeat limits the time to what others allow once they read it, confirmed or not.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -358,6 +358,7 @@
             record = service.encode_keyed(
                 self._settings.name, msgspec.msgpack.encode(heartbeat)
             )
+            self._limit_presumption(sent_at, interval)
             try:
                 await self._log.append(TOPIC, 0, [record])
                 self._note_sent(sent_at, interval)
@@ -435,8 +436,16 @@
                 lapsed_ms=int(lapsed_seconds * 1000),
                 holds_duty=self._holds_duty,
             )
-        self.presumed_alive_until = (
-            sent_at + find_dead_timeout(interval) - CLOCK_MARGIN_SECONDS
+        self.presumed_alive_until = _find_presumption(sent_at, interval)
+
+    def _limit_presumption(self, sent_at: float, interval: float) -> None:
+        """Expect others to know a heartbeat, whether it is confirmed or not.
+
+        They then wait for the next one by its interval, which may be shorter
+        than that of the heartbeat before.
+        """
+        self.presumed_alive_until = min(
+            self.presumed_alive_until, _find_presumption(sent_at, interval)
         )
 
     def _write_changes(self) -> None:
@@ -505,6 +514,11 @@
     )
 
 
+def _find_presumption(sent_at: float, interval_seconds: float) -> float:
+    """Find the time before which nobody counts a heartbeat's sender dead."""
+    return sent_at + find_dead_timeout(interval_seconds) - CLOCK_MARGIN_SECONDS
+
+
 def _decode_heartbeat(record: service.KeyedRecord) -> Heartbeat | None:
     """Decode a heartbeat; None if its key was dropped, or it is malformed."""
     if not record.value:
