--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -14,6 +14,7 @@
 from auburnroad_core import clock
 from auburnroad_core import decoding
 from auburnroad_gateway.log import service
+from auburnroad_gateway.members import member
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import events
 
@@ -47,12 +48,6 @@
 # Time after which every live member has been observed: one heartbeat interval
 # and the time of an append.
 DISCOVERY_SECONDS = 0.7
-# Processes that started within this time count as equally old. The youngest
-# is preferred: in a rolling restart it is not the next to be stopped.
-START_BUCKET_MS = 5000
-# A host with fewer cores runs batches only if every live host has fewer, since
-# all runs of a service are the largest workload that a gateway can have.
-PREFERRED_CORES = 1.0
 # Number of members that one log line names.
 MAX_MEMBERS_LOGGED = 8
 # Random hexadecimal digits of an incarnation.
@@ -86,34 +81,6 @@
     cores: float = 1.0
 
 
-class Member:
-    """State of a gateway as observed by this gateway.
-
-    Attributes:
-      name: Name of the gateway's host.
-      heartbeat: Newest heartbeat.
-      seen_at: Time at which the heartbeat was read, in seconds of the boot
-        clock.
-      alive: Whether the member is considered alive.
-    """
-
-    __slots__ = ('name', 'heartbeat', 'seen_at', 'alive')
-
-    def __init__(self, name: str, heartbeat: Heartbeat, seen_at: float):
-        self.name = name
-        self.heartbeat = heartbeat
-        self.seen_at = seen_at
-        self.alive = True
-
-    def has_same_state(self, heartbeat: Heartbeat) -> bool:
-        """Tell whether a heartbeat leaves liveness and identity unchanged."""
-        return (
-            self.alive
-            and self.heartbeat.incarnation == heartbeat.incarnation
-            and self.heartbeat.leaving == heartbeat.leaving
-        )
-
-
 class Membership:
     """Sends the heartbeats of this gateway and monitors the other members.
 
@@ -150,7 +117,7 @@
         self.presumed_alive_until = 0.0
         self._settings = settings
         self._log = log
-        self._members: dict[str, Member] = {}
+        self._members: dict[str, member.Member] = {}
         self._checked_at = 0.0
         self._observing_since = 0.0
         self._alive: frozenset[str] | None = None
@@ -192,11 +159,11 @@
         """Live incarnations that are not leaving, including this one."""
         if self._alive is None:
             alive = {
-                member.heartbeat.incarnation
-                for member in self._members.values()
-                if member.alive
-                and not member.heartbeat.leaving
-                and not self.is_former_self(member.heartbeat.incarnation)
+                entry.heartbeat.incarnation
+                for entry in self._members.values()
+                if entry.alive
+                and not entry.heartbeat.leaving
+                and not self.is_former_self(entry.heartbeat.incarnation)
             }
             alive.add(self.incarnation)
             if self.leaving:
@@ -208,9 +175,9 @@
     def live_gateways(self) -> dict[str, str]:
         """Incarnations of all live gateways by host, also of leaving ones."""
         live = {
-            member.name: member.heartbeat.incarnation
-            for member in self._members.values()
-            if member.alive
+            entry.name: entry.heartbeat.incarnation
+            for entry in self._members.values()
+            if entry.alive
         }
         live[self._settings.name] = self.incarnation
         return live
@@ -226,8 +193,8 @@
         acted a moment ago.
         """
         return any(
-            member.heartbeat.incarnation == incarnation and not member.alive
-            for member in self._members.values()
+            entry.heartbeat.incarnation == incarnation and not entry.alive
+            for entry in self._members.values()
         )
 
     def is_former_self(self, incarnation: str) -> bool:
@@ -241,9 +208,9 @@
 
     def find_address(self, incarnation: str) -> str:
         """Find the address of a gateway for others; empty if unknown."""
-        for member in self._members.values():
-            if member.heartbeat.incarnation == incarnation:
-                return member.heartbeat.address
+        for entry in self._members.values():
+            if entry.heartbeat.incarnation == incarnation:
+                return entry.heartbeat.address
         return ''
 
     def list_peers(self) -> list[str]:
@@ -255,20 +222,20 @@
         now = clock.read_boot_clock_seconds()
         own = self._settings.name
         peers = [
-            member
-            for member in self._members.values()
-            if member.name != own
-            and (member.alive or now - member.seen_at < PEER_MAX_AGE_SECONDS)
+            entry
+            for entry in self._members.values()
+            if entry.name != own
+            and (entry.alive or now - entry.seen_at < PEER_MAX_AGE_SECONDS)
         ]
         domain = self._settings.failure_domain
         peers.sort(
-            key=lambda member: (
-                member.heartbeat.on_detour,
-                member.heartbeat.failure_domain != domain,
-                -member.seen_at,
+            key=lambda entry: (
+                entry.heartbeat.on_detour,
+                entry.heartbeat.failure_domain != domain,
+                -entry.seen_at,
             )
         )
-        return [member.heartbeat.address for member in peers]
+        return [entry.heartbeat.address for entry in peers]
 
     def choose_member(self, key: str) -> str:
         """Choose the live member that is responsible for a key.
@@ -286,12 +253,12 @@
         if not self.has_discovered_members:
             return ''
         ranks = {
-            member.heartbeat.incarnation: build_rank(
-                member.heartbeat.cores, member.heartbeat.started_ms
+            entry.heartbeat.incarnation: member.build_rank(
+                entry.heartbeat.cores, entry.heartbeat.started_ms
             )
-            for member in self._members.values()
+            for entry in self._members.values()
         }
-        ranks[self.incarnation] = build_rank(
+        ranks[self.incarnation] = member.build_rank(
             self._settings.cores, self._started_ms
         )
 
@@ -328,7 +295,7 @@
             before.heartbeat = heartbeat
             before.seen_at = now
             return
-        self._members[record.key] = Member(record.key, heartbeat, now)
+        self._members[record.key] = member.Member(record.key, heartbeat, now)
         self._changed[record.key] = heartbeat
         self._notify()
 
@@ -397,8 +364,8 @@
         self._checked_at = now
         if log_unread or was_suspended:
             self._observing_since = 0.0
-            for member in self._members.values():
-                member.seen_at = now
+            for entry in self._members.values():
+                entry.seen_at = now
             return
         if not self._observing_since:
             self._observing_since = now
@@ -406,18 +373,18 @@
         latency = self._append_latency
         if self._sent_at is not None:
             latency = max(latency, now - self._sent_at)
-        for member in self._members.values():
+        for entry in self._members.values():
             # Until the last successful read: after that, the log service may
             # be unavailable without this gateway having noticed.
-            silent_seconds = read_at - member.seen_at
-            timeout = find_dead_timeout(member.heartbeat.interval_ms / 1000)
+            silent_seconds = read_at - entry.seen_at
+            timeout = find_dead_timeout(entry.heartbeat.interval_ms / 1000)
             timeout += APPEND_LATENCY_RATIO * latency
-            if member.alive and silent_seconds > timeout:
-                member.alive = False
+            if entry.alive and silent_seconds > timeout:
+                entry.alive = False
                 events.write(
                     'member_dead',
-                    member=member.name,
-                    incarnation=member.heartbeat.incarnation,
+                    member=entry.name,
+                    incarnation=entry.heartbeat.incarnation,
                     silent_ms=int(silent_seconds * 1000),
                 )
                 self._notify()
@@ -484,20 +451,6 @@
     return bool(dot) and host == second.rpartition('.')[0]
 
 
-def build_rank(cores: float, started_ms: int) -> tuple[bool, int]:
-    """Build the rank by which members are chosen for work.
-
-    Args:
-      cores: Processor capacity of the member, in reference cores.
-      started_ms: Start time of the process in Unix milliseconds.
-
-    Returns:
-      A rank that is higher for a preferred member: hosts with enough cores
-      come first, and among those the processes that started last.
-    """
-    return cores >= PREFERRED_CORES, started_ms // START_BUCKET_MS
-
-
 def find_dead_timeout(interval_seconds: float) -> float:
     """Find the dead timeout of a member.
 
