--- a/packages/gateway/auburnroad_gateway/members/member.py
+++ b/packages/gateway/auburnroad_gateway/members/member.py
@@ -6,6 +6,8 @@
 # A host with fewer cores runs batches only if every live host has fewer, since
 # all runs of a service are the largest workload that a gateway can have.
 PREFERRED_CORES = 1.0
+# Starts of a host whose late heartbeats are told from those of its newest one.
+MAX_FORMER = 8
 
 
 class Member:
@@ -17,15 +19,19 @@
       seen_at: Time at which the heartbeat was read, in seconds of the boot
         clock.
       alive: Whether the member is considered alive.
+      former: Incarnations of the host before this one, the last few.
     """
 
-    __slots__ = ('name', 'heartbeat', 'seen_at', 'alive')
+    __slots__ = ('name', 'heartbeat', 'seen_at', 'alive', 'former')
 
-    def __init__(self, name: str, heartbeat, seen_at: float):
+    def __init__(
+        self, name: str, heartbeat, seen_at: float, former: tuple[str, ...]
+    ):
         self.name = name
         self.heartbeat = heartbeat
         self.seen_at = seen_at
         self.alive = True
+        self.former = former
 
     def has_same_state(self, heartbeat) -> bool:
         """Tell whether a heartbeat leaves liveness and identity unchanged."""
@@ -35,6 +41,13 @@
             and self.heartbeat.leaving == heartbeat.leaving
         )
 
+    def list_former(self, incarnation: str) -> tuple[str, ...]:
+        """List the incarnations that an incarnation has replaced."""
+        own = self.heartbeat.incarnation
+        if own == incarnation:
+            return self.former
+        return (*self.former, own)[-MAX_FORMER:]
+
 
 def build_rank(cores: float, started_ms: int) -> tuple[bool, int]:
     """Build the rank by which members are chosen for work.
--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -295,7 +295,15 @@
             before.heartbeat = heartbeat
             before.seen_at = now
             return
-        self._members[record.key] = member.Member(record.key, heartbeat, now)
+        former = ()
+        if before is not None:
+            if heartbeat.incarnation in before.former:
+                # Carried out late: its process has ended.
+                return
+            former = before.list_former(heartbeat.incarnation)
+        self._members[record.key] = member.Member(
+            record.key, heartbeat, now, former
+        )
         self._changed[record.key] = heartbeat
         self._notify()
 
