Judge silence up to what has been read of the heartbeats

One read of 1.1 s made a live holder count as dead, which is one way to two holders without any cut of the first.

Change: silence counts up to the time that the reads cover; whether the log is readable at all is still judged by the last answer.

The loss of a holder is noticed later by the age of the last read, up to some 0.2 s with ten gateways.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -356,15 +356,21 @@
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            self.check(clock.read_boot_clock_seconds(), tail.read_at)
+            self.check(
+                clock.read_boot_clock_seconds(),
+                tail.read_at,
+                tail.complete_at,
+            )
 
-    def check(self, now: float, read_at: float) -> None:
+    def check(self, now: float, read_at: float, complete_at: float) -> None:
         """Mark members dead that sent no heartbeat while the log was readable.
 
         Args:
           now: Seconds of the boot clock.
           read_at: Time of the last successful read of the log, in seconds of
             the boot clock.
+          complete_at: Time up to which all heartbeats have been read, in
+            seconds of the boot clock.
         """
         log_unread = now - read_at > CHECK_GAP_SECONDS
         was_suspended = now - self._checked_at > CHECK_GAP_SECONDS
@@ -382,9 +388,9 @@
         if self._sent_at is not None:
             latency = max(latency, now - self._sent_at)
         for entry in self._members.values():
-            # Until the last successful read: after that, the log service may
-            # be unavailable without this gateway having noticed.
-            silent_seconds = read_at - entry.seen_at
+            # A heartbeat after that may be in the log: a read may be answered
+            # late, or the log service be unavailable by now.
+            silent_seconds = complete_at - entry.seen_at
             timeout = find_dead_timeout(entry.heartbeat.interval_ms / 1000)
             timeout += APPEND_LATENCY_RATIO * latency
             if entry.alive and silent_seconds > timeout:
--- a/packages/gateway/auburnroad_gateway/members/membership_test.py
+++ b/packages/gateway/auburnroad_gateway/members/membership_test.py
@@ -101,8 +101,8 @@
         with mock.patch.object(
             membership.events, 'write', autospec=True
         ) as write:
-            subject.check(100.0, 100.0)
-            subject.check(100.2, 100.2)
+            subject.check(100.0, 100.0, 100.0)
+            subject.check(100.2, 100.2, 100.2)
         write.assert_called_once_with(
             'members_changed',
             count=88,
@@ -143,7 +143,7 @@
             self.now += STEP_SECONDS
             if readable:
                 read_at = self.now
-            self.subject.check(self.now, read_at)
+            self.subject.check(self.now, read_at, read_at)
 
     def test_member_without_heartbeats_is_declared_dead(self):
         self.apply_heartbeat('other', 'o1')
@@ -177,7 +177,7 @@
         self.apply_heartbeat('other', 'o1')
         self.advance(0.4)
         self.now += 30
-        self.subject.check(self.now, self.now)
+        self.subject.check(self.now, self.now, self.now)
         self.assertTrue(self.subject.is_alive('o1'))
 
     def test_slow_appends_extend_the_dead_timeout(self):
