Avoid a replica for a time however often it fails

Cause: the time for which a replica is avoided was computed as a base times 2 to the power of the failures in a row. From the 1025th on this is more than a float holds, and note_failure raised OverflowError. Callers saw 500 internal_error ("a fault of ours") where an answer had broken off, in place of a further attempt, 502 or 503. The handler of an item's attempt calls note_failure again, so that the item would stay among those that run and never run again (by reading, not shown). Failures in a row end with a whole answer only; a replica that is cut off gets there with some hundred requests a second in seconds.

Ruled out: the same formula in log/tail.py and duties/platform_calls.py is capped.

Change: the exponent is capped.

--- a/packages/gateway/auburnroad_gateway/directory/replica.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica.py
@@ -11,6 +11,8 @@
 # failure up to the maximum.
 AVOID_BASE_SECONDS = 0.25
 AVOID_MAX_SECONDS = 2.0
+# Enough to reach the maximum; a float holds no more than 1023.
+MAX_AVOID_DOUBLINGS = 16
 # A replica refuses requests while all slots are in use or while it executes an
 # order; both are usually short.
 REFUSAL_AVOID_SECONDS = 0.1
@@ -222,8 +224,9 @@
 
     def note_failure(self, now: float) -> None:
         """Record a failed attempt that the replica may have caused."""
+        doublings = min(self.failures, MAX_AVOID_DOUBLINGS)
         avoid_seconds = min(
-            AVOID_MAX_SECONDS, AVOID_BASE_SECONDS * 2**self.failures
+            AVOID_MAX_SECONDS, AVOID_BASE_SECONDS * 2**doublings
         )
         self.failures += 1
         self.avoid_until = max(self.avoid_until, now + avoid_seconds)
