--- a/packages/gateway/auburnroad_gateway/directory/replica_test.py
+++ b/packages/gateway/auburnroad_gateway/directory/replica_test.py
@@ -13,7 +13,7 @@
     """A replica that fails is avoided for a time."""
 
     def test_time_doubles_up_to_the_maximum_however_often_it_fails(self):
-        """The time was too large a number from the 1025th failure in a row on."""
+        """The 1025th failure in a row raised an OverflowError."""
         subject = placement_test.build_replica('r')
         seconds = []
         for _ in range(MANY_FAILURES):
