--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -20,39 +20,25 @@
 
 import h11
 import msgspec
-import prometheus_client
 
 from auburnroad_core import decoding
 from auburnroad_core import errors
+from auburnroad_core.http import connection as connections
 from auburnroad_core.http import messages
 
-READ_BYTES = 65536
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 CONNECT_TIMEOUT_SECONDS = 2.0
 # An idle connection is reused only within this fraction of the server's idle
 # timeout, because the server's timer started earlier.
 KEEP_ALIVE_FRACTION = 0.8
-# For servers that don't send their idle timeout.
-DEFAULT_IDLE_SECONDS = 30.0
 # Interim responses, or responses to other requests, before the own one.
 MAX_SKIPPED_RESPONSES = 16
 # Size of a body that is read only so that its connection can be reused.
 MAX_DISCARDED_BYTES = 65536
 DISCARD_SECONDS = 0.1
 BODY_BUDGET_BYTES = 512 * 1024 * 1024
-# A request given up sooner tells nothing about its connection.
-SILENCE_SECONDS = 0.1
-
-# Created without a registry: each role adds it to the registry that it
-# exports.
-BYTES = prometheus_client.Counter(
-    'auburnroad_http_client_bytes',
-    'Bytes of requests to the platform and to targets, and of the answers.',
-    ['direction'],
-    registry=None,
-)
-_BYTES_IN = BYTES.labels('in')
-_BYTES_OUT = BYTES.labels('out')
+SILENCE_SECONDS = connections.SILENCE_SECONDS
+BYTES = connections.BYTES
 
 
 class HttpError(errors.AuburnroadError):
@@ -67,52 +53,6 @@
     """The request failed after sending began and may have been run."""
 
 
-class _Connection:
-    """One pooled connection.
-
-    Attributes:
-      idle_seconds: How long the server keeps the connection open while idle.
-      idle_since: Loop time in seconds of the last complete response; None
-        before the first one.
-      received_at: Loop time in seconds of the last bytes received.
-    """
-
-    __slots__ = (
-        'h11',
-        'reader',
-        'writer',
-        'idle_seconds',
-        'idle_since',
-        'received_at',
-    )
-
-    def __init__(self, reader, writer):
-        self.h11 = h11.Connection(h11.CLIENT)
-        self.reader = reader
-        self.writer = writer
-        self.idle_seconds = DEFAULT_IDLE_SECONDS
-        self.idle_since: float | None = None
-        self.received_at = 0.0
-
-    async def next_event(self):
-        """Read from the socket until h11 returns an event."""
-        while True:
-            event = self.h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            data = await self.reader.read(READ_BYTES)
-            _BYTES_IN.inc(len(data))
-            self.received_at = _find_time()
-            self.h11.receive_data(data)
-
-    def send(self, event) -> None:
-        """Encode an event with h11 and write it to the socket."""
-        data = self.h11.send(event)
-        if data:
-            _BYTES_OUT.inc(len(data))
-            self.writer.write(data)
-
-
 class BodyBudget:
     """Memory for the bodies that a client is reading.
 
@@ -292,7 +232,7 @@
         if may_send is not None and not may_send():
             connection.writer.close()
             raise ConnectError(f'{address}: no longer to be sent')
-        sent_at = _find_time()
+        sent_at = connections.find_time()
         try:
             return await self._exchange(address, connection, request, is_own)
         except (OSError, h11.ProtocolError, ValueError) as error:
@@ -300,7 +240,7 @@
             raise BrokenError(f'{address}: {error}') from error
         except BaseException:
             connection.writer.close()
-            if _was_silent(connection, sent_at):
+            if connection.was_silent(sent_at):
                 self._discard_idle(address, sent_at)
             raise
 
@@ -329,7 +269,9 @@
             raise BrokenError(f'{address}: timed out') from error
         return messages.Response(reply.status, reply.headers, body)
 
-    def release(self, address: str, connection: _Connection) -> None:
+    def release(
+        self, address: str, connection: connections.Connection
+    ) -> None:
         """Return a connection to the pool after a complete response."""
         if connection.h11.their_state is not h11.DONE:
             # The server announced that it closes the connection. The response
@@ -341,7 +283,7 @@
             connection.writer.close()
             return
         connection.h11.start_next_cycle()
-        connection.idle_since = _find_time()
+        connection.idle_since = connections.find_time()
         idle = self._idle[address]
         if len(idle) >= IDLE_CONNECTIONS_PER_ADDRESS:
             connection.writer.close()
@@ -364,20 +306,20 @@
             idle.remove(connection)
             connection.writer.close()
 
-    async def _acquire(self, address: str, fresh: bool) -> _Connection:
+    async def _acquire(
+        self, address: str, fresh: bool
+    ) -> connections.Connection:
         idle = self._idle[address]
         while idle and not fresh:
             connection = idle.pop()
-            if not _is_stale(connection, self._max_idle_seconds):
+            if not connection.is_stale(self._max_idle_seconds):
                 return connection
             connection.writer.close()
-        host, _, port = address.rpartition(':')
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                return await connections.open_connection(address)
         except (OSError, ValueError, OverflowError) as error:
             raise ConnectError(f'{address}: {error}') from error
-        return _Connection(reader, writer)
 
     async def _exchange(self, address, connection, request, is_own) -> Reply:
         events = _build_events(address, request)
@@ -425,7 +367,7 @@
 
 
 async def _skip_response(
-    address: str, connection: _Connection, events
+    address: str, connection: connections.Connection, events
 ) -> None:
     """Skip a response to another request and prepare h11 for the next."""
     event = await connection.next_event()
@@ -451,31 +393,7 @@
         seconds = decoding.parse_count(value)
         if name.lower() == 'timeout' and seconds is not None:
             return seconds * KEEP_ALIVE_FRACTION
-    return DEFAULT_IDLE_SECONDS
-
-
-def _find_time() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def _was_silent(connection: _Connection, sent_at: float) -> bool:
-    """Return whether a pooled connection never answered a request."""
-    return (
-        connection.idle_since is not None
-        and connection.received_at < sent_at
-        and _find_time() - sent_at >= SILENCE_SECONDS
-    )
-
-
-def _is_stale(connection: _Connection, max_idle_seconds: float) -> bool:
-    """Return whether an idle connection has expired or was closed."""
-    idle_seconds = min(connection.idle_seconds, max_idle_seconds)
-    return (
-        _find_time() - connection.idle_since >= idle_seconds
-        or connection.reader.at_eof()
-        or connection.writer.is_closing()
-        or connection.h11.our_state is not h11.IDLE
-    )
+    return connections.DEFAULT_IDLE_SECONDS
 
 
 def build_json_request(
--- /dev/null
+++ b/packages/core/auburnroad_core/http/connection.py
@@ -0,0 +1,118 @@
+"""One connection of the HTTP client, and what it tells of its server."""
+
+import asyncio
+
+import h11
+import prometheus_client
+
+READ_BYTES = 65536
+# For servers that don't send their idle timeout.
+DEFAULT_IDLE_SECONDS = 30.0
+# A request given up sooner tells nothing about its connection.
+SILENCE_SECONDS = 0.1
+
+# Created without a registry: each role adds it to the registry that it
+# exports.
+BYTES = prometheus_client.Counter(
+    'auburnroad_http_client_bytes',
+    'Bytes of requests to the platform and to targets, and of the answers.',
+    ['direction'],
+    registry=None,
+)
+_BYTES_IN = BYTES.labels('in')
+_BYTES_OUT = BYTES.labels('out')
+
+
+class Connection:
+    """One pooled connection.
+
+    Attributes:
+      idle_seconds: How long the server keeps the connection open while idle.
+      idle_since: Loop time in seconds of the last complete response; None
+        before the first one.
+      received_at: Loop time in seconds of the last bytes received.
+    """
+
+    __slots__ = (
+        'h11',
+        'reader',
+        'writer',
+        'idle_seconds',
+        'idle_since',
+        'received_at',
+    )
+
+    def __init__(self, reader, writer):
+        self.h11 = h11.Connection(h11.CLIENT)
+        self.reader = reader
+        self.writer = writer
+        self.idle_seconds = DEFAULT_IDLE_SECONDS
+        self.idle_since: float | None = None
+        self.received_at = 0.0
+
+    async def next_event(self):
+        """Read from the socket until h11 returns an event."""
+        while True:
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.reader.read(READ_BYTES)
+            _BYTES_IN.inc(len(data))
+            self.received_at = find_time()
+            self.h11.receive_data(data)
+
+    def send(self, event) -> None:
+        """Encode an event with h11 and write it to the socket."""
+        data = self.h11.send(event)
+        if data:
+            _BYTES_OUT.inc(len(data))
+            self.writer.write(data)
+
+    def was_silent(self, sent_at: float) -> bool:
+        """Tell whether a pooled connection never answered a request.
+
+        Args:
+          sent_at: Loop time in seconds at which the request was sent.
+        """
+        return (
+            self.idle_since is not None
+            and self.received_at < sent_at
+            and find_time() - sent_at >= SILENCE_SECONDS
+        )
+
+    def is_stale(self, max_idle_seconds: float) -> bool:
+        """Tell whether an idle connection has expired or was closed.
+
+        Args:
+          max_idle_seconds: Time after which it has expired, whatever the
+            server allows.
+        """
+        idle_seconds = min(self.idle_seconds, max_idle_seconds)
+        return (
+            find_time() - self.idle_since >= idle_seconds
+            or self.reader.at_eof()
+            or self.writer.is_closing()
+            or self.h11.our_state is not h11.IDLE
+        )
+
+
+def find_time() -> float:
+    """Return the time of the running event loop, in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+async def open_connection(address: str) -> Connection:
+    """Open a connection.
+
+    Args:
+      address: 'IP address:port'.
+
+    Returns:
+      The connection.
+
+    Raises:
+      OSError, ValueError, OverflowError: The address can't be reached, or is
+        none.
+    """
+    host, _, port = address.rpartition(':')
+    return Connection(*await asyncio.open_connection(host, int(port)))
