Break a response whose head goes on from a part of another head

What callers saw: a signed 200 with an empty body, framed as whole, or a 200 with the body of a 500. The answer's head came right behind a part of another head that a replica had left unfinished on the connection ('HTTP/1.1 200 OK\r\ncontent-length: 0\r\nage: '). The status line of the answer became the value of a header or the end of the reason, so that the status, and for a body without a length also the framing, were those of the part, while id and signature were the answer's own.

Ruled out: a head that is cut and then closed or reset. h11 breaks it at each byte (cut_response_test).

Change: a head with a status line in its reason or in a header's value is broken, as it certainly has two heads in it; a service that names status lines in its headers is no longer forwarded.

Through a gateway (cut_answer_test): (200, b'', complete) before, 502 now.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import collections
+import re
 import typing
 
 import h11
@@ -37,6 +38,9 @@
 MAX_DISCARDED_BYTES = 65536
 DISCARD_SECONDS = 0.1
 BODY_BUDGET_BYTES = 512 * 1024 * 1024
+# A head that goes on from a part of another one has its status line at the end
+# of a header's value or of the reason.
+STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}( |$)')
 SILENCE_SECONDS = connections.SILENCE_SECONDS
 BYTES = connections.BYTES
 
@@ -343,6 +347,8 @@
             event = await connection.next_event()
         if not isinstance(event, h11.Response):
             raise BrokenError(f'{address}: closed without a response')
+        if _has_two_heads(event):
+            raise BrokenError(f'{address}: a head in the middle of another')
         headers = {
             name.decode('ascii'): value.decode('latin-1')
             for name, value in event.headers
@@ -386,6 +392,12 @@
         connection.h11.send(event)
 
 
+def _has_two_heads(response: h11.Response) -> bool:
+    """Tell whether a head contains the status line of another one."""
+    values = (value for _, value in response.headers)
+    return any(STATUS_LINE.search(text) for text in (response.reason, *values))
+
+
 def _parse_keep_alive(headers: dict[str, str]) -> float:
     """Parse how long a connection may be idle, in seconds."""
     for part in headers.get('keep-alive', '').split(','):
--- a/packages/gateway/auburnroad_gateway/process/cut_answer_test.py
+++ b/packages/gateway/auburnroad_gateway/process/cut_answer_test.py
@@ -30,6 +30,8 @@
 SLOTS = 1000
 CONCURRENT_CALLERS = 32
 BODY = b'whole body'
+# Part of a head, sent before an answer whose body ends with its connection.
+STRAY = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nage: '
 EVENTS = [scripted_replicas.build_event(number) for number in range(4)]
 # The replica that begins a stream breaks it off behind these events.
 FIRST_EVENTS = 2
@@ -164,6 +166,11 @@
             return cutting_server.Script(
                 (head, body[:size]), cutting_server.Ending.CLOSE
             )
+        if name == 'joined':
+            answer = build_answer(name, 'until-close', [BODY])
+            return cutting_server.Script(
+                (STRAY, *answer), cutting_server.Ending.CLOSE
+            )
         if kind == 'hedged' and attempt == 1:
             return None
         is_plain = kind in ('plain', 'once', 'hedged', 'reward')
@@ -226,6 +233,11 @@
         kept = sum(server.kept_requests for server in self.servers)
         self.assertGreaterEqual(kept, len(names))
 
+    async def test_answer_behind_a_part_of_another_head_is_502(self):
+        """Callers got a 200 with an empty body, framed as whole."""
+        status, _, _ = await self.send('/once/', id='joined')
+        self.assertEqual(502, status)
+
     async def test_hedged_answer_is_504(self):
         timed_out = (504, b'{"error":{"code":"timed_out"}}', True)
         await self.check_all('hedged', ['length'], [timed_out], [BODY])
