Use no connection that received bytes while it was idle

Cause: a connection with bytes beyond a complete response was closed if they came together with it. Bytes that came later, while the connection was idle, were kept, and became the beginning of the response to the next request. The client closed idle connections only at their end, and not even then while such bytes were unread.

A status that a server sends to an idle connection before it closes it, such as 408, would have been taken for the answer.

Change: the connection counts what was received and not read; an idle one with such bytes is closed in place of used (RFC 9112, section 9.2). Bytes that come after the request was sent are told by their id, as before.

Measured: joined_response_test, parts of two heads at each byte, sent behind a response: before, 336 of 342 requests that followed broke off or were taken for wrong; now all 342 are answered, on new connections.

--- a/packages/core/auburnroad_core/http/connection.py
+++ b/packages/core/auburnroad_core/http/connection.py
@@ -23,6 +23,23 @@
 _BYTES_OUT = BYTES.labels('out')
 
 
+class _Reader(asyncio.StreamReader):
+    """Counts the bytes that were received and not read.
+
+    Attributes:
+      unread_bytes: Number of these bytes.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop=loop)
+        self.unread_bytes = 0
+
+    def feed_data(self, data):
+        """Add received bytes."""
+        self.unread_bytes += len(data)
+        super().feed_data(data)
+
+
 class Connection:
     """One pooled connection.
 
@@ -57,6 +74,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self.reader.read(READ_BYTES)
+            self.reader.unread_bytes -= len(data)
             _BYTES_IN.inc(len(data))
             self.received_at = find_time()
             self.h11.receive_data(data)
@@ -81,7 +99,10 @@
         )
 
     def is_stale(self, max_idle_seconds: float) -> bool:
-        """Tell whether an idle connection has expired or was closed.
+        """Tell whether an idle connection must not be used.
+
+        It has expired, was closed, or received bytes, which belong to no
+        request (RFC 9112, section 9.2).
 
         Args:
           max_idle_seconds: Time after which it has expired, whatever the
@@ -91,6 +112,7 @@
         return (
             find_time() - self.idle_since >= idle_seconds
             or self.reader.at_eof()
+            or self.reader.unread_bytes > 0
             or self.writer.is_closing()
             or self.h11.our_state is not h11.IDLE
         )
@@ -115,4 +137,12 @@
         none.
     """
     host, _, port = address.rpartition(':')
-    return Connection(*await asyncio.open_connection(host, int(port)))
+    loop = asyncio.get_running_loop()
+    reader = _Reader(loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(
+        lambda: protocol, host, int(port)
+    )
+    return Connection(
+        reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+    )
--- a/packages/core/auburnroad_core/http/joined_response_test.py
+++ b/packages/core/auburnroad_core/http/joined_response_test.py
@@ -26,6 +26,8 @@
     'chunked': cutting_server.Framing(FAILURE, chunked=True),
     'until-close': cutting_server.Framing(FAILURE),
 }
+# Iterations of the event loop in which bytes on loopback are received.
+ITERATIONS = 10
 
 
 class JoinedResponseTest(unittest.IsolatedAsyncioTestCase):
@@ -79,3 +81,17 @@
             )
 
         await self.check_all(fetch, [(500, BODY), None])
+
+    async def test_connection_that_receives_bytes_while_idle_is_not_used(self):
+        """The bytes became the beginning of the next response."""
+
+        async def fetch(stray, answer):
+            await self.fetch(*FIRST, stray)
+            for _ in range(ITERATIONS):
+                await asyncio.sleep(0)
+            return await self.fetch(
+                *answer, ending=cutting_server.Ending.CLOSE
+            )
+
+        await self.check_all(fetch, [(500, BODY)])
+        self.assertEqual(0, self.server.kept_requests)
