--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import collections
+import re
 import typing
 
 import h11
@@ -33,6 +34,9 @@
 MAX_DISCARDED_BYTES = 65536
 DISCARD_SECONDS = 0.1
 BODY_BUDGET_BYTES = 512 * 1024 * 1024
+# A head that goes on from a part of another one has its status line at the end
+# of a header's value or of the reason.
+STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}( |$)')
 
 
 class HttpError(errors.AuburnroadError):
@@ -318,13 +322,11 @@
             if not connection.is_stale(self._max_idle_seconds):
                 return connection
             connection.writer.close()
-        host, _, port = address.rpartition(':')
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                return await connections.open_connection(address)
         except (OSError, ValueError, OverflowError) as error:
             raise ConnectError(f'{address}: {error}') from error
-        return connections.Connection(reader, writer)
 
     async def _exchange(self, address, connection, request, is_own) -> Reply:
         events = _build_events(address, request)
@@ -348,6 +350,8 @@
             event = await connection.next_event()
         if not isinstance(event, h11.Response):
             raise BrokenError(f'{address}: closed without a response')
+        if _has_two_heads(event):
+            raise BrokenError(f'{address}: a head in the middle of another')
         headers = {
             name.decode('ascii'): value.decode('latin-1')
             for name, value in event.headers
@@ -391,6 +395,12 @@
         connection.h11.send(event)
 
 
+def _has_two_heads(response: h11.Response) -> bool:
+    """Tell whether a head contains the status line of another one."""
+    values = (value for _, value in response.headers)
+    return any(STATUS_LINE.search(text) for text in (response.reason, *values))
+
+
 def build_json_request(
     method: str,
     target: str,
--- a/packages/core/auburnroad_core/http/connections.py
+++ b/packages/core/auburnroad_core/http/connections.py
@@ -1,4 +1,4 @@
-"""Connections of the HTTP client to a server."""
+"""Connections of the HTTP client, and what they tell of their servers."""
 
 import asyncio
 import socket
@@ -32,6 +32,23 @@
 _BYTES_OUT = BYTES.labels('out')
 
 
+class _Reader(asyncio.StreamReader):
+    """Counts the bytes that were received and not read.
+
+    Attributes:
+      unread_bytes: Number of these bytes.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop=loop)
+        self.unread_bytes = 0
+
+    def feed_data(self, data):
+        """Add received bytes."""
+        self.unread_bytes += len(data)
+        super().feed_data(data)
+
+
 class Connection:
     """One connection, which may be pooled.
 
@@ -66,6 +83,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self.reader.read(READ_BYTES)
+            self.reader.unread_bytes -= len(data)
             _BYTES_IN.inc(len(data))
             self.received_at = find_time()
             self.h11.receive_data(data)
@@ -99,15 +117,20 @@
         )
 
     def is_stale(self, max_idle_seconds: float) -> bool:
-        """Tell whether an idle connection has expired or was closed.
+        """Tell whether an idle connection must not be used.
+
+        It has expired, was closed, or received bytes, which belong to no
+        request (RFC 9112, section 9.2).
 
         Args:
-          max_idle_seconds: Limit besides that of the server.
+          max_idle_seconds: Time after which it has expired, whatever the
+            server allows.
         """
         idle_seconds = min(self.idle_seconds, max_idle_seconds)
         return (
             find_time() - self.idle_since >= idle_seconds
             or self.reader.at_eof()
+            or self.reader.unread_bytes > 0
             or self.writer.is_closing()
             or self.h11.our_state is not h11.IDLE
         )
@@ -133,3 +156,28 @@
         if name.lower() == 'timeout' and seconds is not None:
             return seconds * KEEP_ALIVE_FRACTION
     return DEFAULT_IDLE_SECONDS
+
+
+async def open_connection(address: str) -> Connection:
+    """Open a connection.
+
+    Args:
+      address: 'IP address:port'.
+
+    Returns:
+      The connection.
+
+    Raises:
+      OSError, ValueError, OverflowError: The address can't be reached, or is
+        none.
+    """
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    reader = _Reader(loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(
+        lambda: protocol, host, int(port)
+    )
+    return Connection(
+        reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+    )
