--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -4,16 +4,20 @@
 records late. Another host may have held the duty until then.
 """
 
+import unittest
 from unittest import mock
 
 import msgspec
 
 from auburnroad_core import clock
+from auburnroad_gateway.duties import lease
 from auburnroad_gateway.log import service
+from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import membership_test
 from auburnroad_gateway.weights import duty
 from auburnroad_gateway.weights import duty_test
+from auburnroad_standins import partition_log
 
 STEP_MS = 2000
 
@@ -77,3 +81,43 @@
         self.subject.apply(service.KeyedRecord('s', record.value, 0))
         self.assertEqual(2, self.subject.find_fence('s'))
         self.assertFalse(self.may_act(10.0))
+
+
+class Host:
+    """The duties of one gateway, and its right to act for them."""
+
+    def __init__(self, name, log):
+        self.members = membership.Membership(
+            membership_test.build_settings(name), None
+        )
+        self.members._observing_since = 1.0
+        self.members._checked_at = 10.0
+        self.members.presumed_alive_until = float('inf')
+        self.duties = duty.Duties(self.members, log, duty_test.LEASE_MS)
+        self.tail = tail.KeyedTail(log, duty.TOPIC, self.duties.apply, 0.0)
+        self.tail._initial_read_done.set()
+        self.lease = lease.HolderLease(self.duties, self.tail)
+
+    async def claim(self):
+        await self.tail.catch_up()
+        await self.duties.claim_if_vacant('s', self.tail)
+        await self.tail.catch_up()
+
+
+class TwoHostsTest(unittest.IsolatedAsyncioTestCase):
+    """A holder, and a host that was started again after it had claimed."""
+
+    async def test_late_claim_does_not_let_two_hosts_act_at_once(self):
+        """Their fences were 1 and 3, and the replica checks none."""
+        log = partition_log.PartitionLog()
+        one, two = Host('one', log), Host('two', log)
+        await one.claim()
+        await two.tail.catch_up()
+        claim = duty.DutyRecord(
+            membership.build_incarnation('two'), 0, clock.time_now_ms() - 1000
+        )
+        log.put(duty.TOPIC, 's', msgspec.msgpack.encode(claim))
+        await two.claim()
+        self.assertEqual(3, two.duties.find_fence('s'))
+        self.assertTrue(one.lease.may_act('s'))
+        self.assertFalse(two.lease.may_act('s'))
