--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -56,6 +56,21 @@
             await self.claim()
         self.assertFalse(self.may_act(1.0))
 
+    async def test_restarted_holder_of_a_duty_at_the_platform_waits(self):
+        """A late call of before had a lower fence than the first one after."""
+        key = duty.USAGE_KEY
+        record = duty.DutyRecord(self.build_former(), settled=True)
+        self.log.put(duty.TOPIC, key, msgspec.msgpack.encode(record))
+        await self.tail.catch_up()
+        await self.subject.claim_if_vacant(key, self.tail)
+        await self.tail.catch_up()
+        self.members.presumed_alive_until = float('inf')
+        now = clock.read_boot_clock_seconds()
+        self.assertFalse(self.subject.may_act(key, now + 2.5))
+        self.assertTrue(
+            self.subject.may_act(key, now + duty_test.LEASE_MS / 1000)
+        )
+
     async def test_holder_that_was_not_silent_is_waited_for_in_full(self):
         """It ordered until its stop began; silence was taken off the lease."""
         heartbeat = membership.Heartbeat('other', 'b:1', True)
