Keep a holder's fence when its wait is over, and the API's full wait

Cause: let a restarted holder of a duty at the platform's API call at once, since the first claim of such a duty is settled at once; and the record that the wait is over gave the holder another fence while orders with the one before could be on their way.

Change: duties at the API always wait the whole lease; the record of the wait repeats the fence of its claim. Records of a duty are ordered by their offsets.

--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -41,12 +41,15 @@
         stop.
       act_not_before_ms: Always zero; older gateways wrote and read it.
       settled: Whether the holder has waited for the holder before.
+      fence: Fencing number that the holder's claim has given; zero in a claim,
+        which gives a new one.
     """
 
     incarnation: str
     idle_ms: int = 0
     act_not_before_ms: int = 0
     settled: bool = False
+    fence: int = 0
 
 
 class Duty:
@@ -55,6 +58,7 @@
     Attributes:
       holder: Incarnation of the holder; empty if released.
       fence: Fencing number of the holder.
+      offset: Offset of the record.
       act_not_before: Time before which the holder must not send orders, in
         seconds of the boot clock.
       settled: Whether the holder's host has waited for the holder before, as
@@ -66,6 +70,7 @@
     __slots__ = (
         'holder',
         'fence',
+        'offset',
         'act_not_before',
         'settled',
         'last_order_at',
@@ -74,13 +79,15 @@
     def __init__(
         self,
         record: DutyRecord,
-        fence: int,
+        offset: int,
         act_not_before: float,
         lease_seconds: float,
     ):
         self.holder = record.incarnation
         self.settled = record.settled
-        self.fence = fence
+        # Offsets start at zero, fencing numbers at one.
+        self.fence = record.fence or offset + 1
+        self.offset = offset
         self.act_not_before = act_not_before
         self.last_order_at = act_not_before - lease_seconds
 
@@ -112,16 +119,16 @@
         except msgspec.DecodeError as error:
             events.write_invalid_record(TOPIC, record.key, error)
             return
-        # Offsets start at zero, fencing numbers at one.
-        fence = record.offset + 1
         before = self._duties.get(record.key)
-        if before is not None and before.fence >= fence:
+        if before is not None and before.offset >= record.offset:
             # A snapshot repeats the record, or is older than what was read.
             return
         act_not_before = self._find_act_not_before(
             record.key, holder, clock.read_boot_clock_seconds()
         )
-        after = Duty(holder, fence, act_not_before, self._lease_seconds)
+        after = Duty(
+            holder, record.offset, act_not_before, self._lease_seconds
+        )
         if before is not None and before.holder == after.holder:
             after.last_order_at = before.last_order_at
         self._duties[record.key] = after
@@ -133,7 +140,7 @@
             'duty_changed',
             service=record.key,
             holder=holder.incarnation,
-            fence=fence,
+            fence=after.fence,
         )
 
     def note_order(self, service: str, now: float) -> None:
@@ -255,17 +262,21 @@
             return
         if now < self._retry_at.get(service, 0.0):
             return
+        own = self._membership.incarnation
         if self.find_holder(service):
             if self._is_to_settle(service, now):
-                await self._append_own(service, True, tail)
+                fence = self._duties[service].fence
+                await self._append_own(
+                    service, DutyRecord(own, settled=True, fence=fence), tail
+                )
             return
-        own = self._membership.incarnation
         duty = self._duties.get(service)
         was_own = duty and self._membership.is_former_self(duty.holder)
         if not was_own and self._membership.choose_member(service) != own:
             return
         waits_until = self._find_act_not_before(service, DutyRecord(own), now)
-        await self._append_own(service, waits_until <= now, tail)
+        claim = DutyRecord(own, settled=waits_until <= now)
+        await self._append_own(service, claim, tail)
 
     def _is_to_settle(self, key: str, now: float) -> bool:
         """Tell whether the wait of this gateway is over, and not recorded."""
@@ -275,11 +286,10 @@
             and self.may_act(key, now)
         )
 
-    async def _append_own(self, service: str, settled: bool, tail) -> None:
+    async def _append_own(self, service, record: DutyRecord, tail) -> None:
         self._retry_at[service] = (
             clock.read_boot_clock_seconds() + CLAIM_RETRY_SECONDS
         )
-        record = DutyRecord(self._membership.incarnation, settled=settled)
         await self._append(service, record, tail.next_offset)
 
     async def release(self, tail) -> None:
@@ -327,7 +337,8 @@
             return 0.0
         if not previous.holder or previous.holder == holder.incarnation:
             return previous.act_not_before
-        if previous.settled and membership.is_same_host(
+        may_continue = previous.settled and key not in PLATFORM_KEYS.values()
+        if may_continue and membership.is_same_host(
             previous.holder, holder.incarnation
         ):
             # Holders are told apart by their hosts, so that this one goes on.
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -279,6 +279,7 @@
                 await self.claim()
             self.assertEqual(records, len(self.log.list_records(duty.TOPIC)))
         self.assertTrue(self.subject._duties['s'].settled)
+        self.assertEqual(2, self.subject.find_fence('s'))
         self.assertTrue(self.may_act(LEASE_MS / 1000))
 
     async def test_another_host_waits_until_members_are_known(self):
