Let a drain wait until the kernel has the responses

Cause: a connection counted as closed once asyncio had its response, of which up to 64 KiB may wait in the process. A gateway that ended its stop then exited and truncated the response; its caller saw a connection closed in the body.

Change: a connection is served until its transport is closed, so that a drain waits for it.

Test: test_drain_waits_until_kernel_has_the_response, with small socket buffers, failed before (the drain was over with the body unsent) and passes.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import http.client
 import typing
 
@@ -83,7 +84,11 @@
         self._writer.close()
 
     async def serve(self) -> None:
-        """Serve requests until either end closes the connection."""
+        """Serve requests until either end closes the connection.
+
+        Returns once the last response has been handed to the kernel, since a
+        process that ends earlier truncates it.
+        """
         try:
             while await self._serve_one():
                 self._h11.start_next_cycle()
@@ -91,6 +96,8 @@
             pass
         finally:
             self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
 
     async def _serve_one(self) -> bool:
         try:
