Answer requests that have arrived when a drain begins

Cause: a drain closed each connection without a running handler, also one with a request that was whole in its buffer or still being received, and a connection whose idle timeout ran out just then. Callers saw a reset, and those whose requests may not be repeated can't return after that.

Change: an idle connection is ended by its own timeout, after which what has arrived is still read; a request that is being received may be completed within the drain. Connections accepted just before the listener closed are waited for, too.

Tests: test_request_received_as_drain_begins_is_answered and test_request_received_in_part_may_be_completed failed before (connection reset) and pass.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -68,7 +68,14 @@
 class _Connection:
     """The server's end of one connection from a caller."""
 
-    __slots__ = ('_h11', '_reader', '_writer', '_server', 'busy')
+    __slots__ = (
+        '_h11',
+        '_reader',
+        '_writer',
+        '_server',
+        '_idle_timeout',
+        'busy',
+    )
 
     def __init__(self, server, reader, writer):
         self._h11 = h11.Connection(
@@ -77,11 +84,15 @@
         self._reader = reader
         self._writer = writer
         self._server = server
+        # Set while the connection waits for the first bytes of a request.
+        self._idle_timeout: asyncio.Timeout | None = None
         self.busy = False
 
-    def close(self) -> None:
-        """Close the connection without waiting for the peer."""
-        self._writer.close()
+    def close_if_idle(self) -> None:
+        """Close the connection unless bytes of a request have arrived."""
+        timeout = self._idle_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
 
     async def serve(self) -> None:
         """Serve requests until either end closes the connection.
@@ -218,10 +229,8 @@
         """
         limits = self._server.limits
         if not self._h11.trailing_data[0]:
-            try:
-                async with asyncio.timeout(limits.idle_seconds):
-                    data = await self._reader.read(READ_BYTES)
-            except TimeoutError:
+            data = await self._read_first_bytes()
+            if data is None:
                 return None
             self._h11.receive_data(data)
         try:
@@ -232,6 +241,23 @@
                 408, 'head_too_slow', 'the head took too long'
             ) from None
 
+    async def _read_first_bytes(self) -> bytes | None:
+        """Read the first bytes of a request; None after the idle timeout."""
+        idle_seconds = self._server.limits.idle_seconds
+        try:
+            async with asyncio.timeout(idle_seconds) as self._idle_timeout:
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            pass
+        finally:
+            self._idle_timeout = None
+        # Bytes may have arrived while the timeout was being handled.
+        try:
+            async with asyncio.timeout(0):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            return None
+
     async def _read_body_event(self):
         """Read the next event of a body within the idle timeout."""
         try:
@@ -399,6 +425,9 @@
     async def drain(self, deadline_seconds: float) -> bool:
         """Stop listening and let requests in flight finish.
 
+        Idle connections are closed. A request that is being received may be
+        completed.
+
         Args:
           deadline_seconds: Maximum time to wait for them, in seconds.
 
@@ -408,14 +437,22 @@
         self.draining = True
         if self._server is not None:
             self._server.close()
+        until = asyncio.get_running_loop().time() + deadline_seconds
         for connection in list(self._connections):
-            if not connection.busy:
-                connection.close()
-        tasks = list(self._connections.values())
-        if tasks:
-            await asyncio.wait(tasks, timeout=deadline_seconds)
+            connection.close_if_idle()
+        await self._wait_for_connections(until)
         return not self._connections
 
+    async def _wait_for_connections(self, until: float) -> None:
+        """Wait until all connections are closed, or until a loop time."""
+        loop = asyncio.get_running_loop()
+        while self._connections and loop.time() < until:
+            # A connection may have been accepted just before the listener was
+            # closed, so the connections are listed again.
+            await asyncio.wait(
+                list(self._connections.values()), timeout=until - loop.time()
+            )
+
     async def close(self) -> None:
         """Stop listening and cancel the requests in flight."""
         if self._server is not None:
--- a/packages/core/auburnroad_core/http/server_drain_test.py
+++ b/packages/core/auburnroad_core/http/server_drain_test.py
@@ -10,6 +10,7 @@
 TIMEOUT_SECONDS = 5.0
 REQUEST = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nwhole'
 EMPTY_REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+SLOW_REQUEST = b'GET /slow HTTP/1.1\r\nhost: a\r\n\r\n'
 # More than a socket with small buffers takes, less than asyncio buffers before
 # it lets a writer wait.
 LARGE_BODY = b'x' * 60_000
@@ -41,6 +42,34 @@
     async def read(self, reader):
         return await asyncio.wait_for(reader.read(), TIMEOUT_SECONDS)
 
+    async def test_request_received_as_drain_begins_is_answered(self):
+        """Its connection was closed as an idle one, without an answer."""
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        self.assertTrue(await self.server.drain(TIMEOUT_SECONDS))
+        response = await self.read(reader)
+        self.assertTrue(response.startswith(b'HTTP/1.1 200'))
+        self.assertIn(b'connection: close', response)
+
+    async def test_idle_connection_is_closed(self):
+        reader, _ = await self.connect()
+        self.assertTrue(await self.server.drain(TIMEOUT_SECONDS))
+        self.assertEqual(b'', await self.read(reader))
+
+    async def test_request_received_in_part_may_be_completed(self):
+        """Its connection was closed although there was time left."""
+        reader, writer = await self.connect()
+        writer.write(REQUEST[:-2])
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            (connection,) = self.server._connections
+            while connection._h11.their_state is not server.h11.SEND_BODY:
+                await asyncio.sleep(0)
+        drain = asyncio.create_task(self.server.drain(TIMEOUT_SECONDS))
+        await asyncio.sleep(0)
+        writer.write(REQUEST[-2:])
+        self.assertTrue(await drain)
+        self.assertTrue((await self.read(reader)).endswith(b'whole'))
+
     async def test_drain_waits_until_kernel_has_the_response(self):
         """A process that ended right after a drain truncated responses."""
         self.server.draining = True
