Answer with 504 what outlasts a drain

Cause: requests whose handlers had not responded when the time of a drain was over were cut off as the process exited; callers saw a bare close. A 504 promises no more, but is an answer, and callers need no time-out to learn it.

Change: 0.1 s before a drain ends, or a fifth of it if that is less, handlers that have not responded are cancelled, and their callers get 504. A response that has begun is still cut off.

Test: test_request_that_outlasts_drain_is_answered_with_504 failed before (nothing came) and passes.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -23,6 +23,10 @@
 # the caller stops sending.
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 64 * 1024 * 1024
+# Time at the end of a drain for error responses to the requests whose handlers
+# have not responded by then, and its maximum share of the drain.
+GIVE_UP_SECONDS = 0.1
+MAX_GIVE_UP_SHARE = 0.2
 
 Handler = typing.Callable[
     [messages.Request], typing.Awaitable[messages.Response]
@@ -74,6 +78,7 @@
         '_writer',
         '_server',
         '_idle_timeout',
+        '_work',
         'busy',
     )
 
@@ -86,6 +91,8 @@
         self._server = server
         # Set while the connection waits for the first bytes of a request.
         self._idle_timeout: asyncio.Timeout | None = None
+        # Set while a handler runs that hasn't returned a response.
+        self._work: asyncio.Task | None = None
         self.busy = False
 
     def close_if_idle(self) -> None:
@@ -94,6 +101,11 @@
         if timeout is not None and not timeout.expired():
             timeout.reschedule(asyncio.get_running_loop().time())
 
+    def give_up(self) -> None:
+        """Answer a request whose handler hasn't responded with 504."""
+        if self._work is not None:
+            self._work.cancel()
+
     async def serve(self) -> None:
         """Serve requests until either end closes the connection.
 
@@ -278,6 +290,7 @@
     async def _run_handler(self, request) -> messages.Response:
         work = asyncio.ensure_future(self._server.handler(request))
         watch = asyncio.ensure_future(self._watch_peer())
+        self._work = work
         try:
             await asyncio.wait(
                 {work, watch}, return_when=asyncio.FIRST_COMPLETED
@@ -286,6 +299,7 @@
                 raise ConnectionResetError('the caller disconnected')
             return _get_response(work)
         finally:
+            self._work = None
             work.cancel()
             watch.cancel()
             await asyncio.gather(work, watch, return_exceptions=True)
@@ -352,7 +366,13 @@
 
 
 def _get_response(work: asyncio.Task) -> messages.Response:
-    """Return the handler's response, or status 500 if the handler failed."""
+    """Return the handler's response, or an error response without one."""
+    if work.cancelled():
+        return messages.build_json_response(
+            504,
+            {'error': {'code': 'stopped', 'message': 'the server stopped'}},
+            {'auburnroad-outcome': 'unknown'},
+        )
     error = work.exception()
     if error is None or isinstance(error, OSError):
         # A handler that can't respond raises an OSError, which closes the
@@ -426,7 +446,8 @@
         """Stop listening and let requests in flight finish.
 
         Idle connections are closed. A request that is being received may be
-        completed.
+        completed. If its handler doesn't respond in time, it is cancelled, and
+        the caller gets status 504.
 
         Args:
           deadline_seconds: Maximum time to wait for them, in seconds.
@@ -440,6 +461,11 @@
         until = asyncio.get_running_loop().time() + deadline_seconds
         for connection in list(self._connections):
             connection.close_if_idle()
+        await self._wait_for_connections(
+            until - min(GIVE_UP_SECONDS, MAX_GIVE_UP_SHARE * deadline_seconds)
+        )
+        for connection in list(self._connections):
+            connection.give_up()
         await self._wait_for_connections(until)
         return not self._connections
 
--- a/packages/core/auburnroad_core/http/server_drain_test.py
+++ b/packages/core/auburnroad_core/http/server_drain_test.py
@@ -70,6 +70,16 @@
         self.assertTrue(await drain)
         self.assertTrue((await self.read(reader)).endswith(b'whole'))
 
+    async def test_request_that_outlasts_drain_is_answered_with_504(self):
+        """Its connection was closed without an answer."""
+        reader, writer = await self.connect()
+        writer.write(SLOW_REQUEST)
+        await asyncio.wait_for(self.started.wait(), TIMEOUT_SECONDS)
+        self.assertTrue(await self.server.drain(0.5))
+        response = await self.read(reader)
+        self.assertTrue(response.startswith(b'HTTP/1.1 504'))
+        self.assertIn(b'auburnroad-outcome: unknown', response)
+
     async def test_drain_waits_until_kernel_has_the_response(self):
         """A process that ended right after a drain truncated responses."""
         self.server.draining = True
