Accept late streams in a stop only if they end before it

Cause: a stopping gateway accepted a request if its route's timeout ended in time. A timeout ends no stream that has begun: in a press of a gateway with grace_s 8 (trial), 32 streams that came later than 3 s after the stop signal were passed on and cut off at its end, among them ones that may not be repeated. It also refused requests whose route's timeout is long, although the caller's deadline came in time.

Change: a request is judged by the caller's deadline, and by its route's timeout unless it is a stream. In the first 2.6 s, in which balancers may still send callers, a stream only has to begin in time, as before: most are short. Times and durations have a module of their own.

--- a/packages/gateway/auburnroad_gateway/process/dispatch.py
+++ b/packages/gateway/auburnroad_gateway/process/dispatch.py
@@ -19,10 +19,7 @@
 from auburnroad_gateway.forwarding import requests
 from auburnroad_gateway.forwarding import streams
 from auburnroad_gateway.model import configuration
-
-# Maximum duration of a call on a batch. The slowest call is a submission that
-# waits for the log.
-BATCH_CALL_SECONDS = intake.APPEND_TIMEOUT_SECONDS + 0.5
+from auburnroad_gateway.process import stopping
 
 
 class Dispatcher:
@@ -48,7 +45,7 @@
         batch_intake: intake.Intake,
         forwarder: requests.Forwarder,
         stream_forwarder: streams.StreamForwarder,
-        may_outlast_stop: typing.Callable[[float], bool],
+        may_outlast_stop: typing.Callable[[stopping.Duration], bool],
     ):
         """Initialize the dispatcher.
 
@@ -60,8 +57,8 @@
           batch_intake: Handles submissions.
           forwarder: Handles requests whose response is not a stream.
           stream_forwarder: Handles requests whose response is a stream.
-          may_outlast_stop: Tells whether a request that takes a number of
-            seconds may still run when the process exits.
+          may_outlast_stop: Tells whether a request may still run when the
+            process exits.
         """
         self._adapter = adapter
         self._configuration = holder
@@ -90,7 +87,7 @@
         batch_call = self._adapter.decode_batch_call(request)
         if batch_call is None:
             return await self._handle_routed(request)
-        if self._may_outlast_stop(BATCH_CALL_SECONDS):
+        if self._may_outlast_stop(stopping.BATCH_CALL):
             return 'leaving', _refuse_while_stopping()
         response = await self._reader.handle(
             batch_call, self._adapter.decode_call(request.headers)
@@ -111,13 +108,10 @@
         refusal = self._access.build_response(route.name, head, found)
         if refusal is not None:
             return 'no_access', refusal
-        is_batch = route.kind is configuration.RouteKind.BATCH
-        if self._may_outlast_stop(
-            BATCH_CALL_SECONDS if is_batch else route.timeout_ms / 1000
-        ):
+        if self._may_outlast_stop(stopping.find_duration(route, head)):
             return 'leaving', _refuse_while_stopping()
         account = self._find_account_name(found)
-        if is_batch:
+        if route.kind is configuration.RouteKind.BATCH:
             response = await self._intake.submit(route, request, account)
             return 'submit', response
         pending = requests.PendingRequest(
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -35,6 +35,7 @@
 from auburnroad_gateway.process import dispatch
 from auburnroad_gateway.process import duties
 from auburnroad_gateway.process import scaling
+from auburnroad_gateway.process import stopping
 from auburnroad_gateway.process import supervision
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
@@ -52,16 +53,6 @@
 # parts are joined, a body takes twice its size.
 BODY_MEMORY_SHARE = 0.125
 BYTES_PER_MB = 1 << 20
-# Minimum time that a stopping gateway keeps serving requests. The balancer
-# checks readiness once a second and sends new connections until two checks
-# have failed.
-UNREADY_SECONDS = 2.6
-# Reserved at the end of the grace period for the exit of the process.
-STOP_MARGIN_SECONDS = 0.5
-# Time before STOP_MARGIN_SECONDS in which requests in flight finish and no new
-# requests are accepted.
-FINAL_DRAIN_SECONDS = 0.5
-STOP_POLL_SECONDS = 0.05
 # How long a request waits for the initial reads of a process that has just
 # started. The initial reads take about 50 ms.
 LOAD_TIMEOUT_SECONDS = 0.4
@@ -82,6 +73,8 @@
         self._tasks: list[asyncio.Task] = []
         self._addresses: dict[str, str] = {}
         self._stopping = False
+        # Monotonic times of a planned stop in seconds; see stopping.StopTimes.
+        self._unready_until = float('inf')
         self._response_deadline_at = float('inf')
         self._closed = asyncio.Event()
         self._client = client.HttpClient(
@@ -454,9 +447,14 @@
                 return
             await asyncio.sleep(LOAD_POLL_SECONDS)
 
-    def _may_outlast_stop(self, timeout_seconds: float) -> bool:
+    def _may_outlast_stop(self, duration: stopping.Duration) -> bool:
         """Tell whether a request may still run when the process exits."""
-        return time.monotonic() + timeout_seconds > self._response_deadline_at
+        now = time.monotonic()
+        seconds = duration.whole_seconds
+        if now < self._unready_until:
+            # Many requests still arrive, and most streams are short.
+            seconds = duration.begin_seconds
+        return now + seconds > self._response_deadline_at
 
     def _is_drained(self) -> bool:
         """Tell whether no records, batches or connections are left."""
@@ -468,25 +466,22 @@
 
     async def _drain_and_close(self) -> None:
         """Hand over batches and duties, drain the caller server and close."""
-        self._response_deadline_at = (
-            time.monotonic()
-            + self._settings.bounds.grace_s
-            - STOP_MARGIN_SECONDS
-            - FINAL_DRAIN_SECONDS
-        )
-        unready_until = time.monotonic() + UNREADY_SECONDS
+        now = time.monotonic()
+        times = stopping.build_times(self._settings.bounds.grace_s, now)
+        self._unready_until = times.unready_until
+        self._response_deadline_at = times.response_deadline_at
         self._caller_server.draining = True
         self._members.leave()
         self._owner.prepare_hand_over()
         release = asyncio.create_task(self._duties.release(self._duty_tail))
         while time.monotonic() < self._response_deadline_at:
-            await asyncio.sleep(STOP_POLL_SECONDS)
-            if time.monotonic() < unready_until:
+            await asyncio.sleep(stopping.POLL_SECONDS)
+            if time.monotonic() < self._unready_until:
                 continue
             if self._is_drained():
                 break
         release.cancel()
-        await self._caller_server.drain(FINAL_DRAIN_SECONDS)
+        await self._caller_server.drain(times.drain_seconds)
         await self._platform_duties.finish()
         events.write(
             'stopped',
