Accept nothing once a stop is over early

Cause: a gateway whose connections are all closed ends its stop before the grace period is over. A request that came just then was still accepted, as its time limit lay before the end that had been planned, passed on, and cut off half a second later.

Change: from the end of the wait on, everything is refused as not run.

Test: test_nothing_is_accepted_once_a_stop_is_over_early failed before and passes.

--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -480,6 +480,8 @@
                 continue
             if self._is_drained():
                 break
+        # Nothing more is accepted, also if the stop is over early.
+        self._response_deadline_at = time.monotonic()
         release.cancel()
         await self._caller_server.drain(times.drain_seconds)
         await self._platform_duties.finish()
--- a/packages/gateway/auburnroad_gateway/process/late_in_grace_test.py
+++ b/packages/gateway/auburnroad_gateway/process/late_in_grace_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -12,6 +13,7 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.process import gateway
 from auburnroad_gateway.process import gateway_test
+from auburnroad_gateway.process import stopping
 from auburnroad_standins import partition_log
 
 LONG_MS = 60_000
@@ -116,3 +118,12 @@
             with self.subTest(path=path):
                 response = await self.send(path, patience='500')
                 self.assertEqual(200, response.status)
+
+    async def test_nothing_is_accepted_once_a_stop_is_over_early(self):
+        """A request that came just then was passed on, and cut off."""
+        with mock.patch.object(stopping, 'UNREADY_SECONDS', 0.0):
+            self.subject.stop()
+            await self.subject.wait_closed()
+        self.assertTrue(
+            self.subject._may_outlast_stop(stopping.Duration(0.0, 0.0))
+        )
