Scale the margins of a stop with a short grace period

Cause: a stop reserves 1 s at the end of the grace period, whatever its length. With less than 3 s of grace, requests in flight were cut off before its last sixth began, although their replicas would have finished in time; with 1 s nothing was served at all.

Change: each of the two margins is an eighth of the grace period at most. The 8 s of all present deployments give what they did before.

Tests: test_requests_in_flight_have_until_the_last_sixth_of_the_grace failed before for 0.5, 1 and 2 s; test_request_that_a_replica_still_runs_at_the_end gets its 504 from the drain of a whole gateway.

--- a/packages/gateway/auburnroad_gateway/process/late_in_grace_test.py
+++ b/packages/gateway/auburnroad_gateway/process/late_in_grace_test.py
@@ -11,6 +11,7 @@
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
 from auburnroad_gateway.model import configuration
+from auburnroad_gateway.model import settings
 from auburnroad_gateway.process import gateway
 from auburnroad_gateway.process import gateway_test
 from auburnroad_gateway.process import stopping
@@ -45,6 +46,8 @@
 
     async def asyncSetUp(self):
         self.runs = 0
+        self.finish = asyncio.Event()
+        self.finish.set()
         replica = server.HttpServer(self.answer)
         host, port = await replica.start('127.0.0.1', 0)
         self.addAsyncCleanup(replica.close)
@@ -73,6 +76,7 @@
 
     async def answer(self, request):
         self.runs += 1
+        await self.finish.wait()
         return messages.Response(200, {'signed': '1'})
 
     async def stop_late(self):
@@ -119,6 +123,24 @@
                 response = await self.send(path, patience='500')
                 self.assertEqual(200, response.status)
 
+    async def test_request_that_a_replica_still_runs_at_the_end_gets_504(self):
+        """Its connection was closed without an answer."""
+        self.finish.clear()
+        sending = asyncio.create_task(self.send('/once/x'))
+        async with asyncio.timeout(gateway_test.TIMEOUT_SECONDS):
+            while not self.runs:
+                await asyncio.sleep(0.01)
+        self.subject.apply_settings(
+            msgspec.structs.replace(
+                self.subject._settings, bounds=settings.Bounds(grace_s=1.0)
+            )
+        )
+        self.subject.stop()
+        await self.subject.wait_closed()
+        await self.subject.close()
+        self.assertEqual(504, (await sending).status)
+        self.assertEqual(1, self.runs)
+
     async def test_nothing_is_accepted_once_a_stop_is_over_early(self):
         """A request that came just then was passed on, and cut off."""
         with mock.patch.object(stopping, 'UNREADY_SECONDS', 0.0):
@@ -127,3 +149,17 @@
         self.assertTrue(
             self.subject._may_outlast_stop(stopping.Duration(0.0, 0.0))
         )
+
+
+class StopTimesTest(unittest.TestCase):
+    """Times of stops of any grace period."""
+
+    def test_requests_in_flight_have_until_the_last_sixth_of_the_grace(self):
+        """With fixed margins, a short grace period left no time at all."""
+        for grace_seconds in (0.5, 1.0, 2.0, 3.0, 8.0, 30.0):
+            times = stopping.build_times(grace_seconds, 0.0)
+            end = times.response_deadline_at + times.drain_seconds
+            with self.subTest(grace_seconds=grace_seconds):
+                self.assertGreaterEqual(end, 5 / 6 * grace_seconds)
+                self.assertLess(end, grace_seconds)
+                self.assertGreater(times.response_deadline_at, 0.0)
--- a/packages/gateway/auburnroad_gateway/process/stopping.py
+++ b/packages/gateway/auburnroad_gateway/process/stopping.py
@@ -19,6 +19,8 @@
 # Time before MARGIN_SECONDS in which requests in flight finish and no new
 # requests are accepted.
 FINAL_DRAIN_SECONDS = 0.5
+# Largest share of a short grace period for each of the two.
+MAX_GRACE_SHARE = 0.125
 POLL_SECONDS = 0.05
 
 
@@ -66,8 +68,10 @@
     Returns:
       The times.
     """
-    left = grace_seconds - MARGIN_SECONDS - FINAL_DRAIN_SECONDS
-    return StopTimes(now + UNREADY_SECONDS, now + left, FINAL_DRAIN_SECONDS)
+    most = MAX_GRACE_SHARE * grace_seconds
+    drain_seconds = min(FINAL_DRAIN_SECONDS, most)
+    left = grace_seconds - min(MARGIN_SECONDS, most) - drain_seconds
+    return StopTimes(now + UNREADY_SECONDS, now + left, drain_seconds)
 
 
 def find_duration(route: configuration.Route, head: call.CallHead) -> Duration:
