--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import http.client
 import typing
 
@@ -22,6 +23,10 @@
 # the caller stops sending.
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 64 * 1024 * 1024
+# Time at the end of a drain for error responses to the requests whose handlers
+# have not responded by then, and its maximum share of the drain.
+GIVE_UP_SECONDS = 0.1
+MAX_GIVE_UP_SHARE = 0.2
 
 Handler = typing.Callable[
     [messages.Request], typing.Awaitable[messages.Response]
@@ -67,7 +72,15 @@
 class _Connection:
     """The server's end of one connection from a caller."""
 
-    __slots__ = ('_h11', '_reader', '_writer', '_server', 'busy')
+    __slots__ = (
+        '_h11',
+        '_reader',
+        '_writer',
+        '_server',
+        '_idle_timeout',
+        '_work',
+        'busy',
+    )
 
     def __init__(self, server, reader, writer):
         self._h11 = h11.Connection(
@@ -76,14 +89,29 @@
         self._reader = reader
         self._writer = writer
         self._server = server
+        # Set while the connection waits for the first bytes of a request.
+        self._idle_timeout: asyncio.Timeout | None = None
+        # Set while a handler runs that hasn't returned a response.
+        self._work: asyncio.Task | None = None
         self.busy = False
 
-    def close(self) -> None:
-        """Close the connection without waiting for the peer."""
-        self._writer.close()
+    def close_if_idle(self) -> None:
+        """Close the connection unless bytes of a request have arrived."""
+        timeout = self._idle_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
+
+    def give_up(self) -> None:
+        """Answer a request whose handler hasn't responded with 504."""
+        if self._work is not None:
+            self._work.cancel()
 
     async def serve(self) -> None:
-        """Serve requests until either end closes the connection."""
+        """Serve requests until either end closes the connection.
+
+        Returns once the last response has been handed to the kernel, since a
+        process that ends earlier truncates it.
+        """
         try:
             while await self._serve_one():
                 self._h11.start_next_cycle()
@@ -91,6 +119,8 @@
             pass
         finally:
             self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
 
     async def _serve_one(self) -> bool:
         try:
@@ -211,10 +241,8 @@
         """
         limits = self._server.limits
         if not self._h11.trailing_data[0]:
-            try:
-                async with asyncio.timeout(limits.idle_seconds):
-                    data = await self._reader.read(READ_BYTES)
-            except TimeoutError:
+            data = await self._read_first_bytes()
+            if data is None:
                 return None
             self._h11.receive_data(data)
         try:
@@ -225,6 +253,23 @@
                 408, 'head_too_slow', 'the head took too long'
             ) from None
 
+    async def _read_first_bytes(self) -> bytes | None:
+        """Read the first bytes of a request; None after the idle timeout."""
+        idle_seconds = self._server.limits.idle_seconds
+        try:
+            async with asyncio.timeout(idle_seconds) as self._idle_timeout:
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            pass
+        finally:
+            self._idle_timeout = None
+        # Bytes may have arrived while the timeout was being handled.
+        try:
+            async with asyncio.timeout(0):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            return None
+
     async def _read_body_event(self):
         """Read the next event of a body within the idle timeout."""
         try:
@@ -245,6 +290,7 @@
     async def _run_handler(self, request) -> messages.Response:
         work = asyncio.ensure_future(self._server.handler(request))
         watch = asyncio.ensure_future(self._watch_peer())
+        self._work = work
         try:
             await asyncio.wait(
                 {work, watch}, return_when=asyncio.FIRST_COMPLETED
@@ -253,6 +299,7 @@
                 raise ConnectionResetError('the caller disconnected')
             return _get_response(work)
         finally:
+            self._work = None
             work.cancel()
             watch.cancel()
             await asyncio.gather(work, watch, return_exceptions=True)
@@ -319,7 +366,13 @@
 
 
 def _get_response(work: asyncio.Task) -> messages.Response:
-    """Return the handler's response, or status 500 if the handler failed."""
+    """Return the handler's response, or an error response without one."""
+    if work.cancelled():
+        return messages.build_json_response(
+            504,
+            {'error': {'code': 'stopped', 'message': 'the server stopped'}},
+            {'auburnroad-outcome': 'unknown'},
+        )
     error = work.exception()
     if error is None or isinstance(error, OSError):
         # A handler that can't respond raises an OSError, which closes the
@@ -392,6 +445,10 @@
     async def drain(self, deadline_seconds: float) -> bool:
         """Stop listening and let requests in flight finish.
 
+        Idle connections are closed. A request that is being received may be
+        completed. If its handler doesn't respond in time, it is cancelled, and
+        the caller gets status 504.
+
         Args:
           deadline_seconds: Maximum time to wait for them, in seconds.
 
@@ -401,14 +458,27 @@
         self.draining = True
         if self._server is not None:
             self._server.close()
+        until = asyncio.get_running_loop().time() + deadline_seconds
         for connection in list(self._connections):
-            if not connection.busy:
-                connection.close()
-        tasks = list(self._connections.values())
-        if tasks:
-            await asyncio.wait(tasks, timeout=deadline_seconds)
+            connection.close_if_idle()
+        await self._wait_for_connections(
+            until - min(GIVE_UP_SECONDS, MAX_GIVE_UP_SHARE * deadline_seconds)
+        )
+        for connection in list(self._connections):
+            connection.give_up()
+        await self._wait_for_connections(until)
         return not self._connections
 
+    async def _wait_for_connections(self, until: float) -> None:
+        """Wait until all connections are closed, or until a loop time."""
+        loop = asyncio.get_running_loop()
+        while self._connections and loop.time() < until:
+            # A connection may have been accepted just before the listener was
+            # closed, so the connections are listed again.
+            await asyncio.wait(
+                list(self._connections.values()), timeout=until - loop.time()
+            )
+
     async def close(self) -> None:
         """Stop listening and cancel the requests in flight."""
         if self._server is not None:
