Store deadlines of a stop in place of durations

Cause: the times of a request in a stop were passed on as durations, against the house style; a test of refused keys set the time of the last read while an answer of the log could be on its way, which then counted as a read (failed once at a load of 18: key_refused with an age of 149 ms for key_unchecked).

Change: stopping.py finds when a request has ended at the latest; the test waits until the tail fails before it sets the time.

--- a/packages/gateway/auburnroad_gateway/process/accounts_batches_test.py
+++ b/packages/gateway/auburnroad_gateway/process/accounts_batches_test.py
@@ -150,7 +150,12 @@
         await self.wait_for_revision(self.subject)
         await self.send_all('secret-new', *KEYS)
         self.log.down = True
-        self.subject._operator_tail.complete_at = float('-inf')
+        operator_tail = self.subject._operator_tail
+        async with asyncio.timeout(accounts_test.TIMEOUT_SECONDS):
+            # An answer that was on its way would count as a read.
+            while not operator_tail.failing:
+                await asyncio.sleep(0.01)
+        operator_tail.complete_at = float('-inf')
         await self.send_all('secret-later', 'secret-b')
 
     async def test_no_output_contains_a_key(self):
--- a/packages/gateway/auburnroad_gateway/process/dispatch.py
+++ b/packages/gateway/auburnroad_gateway/process/dispatch.py
@@ -45,7 +45,7 @@
         batch_intake: intake.Intake,
         forwarder: requests.Forwarder,
         stream_forwarder: streams.StreamForwarder,
-        may_outlast_stop: typing.Callable[[stopping.Duration], bool],
+        may_outlast_stop: typing.Callable[[stopping.RequestEnd], bool],
     ):
         """Initialize the dispatcher.
 
@@ -87,7 +87,9 @@
         batch_call = self._adapter.decode_batch_call(request)
         if batch_call is None:
             return await self._handle_routed(request)
-        if self._may_outlast_stop(stopping.BATCH_CALL):
+        if self._may_outlast_stop(
+            stopping.find_batch_call_end(time.monotonic())
+        ):
             return 'leaving', _refuse_while_stopping()
         response = await self._reader.handle(
             batch_call, self._adapter.decode_call(request.headers)
@@ -108,7 +110,9 @@
         refusal = self._access.build_response(route.name, head, found)
         if refusal is not None:
             return 'no_access', refusal
-        if self._may_outlast_stop(stopping.find_duration(route, head)):
+        if self._may_outlast_stop(
+            stopping.find_end(route, head, time.monotonic())
+        ):
             return 'leaving', _refuse_while_stopping()
         account = self._find_account_name(found)
         if route.kind is configuration.RouteKind.BATCH:
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -450,14 +450,12 @@
                 return
             await asyncio.sleep(LOAD_POLL_SECONDS)
 
-    def _may_outlast_stop(self, duration: stopping.Duration) -> bool:
+    def _may_outlast_stop(self, end: stopping.RequestEnd) -> bool:
         """Tell whether a request may still run when the process exits."""
-        now = time.monotonic()
-        seconds = duration.whole_seconds
-        if now < self._unready_until:
+        if time.monotonic() < self._unready_until:
             # Many requests still arrive, and most streams are short.
-            seconds = duration.begin_seconds
-        return now + seconds > self._response_deadline_at
+            return end.begun_at > self._response_deadline_at
+        return end.whole_at > self._response_deadline_at
 
     def _is_drained(self) -> bool:
         """Tell whether no records, batches or connections are left."""
@@ -486,7 +484,9 @@
         # Nothing more is accepted, also if the stop is over early.
         self._response_deadline_at = time.monotonic()
         release.cancel()
-        await self._caller_server.drain(times.drain_seconds)
+        await self._caller_server.drain(
+            max(0.0, times.drained_at - time.monotonic())
+        )
         await self._platform_duties.finish()
         events.write(
             'stopped',
--- a/packages/gateway/auburnroad_gateway/process/late_in_grace_test.py
+++ b/packages/gateway/auburnroad_gateway/process/late_in_grace_test.py
@@ -147,7 +147,9 @@
             self.subject.stop()
             await self.subject.wait_closed()
         self.assertTrue(
-            self.subject._may_outlast_stop(stopping.Duration(0.0, 0.0))
+            self.subject._may_outlast_stop(
+                stopping.RequestEnd(time.monotonic(), time.monotonic())
+            )
         )
 
 
@@ -158,7 +160,7 @@
         """With fixed margins, a short grace period left no time at all."""
         for grace_seconds in (0.5, 1.0, 2.0, 3.0, 8.0, 30.0):
             times = stopping.build_times(grace_seconds, 0.0)
-            end = times.response_deadline_at + times.drain_seconds
+            end = times.drained_at
             with self.subTest(grace_seconds=grace_seconds):
                 self.assertGreaterEqual(end, 5 / 6 * grace_seconds)
                 self.assertLess(end, grace_seconds)
--- a/packages/gateway/auburnroad_gateway/process/stopping.py
+++ b/packages/gateway/auburnroad_gateway/process/stopping.py
@@ -24,22 +24,20 @@
 POLL_SECONDS = 0.05
 
 
-class Duration(msgspec.Struct, frozen=True):
-    """How long a request may take at most.
+# The slowest call on a batch is a submission that waits for the log.
+BATCH_CALL_SECONDS = intake.APPEND_TIMEOUT_SECONDS + 0.5
+
+
+class RequestEnd(msgspec.Struct, frozen=True):
+    """When a request has come to its end at the latest.
 
     Attributes:
-      begin_seconds: Seconds until its response begins.
-      whole_seconds: Seconds until its response is complete.
+      begun_at: Monotonic time in seconds at which its response has begun.
+      whole_at: Monotonic time in seconds at which its response is complete.
     """
 
-    begin_seconds: float
-    whole_seconds: float
-
-
-# The slowest call on a batch is a submission that waits for the log.
-BATCH_CALL = Duration(
-    intake.APPEND_TIMEOUT_SECONDS + 0.5, intake.APPEND_TIMEOUT_SECONDS + 0.5
-)
+    begun_at: float
+    whole_at: float
 
 
 class StopTimes(msgspec.Struct, frozen=True):
@@ -50,12 +48,13 @@
         requests in any case, and balancers may take it for ready.
       response_deadline_at: Monotonic time in seconds by which each request
         that is still accepted must have ended.
-      drain_seconds: Time after that for requests that were accepted earlier.
+      drained_at: Monotonic time in seconds by which requests that were
+        accepted earlier must have ended.
     """
 
     unready_until: float
     response_deadline_at: float
-    drain_seconds: float
+    drained_at: float
 
 
 def build_times(grace_seconds: float, now: float) -> StopTimes:
@@ -69,13 +68,24 @@
       The times.
     """
     most = MAX_GRACE_SHARE * grace_seconds
-    drain_seconds = min(FINAL_DRAIN_SECONDS, most)
-    left = grace_seconds - min(MARGIN_SECONDS, most) - drain_seconds
-    return StopTimes(now + UNREADY_SECONDS, now + left, drain_seconds)
+    drained_at = now + grace_seconds - min(MARGIN_SECONDS, most)
+    return StopTimes(
+        now + UNREADY_SECONDS,
+        drained_at - min(FINAL_DRAIN_SECONDS, most),
+        drained_at,
+    )
+
 
+def find_batch_call_end(now: float) -> RequestEnd:
+    """Find when a call on a batch that arrives now has ended."""
+    ends_at = now + BATCH_CALL_SECONDS
+    return RequestEnd(ends_at, ends_at)
 
-def find_duration(route: configuration.Route, head: call.CallHead) -> Duration:
-    """Find how long a request may take at most.
+
+def find_end(
+    route: configuration.Route, head: call.CallHead, now: float
+) -> RequestEnd:
+    """Find when a request that arrives now has ended.
 
     The route's timeout applies until a stream begins; its replica ends it at
     the caller's deadline, if there is one.
@@ -83,16 +93,17 @@
     Args:
       route: Route of the request.
       head: Head of the request.
+      now: Monotonic time in seconds.
 
     Returns:
-      The duration; infinite for a stream without a deadline.
+      The times; a stream without a deadline may never be complete.
     """
     if route.kind is configuration.RouteKind.BATCH:
-        return BATCH_CALL
-    patience_seconds = float('inf')
+        return find_batch_call_end(now)
+    deadline_at = float('inf')
     if head.patience_ms is not None:
-        patience_seconds = head.patience_ms / 1000
-    begin_seconds = min(route.timeout_ms / 1000, patience_seconds)
+        deadline_at = now + head.patience_ms / 1000
+    begun_at = min(now + route.timeout_ms / 1000, deadline_at)
     if route.kind is configuration.RouteKind.STREAM:
-        return Duration(begin_seconds, patience_seconds)
-    return Duration(begin_seconds, begin_seconds)
+        return RequestEnd(begun_at, deadline_at)
+    return RequestEnd(begun_at, begun_at)
