Stand-in log: a waiting read wakes up for its own partition only

Cause: a read that waited for records came back, empty, with each record that anybody wrote to any partition. Heartbeats come many times a second, so that every gateway's knowledge of keyed.duties was some tens of ms old at most, as no log service of the users has it: theirs answers "as soon as a record is available", else after the wait.

Change: the read goes on waiting until its partition has the record, or its time is up.

The new test failed before: the read returned no record.

--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -126,7 +126,9 @@
         if from_offset >= len(stored) and wait_ms:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
-                    await self._changed.wait()
+                    # Writes to other partitions leave the read waiting.
+                    while from_offset >= len(stored):
+                        await self._changed.wait()
             except TimeoutError:
                 pass
             await self._begin_call('answer')
--- a/packages/standins/auburnroad_standins/platform_store_test.py
+++ b/packages/standins/auburnroad_standins/platform_store_test.py
@@ -1,5 +1,6 @@
 """Tests of the log service stand-in through the platform's client."""
 
+import asyncio
 import unittest
 
 from auburnroad_core.http import client
@@ -43,6 +44,15 @@
         with self.assertRaises(service.LogRefusedError):
             await self.log.append('t', 0, [b'a'])
 
+    async def test_waiting_read_stays_when_another_partition_is_written(self):
+        """Waiting reads of all partitions came back with each record."""
+        read = asyncio.create_task(self.log.read('t', 0, 0, 1000))
+        while not self.store.log.calls:
+            await asyncio.sleep(0)
+        for partition in (1, 0):
+            await self.log.append('t', partition, [b'a'])
+        self.assertEqual([b'a'], (await read).records)
+
     async def test_append_without_response_is_stored_and_raises_lost_error(
         self,
     ):
