Soak: one-holder judges every order that arrives, at all replicas together

Change: replicas record each order that arrives, with time and status, and may be told to check no fences. The promise counts all but those refused by their fence; fencing numbers must rise over all replicas of the service, not only at each one, and no holder comes back after another within the lease. Stricter than before in each point; orders soon after a thaw or a heal are not exempt, as no trace has shown the need.

Both new tests failed before.

--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -13,6 +13,7 @@
 from auburnroad_e2e.soak import supervision
 from auburnroad_e2e.soak import text_promises
 from auburnroad_e2e.soak import world as worlds
+from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_standins import platform_calls
 from auburnroad_standins import platform_replica
 
@@ -45,6 +46,7 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_RATIO = 1.5
 LIMIT_EXTRA = 5
+LEASE_SECONDS = gateway_settings.Bounds().lease_ms / 1000
 
 
 PROMISES.register('crashing-kept-away')(crash_promises.check_kept_away)
@@ -194,13 +196,30 @@
 
 @PROMISES.register('one-holder')
 def check_one_holder(world, callers):
-    """Fencing numbers rise at each replica, each with one holder."""
-    newest: dict[str, int] = {}
+    """Fencing numbers rise at all replicas together, each with one holder.
+
+    Whatever arrives counts, but for what a replica refused by its fence. A
+    holder comes back after others, if at all, once its lease has expired.
+    """
+    last: platform_replica.Order | None = None
+    left_at: dict[str, float] = {}
     holders: dict[int, str] = {}
     for order in world.books.orders:
-        if order.fence < newest.get(order.replica, 0):
-            yield f'{order.replica} took fence {order.fence} after a newer one'
-        newest[order.replica] = order.fence
+        if order.status == 412:
+            continue
+        last = last or order
+        if order.fence < last.fence:
+            yield (
+                f'{order.replica} got fence {order.fence} of {order.holder},'
+                f' {last.replica} had {last.fence} of {last.holder}'
+                f' {order.at - last.at:.1f} s before'
+            )
+        if order.holder != last.holder:
+            left_at[last.holder] = last.at
+            since = left_at.get(order.holder, float('-inf'))
+            if order.at < since + LEASE_SECONDS:
+                yield f'{order.holder} is back at {order.replica} too soon'
+        last = order
         if holders.setdefault(order.fence, order.holder) != order.holder:
             yield f'fence {order.fence} has two holders'
 
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -81,9 +81,9 @@
             self.world.books.generated[request_id, number] = {2}
         self.world.books.last_events[request_id] = started + 1
 
-    def order(self, fence, holder):
+    def order(self, fence, holder, at=0.0, status=202, replica='e'):
         self.world.books.orders.append(
-            platform_replica.Order('e', holder, fence, 2)
+            platform_replica.Order(replica, holder, fence, 2, at, status)
         )
 
     def find_broken(self, timed=True):
@@ -190,6 +190,26 @@
         self.order(2, 'g2')
         self.assertEqual({'one-holder'}, self.find_broken())
 
+    def test_an_older_fence_that_is_refused_or_reaches_another_replica(self):
+        """The books had accepted orders only, and each replica its own."""
+        for status, broken in ((412, set()), (409, {'one-holder'})):
+            self.order(2, 'g1')
+            self.order(1, 'g2', status=status, replica='f')
+            self.assertEqual(broken, self.find_broken())
+            self.world.books.orders.clear()
+
+    def test_holders_that_take_turns_within_the_lease(self):
+        lease = promises.LEASE_SECONDS
+        for back_at, broken in ((lease + 1, set()), (lease, {'one-holder'})):
+            for fence, holder, at in (
+                (1, 'g1', 0.5),
+                (2, 'g2', 1.5),
+                (3, 'g1', back_at),
+            ):
+                self.order(fence, holder, at)
+            self.assertEqual(broken, self.find_broken())
+            self.world.books.orders.clear()
+
     def test_new_work_for_a_replica_that_drains(self):
         self.world.books.drained['e'] = 0.0
         late = worlds.DRAIN_SECONDS + 1
--- a/packages/standins/auburnroad_standins/platform_replica.py
+++ b/packages/standins/auburnroad_standins/platform_replica.py
@@ -53,12 +53,23 @@
 
 
 class Order(msgspec.Struct, frozen=True):
-    """An order to load weights that a replica has accepted."""
+    """An order to load weights that has arrived at a replica.
+
+    Attributes:
+      replica: Id of the replica.
+      holder: Name of the sender.
+      fence: Fencing number.
+      version: Version to load.
+      at: Arrival in seconds of the event loop's clock.
+      status: Status of the answer, which may be lost.
+    """
 
     replica: str
     holder: str
     fence: int
     version: int
+    at: float
+    status: int
 
 
 class RateLimit(msgspec.Struct):
@@ -98,7 +109,7 @@
 
     Attributes:
       runs: All runs that started.
-      orders: All accepted orders, in order of acceptance.
+      orders: All orders, also refused ones, in order of arrival.
       generated: Weight versions that generated an event, by request id and
         event number.
       last_events: Time at which the last event of each item was first
@@ -375,12 +386,14 @@
       version: Loaded weight version.
       lose_orders: Number of next orders that are carried out without a
         response.
+      checks_fences: Whether orders with an older fencing number are refused.
     """
 
     def __init__(self, *arguments, model: str):
         super().__init__(*arguments)
         self.version = 1
         self.lose_orders = 0
+        self.checks_fences = True
         self._model = model
         self._orders = 0
         self._fence = 0
@@ -451,25 +464,35 @@
             self._running -= 1
 
     def _handle_order(self, order: dict) -> messages.Response:
-        if order['fence'] < self._fence:
-            return messages.Response(412)
+        status = self._judge_order(order)
+        self._books.orders.append(
+            Order(
+                self.id,
+                order['holder'],
+                order['fence'],
+                order['version'],
+                asyncio.get_running_loop().time(),
+                status,
+            )
+        )
+        self._fence = max(self._fence, order['fence'])
+        if status == 202:
+            self._orders += 1
+            self._loading = asyncio.ensure_future(self._load(order['version']))
+            if self.lose_orders:
+                self.lose_orders -= 1
+                raise ConnectionResetError('fault: order done, no response')
+        return messages.Response(status)
+
+    def _judge_order(self, order: dict) -> int:
+        if self.checks_fences and order['fence'] < self._fence:
+            return 412
         if self._is_loading or order.get('precondition') not in (
             None,
             self._orders,
         ):
-            return messages.Response(409)
-        self._fence = order['fence']
-        if order['version'] == self.version:
-            return messages.Response(200)
-        self._orders += 1
-        self._books.orders.append(
-            Order(self.id, order['holder'], order['fence'], order['version'])
-        )
-        self._loading = asyncio.ensure_future(self._load(order['version']))
-        if self.lose_orders:
-            self.lose_orders -= 1
-            raise ConnectionResetError('fault: order carried out, no response')
-        return messages.Response(202)
+            return 409
+        return 200 if order['version'] == self.version else 202
 
     async def _load(self, version: int) -> None:
         await asyncio.sleep(LOAD_SECONDS)
