Soak: faults after which a former holder orders weight loads

Change: relays between gateways, whose addresses the stand-in log puts into the heartbeats; faults of one topic at the log, for one host or all (refused, silent, late, or answered with what was so before). Four kinds of faults, drawn apart from the others in every other seed, so that a seed has the same other faults as before: gateway-apart, holder-frozen, log-partitions-down and duties-answered-late; half of them aim at the gateway that ordered last, and weight versions are named all the while.

--- a/packages/e2e/auburnroad_e2e/soak/callers.py
+++ b/packages/e2e/auburnroad_e2e/soak/callers.py
@@ -108,7 +108,6 @@
         # Items of every other seed have reward calls.
         self._scored = seed % 2 == 1
         self._count = 0
-        self._named = 1
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -149,7 +148,7 @@
         book = BatchBook(
             f'step{step}',
             items,
-            max(1, self._named - 1),
+            max(1, self._world.named - 1),
             scored=self._scored,
         )
         self.batches.append(book)
@@ -164,11 +163,7 @@
             pass
         if book.accepted_at is not None:
             await self._end(book)
-        if not self._world.store.log.down:
-            self._named += 1
-            self._world.write_operator_record(
-                *platform_calls.build_named_version(worlds.MODEL, self._named)
-            )
+        self._world.name_version()
         return book
 
     async def read(self, book: BatchBook, position: int) -> int:
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from auburnroad_e2e.soak import duty_faults
 from auburnroad_e2e.soak import faults
 from auburnroad_e2e.soak import schedule as schedules
 
@@ -45,6 +46,7 @@
     faults.RELEASED,
     faults.ALL_LOST_AT_RELEASE,
     *schedules.KEY_KINDS,
+    *schedules.DUTY_KINDS,
 )
 
 CASES: tuple[Case, ...] = (
@@ -54,7 +56,7 @@
     Case(2006, 12.0, _NEXT_START, _ADDED_LATER),
     Case(2027, 12.0, _NEXT_START, _ADDED_LATER),
     Case(2049, 12.0, _NEXT_START, _ADDED_LATER),
-    Case(52036, 12.0, _CRASHED),
+    Case(52036, 12.0, _CRASHED, schedules.DUTY_KINDS),
 )
 
 # Streams that callers took up were joined from two software versions after
@@ -71,10 +73,25 @@
     ),
 )
 
+# A gateway that had been replaced as the holder ordered loads by its old fence
+# once its heartbeats were confirmed again and before it had read of its
+# successor: after it had been cut off, and from answers that were held back.
+FORMER_HOLDER = schedules.Schedule(
+    seed=2,
+    seconds=20.0,
+    gateways=4,
+    engines=4,
+    slots=2,
+    faults=(
+        schedules.Fault(duty_faults.APART, 5.0, 5.0, 0.1753),
+        schedules.Fault(duty_faults.ANSWERED_LATE, 16.0, 4.0, 0.0043),
+    ),
+)
+
 
 def list_schedules() -> list[schedules.Schedule]:
     """List the schedules of all cases."""
-    return [LOST_AT_RELEASE] + [
+    return [LOST_AT_RELEASE, FORMER_HOLDER] + [
         schedules.draw(
             case.seed,
             case.seconds,
--- a/packages/e2e/auburnroad_e2e/soak/run.py
+++ b/packages/e2e/auburnroad_e2e/soak/run.py
@@ -171,6 +171,8 @@
     gateways: int = 0,
     known: bool = False,
     lost_at_release: bool = False,
+    former_holder: bool = False,
+    duties: str = '',
     shorter: bool = False,
     timed: bool = True,
     keep: str = '',
@@ -184,19 +186,27 @@
       gateways: How many gateways; zero to have each seed draw it.
       known: Run the seeds that once failed instead.
       lost_at_release: Run only the loss of all gateways at a release.
+      former_holder: Run only the cuts after which a former holder ordered.
+      duties: Have only faults that may make two gateways order loads, of
+        this kind, or 'all' of them.
       shorter: Find a shorter schedule for each seed that fails.
       timed: Check the promises with a time bound, too.
       keep: Directory for settings and logs; empty to keep none.
     """
     first = first or random.SystemRandom().randrange(1, FRESH_SEEDS)
+    kinds = [
+        kind for kind in schedules.DUTY_KINDS if duties in ('all', kind)
+    ] or faults.KINDS.names
     drawn = [
-        schedules.draw(seed, seconds, faults.KINDS.names, gateways)
+        schedules.draw(seed, seconds, kinds, gateways)
         for seed in range(first, first + seeds)
     ]
     if known:
         drawn = regressions.list_schedules()
     if lost_at_release:
         drawn = [regressions.LOST_AT_RELEASE]
+    if former_holder:
+        drawn = [regressions.FORMER_HOLDER]
     failed = 0
     for schedule in drawn:
         place = f'{keep}/{schedule.seed}' if keep else ''
--- a/packages/e2e/auburnroad_e2e/soak/schedule.py
+++ b/packages/e2e/auburnroad_e2e/soak/schedule.py
@@ -22,6 +22,16 @@
 # The same for the loss of all gateways at a release, in every fourth seed.
 RELEASE_KINDS = ('all-gateways-lost-at-release',)
 RELEASE_FAULTS = (1, 3)
+# The same for what may make two gateways order weight loads, in every other
+# seed. These worlds have relays between gateways.
+DUTY_KINDS = (
+    'gateway-apart',
+    'holder-frozen',
+    'log-partitions-down',
+    'duties-answered-late',
+)
+DUTY_FAULTS = (2, 4)
+DUTY_FAULT_SECONDS = (1.2, 8.0)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -51,6 +61,7 @@
       slots: Slots of an engine.
       faults: In the order in which they begin.
       has_accounts: Whether callers need keys.
+      checks_fences: Whether replicas refuse orders of a former holder.
     """
 
     seed: int
@@ -60,6 +71,12 @@
     slots: int
     faults: tuple[Fault, ...]
     has_accounts: bool = False
+    checks_fences: bool = False
+
+    @property
+    def has_peer_relays(self) -> bool:
+        """Whether relays stand between the gateways."""
+        return any(fault.kind in DUTY_KINDS for fault in self.faults)
 
 
 def draw(
@@ -82,9 +99,10 @@
     at = FIRST_FAULT_SECONDS
     # Some runs have one fault after the other, some have them overlap.
     mean_gap = source.choice((0.4, 1.0, 2.5))
-    others = [kind for kind in kinds if kind not in KEY_KINDS + RELEASE_KINDS]
+    apart = KEY_KINDS + RELEASE_KINDS + DUTY_KINDS
+    others = [kind for kind in kinds if kind not in apart]
     favourites = source.sample(others, min(len(others), 6))
-    while at < seconds:
+    while favourites and at < seconds:
         low, high = FAULT_SECONDS
         is_long = source.random() < LONG_FAULT_SHARE
         faults.append(
@@ -98,6 +116,7 @@
         at += source.expovariate(1 / mean_gap)
     key_faults = _draw_apart('keys', seed, seconds, kinds)
     release_faults = _draw_apart('releases', seed, seconds, kinds)
+    duty_faults = _draw_apart('duties', seed, seconds, kinds)
     return Schedule(
         seed,
         seconds,
@@ -106,18 +125,31 @@
         source.choice((2, 4)),
         tuple(
             sorted(
-                [*faults, *key_faults, *release_faults],
+                [*faults, *key_faults, *release_faults, *duty_faults],
                 key=lambda fault: fault.at,
             )
         ),
         bool(key_faults),
+        # Most of the users' deployments have replicas that check nothing.
+        seed % 4 == 0,
     )
 
 
-# Kinds of faults that are drawn apart, in which seeds, and how many.
+# Kinds of faults that are drawn apart, in which seeds, how many, how long.
 _APART = {
-    'keys': (KEY_KINDS, lambda seed: seed % 3 != 0, KEY_FAULTS),
-    'releases': (RELEASE_KINDS, lambda seed: seed % 4 == 2, RELEASE_FAULTS),
+    'keys': (KEY_KINDS, lambda seed: seed % 3 != 0, KEY_FAULTS, None),
+    'releases': (
+        RELEASE_KINDS,
+        lambda seed: seed % 4 == 2,
+        RELEASE_FAULTS,
+        None,
+    ),
+    'duties': (
+        DUTY_KINDS,
+        lambda seed: seed % 2 == 1,
+        DUTY_FAULTS,
+        DUTY_FAULT_SECONDS,
+    ),
 }
 
 
@@ -125,16 +157,18 @@
     name: str, seed: int, seconds: float, kinds: list[str]
 ) -> list[Fault]:
     """Draw the faults of kinds that only some seeds have."""
-    apart, has_them, (fewest, most) = _APART[name]
+    apart, has_them, (fewest, most), lasting = _APART[name]
     drawn = [kind for kind in kinds if kind in apart]
-    if not drawn or not has_them(seed) or seconds <= FIRST_FAULT_SECONDS:
+    # Seeds that are drawn from such kinds alone all have them.
+    has_any = has_them(seed) or len(drawn) == len(kinds)
+    if not drawn or not has_any or seconds <= FIRST_FAULT_SECONDS:
         return []
     source = random.Random(f'{name} {seed}')
     return [
         Fault(
             source.choice(drawn),
             round(source.uniform(FIRST_FAULT_SECONDS, seconds), 2),
-            0.0,
+            round(source.uniform(*lasting), 2) if lasting else 0.0,
             source.random(),
         )
         for _ in range(source.randint(fewest, most))
--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -18,6 +18,7 @@
 from auburnroad_e2e.launch import process
 from auburnroad_e2e.launch import relay
 from auburnroad_e2e.soak import configuration as configurations
+from auburnroad_e2e.soak import peers
 from auburnroad_e2e.soak import schedule as schedules
 from auburnroad_e2e.soak import stalls
 from auburnroad_e2e.soak import supervision
@@ -194,6 +195,8 @@
         first, and when.
       loop_trace: When the event loop of the soak itself stood still.
       process_ends: Gateway processes that ended by themselves.
+      peers: Relays between the gateways.
+      named: Newest weight version that was named.
     """
 
     def __init__(
@@ -214,6 +217,8 @@
         self.routes_added: list[tuple[str, float]] = []
         self.loop_trace = stalls.LoopTrace()
         self.process_ends: list[supervision.ProcessEnd] = []
+        self.peers = peers.PeerRelays(self.store)
+        self.named = 1
         self.http = client.HttpClient()
         self._network = loopback.Network()
         self._version = 0
@@ -262,6 +267,8 @@
             )
             gateway.relay = relay.Relay(f'{gateway.ip}:{RELAY_PORT}', target)
             await gateway.relay.start()
+            if self.schedule.has_peer_relays:
+                await self.peers.add(gateway.name, gateway.ip, PEER_PORT)
             gateway.write_settings(DOMAINS[number % len(DOMAINS)])
             gateway.start()
         for gateway in self.gateways:
@@ -284,6 +291,7 @@
         for replica in self.replicas:
             await self.relays[replica.id].close()
             await replica.close()
+        await self.peers.close()
         await self.store.close()
         self.http.close()
         self._network.close()
@@ -304,6 +312,7 @@
             model=MODEL,
         )
         engine.version = version
+        engine.checks_fences = self.schedule.checks_fences
         engine.software = software
         await self._place(engine)
         self.engines.append(engine)
@@ -368,6 +377,14 @@
             platform_calls.OPERATOR_TOPIC, key, json.dumps(value).encode()
         )
 
+    def name_version(self) -> None:
+        """Name the next weight version, as a trainer does."""
+        if not self.store.log.down:
+            self.named += 1
+            self.write_operator_record(
+                *platform_calls.build_named_version(MODEL, self.named)
+            )
+
     async def call(
         self, gateway: Gateway, request: messages.Request
     ) -> messages.Response:
--- a/packages/standins/auburnroad_standins/platform_store.py
+++ b/packages/standins/auburnroad_standins/platform_store.py
@@ -8,6 +8,8 @@
 import base64
 import struct
 
+import msgspec
+
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
 from auburnroad_gateway.log import service
@@ -18,6 +20,26 @@
 BYTES_PER_KB = 1024
 # Of the users' platform.
 MAX_CALL_BYTES = 2_097_152
+ALL_HOSTS = ''
+READ_PATHS = ('/-/log-read', '/-/log-newest')
+
+
+class TopicFault(msgspec.Struct, frozen=True):
+    """What is wrong with the calls of one topic.
+
+    Attributes:
+      refused: Whether they are refused with 503.
+      silent: Whether they wait forever.
+      delay_seconds: Delay before a call takes effect.
+      hold_seconds: Delay of an answer, which tells what was so before.
+      reads_only: Whether appends work.
+    """
+
+    refused: bool = False
+    silent: bool = False
+    delay_seconds: float = 0.0
+    hold_seconds: float = 0.0
+    reads_only: bool = False
 
 
 class PlatformStore:
@@ -27,15 +49,27 @@
       log: The stored records, and the faults that affect all hosts.
       delay_seconds: Delay of each call in seconds.
       refused: Names of the hosts whose calls are refused with 503.
+      topic_faults: Faults by the host's name, or ALL_HOSTS, and the topic.
+      translate: Called with the topic and each record of an append; returns
+        the record that is stored.
     """
 
-    __slots__ = ('log', 'delay_seconds', 'refused', '_servers')
+    __slots__ = (
+        'log',
+        'delay_seconds',
+        'refused',
+        'topic_faults',
+        'translate',
+        '_servers',
+    )
 
     def __init__(self):
         self.log = partition_log.PartitionLog()
         self.log.max_call_bytes = MAX_CALL_BYTES
         self.delay_seconds = 0.0
         self.refused: set[str] = set()
+        self.topic_faults: dict[tuple[str, str], TopicFault] = {}
+        self.translate = lambda topic, record: record
         self._servers: list[server.HttpServer] = []
 
     async def listen(self, host_name: str, ip: str) -> str:
@@ -74,9 +108,27 @@
                 self.log.forget(topic, partition, end)
 
     async def _handle(self, host_name, request) -> messages.Response:
-        if host_name in self.refused:
+        fault = self._find_topic_fault(host_name, request)
+        if host_name in self.refused or fault.refused:
             return messages.Response(503)
-        await asyncio.sleep(self.delay_seconds)
+        if fault.silent:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.delay_seconds + fault.delay_seconds)
+        response = await self._carry_out(request)
+        await asyncio.sleep(fault.hold_seconds)
+        return response
+
+    def _find_topic_fault(self, host_name, request) -> TopicFault:
+        topic = request.query.get('topic', '')
+        for host in (host_name, ALL_HOSTS):
+            fault = self.topic_faults.get((host, topic))
+            if fault and not (
+                fault.reads_only and request.path not in READ_PATHS
+            ):
+                return fault
+        return TopicFault()
+
+    async def _carry_out(self, request) -> messages.Response:
         try:
             return await _CALLS[request.path](self, request)
         except service.LogTrimmedError as error:
@@ -99,7 +151,10 @@
             producer = service.Producer(
                 query['producer'], int(query['epoch']), int(query['sequence'])
             )
-        records = _split_records(request.body)
+        records = [
+            self.translate(query['topic'], record)
+            for record in _split_records(request.body)
+        ]
         offset = await self.log.append(
             query['topic'],
             int(query['part']),
--- a/packages/standins/auburnroad_standins/platform_store_test.py
+++ b/packages/standins/auburnroad_standins/platform_store_test.py
@@ -44,6 +44,28 @@
         with self.assertRaises(service.LogRefusedError):
             await self.log.append('t', 0, [b'a'])
 
+    async def test_refused_reads_of_a_topic_leave_other_calls_alone(self):
+        self.store.topic_faults['host', 't'] = platform_store.TopicFault(
+            refused=True, reads_only=True
+        )
+        await self.log.append('t', 0, [b'a'])
+        await self.log.read('u', 0, 0, 0)
+        with self.assertRaises(service.LogRefusedError):
+            await self.log.read('t', 0, 0, 0)
+
+    async def test_answer_that_is_held_back_tells_what_was_so_before(self):
+        self.store.topic_faults[platform_store.ALL_HOSTS, 't'] = (
+            platform_store.TopicFault(hold_seconds=0.1)
+        )
+        read = asyncio.create_task(self.log.read('t', 0, 0, 1))
+        while self.store.log.calls != ['read', 'answer']:
+            await asyncio.sleep(0)
+        # The answer is built in the next turn of the event loop.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.store.log.write('t', 0, [b'a'])
+        self.assertEqual([], (await read).records)
+
     async def test_waiting_read_stays_when_another_partition_is_written(self):
         """Waiting reads of all partitions came back with each record."""
         read = asyncio.create_task(self.log.read('t', 0, 0, 1000))
