--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 	$(BIN)/python -m auburnroad_e2e.soak.run --first=1 --seeds=3 --seconds=8 \
 	  --gateways=4 --notimed
 	$(BIN)/python -m auburnroad_e2e.soak.run --lost_at_release --notimed
+	$(BIN)/python -m auburnroad_e2e.soak.run --former_holder --notimed
 
 golden: setup
 	$(BIN)/python -m auburnroad_e2e.golden
