Reset callers of HTTP/1.0 whose body is broken off

Cause: a stream to a caller of HTTP/1.0 has no chunks and ends with its connection, so that a stream that the gateway broke off looked whole. The server accepts such callers; the users' protocol has HTTP/1.1 only.

Change: where a body is broken off and the caller doesn't speak HTTP/1.1, the connection is reset in place of closed.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -10,6 +10,8 @@
 import asyncio
 import contextlib
 import http.client
+import socket
+import struct
 import typing
 
 from absl import logging
@@ -118,10 +120,23 @@
         except (OSError, h11.ProtocolError, asyncio.IncompleteReadError):
             pass
         finally:
+            if self._h11.our_state is h11.SEND_BODY:
+                self._reset_old_caller()
             self._writer.close()
         with contextlib.suppress(OSError):
             await self._writer.wait_closed()
 
+    def _reset_old_caller(self) -> None:
+        """Reset the connection if a body ends with it, as in HTTP/1.0.
+
+        A body that is broken off would look whole to the caller.
+        """
+        if self._h11.their_http_version != b'1.1':
+            self._writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            self._writer.transport.abort()
+
     async def _serve_one(self) -> bool:
         try:
             request = await self._read_request()
--- a/packages/core/auburnroad_core/http/server_test.py
+++ b/packages/core/auburnroad_core/http/server_test.py
@@ -26,7 +26,13 @@
         self.client.close()
         await self.server.close()
 
+    async def break_off(self):
+        yield b'part'
+        raise ConnectionResetError
+
     async def handle(self, request):
+        if request.path == '/part':
+            return messages.Response(200, {}, chunks=self.break_off())
         if request.path == '/fault':
             raise KeyError('no such thing')
         if request.path == '/slow':
@@ -98,6 +104,15 @@
                 response = await self.send_raw(head + rest)
                 self.assertTrue(response.startswith(b'HTTP/1.1 408'))
 
+    async def test_body_that_is_broken_off_has_no_end(self):
+        """To a caller of HTTP/1.0, a close of the connection is the end."""
+        response = await self.send_raw(
+            b'GET /part HTTP/1.1\r\nhost: a\r\n\r\n'
+        )
+        self.assertNotIn(b'0\r\n\r\n', response)
+        with self.assertRaises(ConnectionResetError):
+            await self.send_raw(b'GET /part HTTP/1.0\r\n\r\n')
+
     async def test_idle_connection_is_closed(self):
         self.server.limits = server.HttpLimits(idle_seconds=0.05)
         self.assertEqual(b'', await self.send_raw(b''))
