--- a/packages/core/auburnroad_core/http/connections.py
+++ b/packages/core/auburnroad_core/http/connections.py
@@ -1,13 +1,12 @@
 """Connections of the HTTP client, and what they tell of their servers."""
 
 import asyncio
-import socket
-import struct
 
 import h11
 import prometheus_client
 
 from auburnroad_core import decoding
+from auburnroad_core.http import resets
 
 READ_BYTES = 65536
 # An idle connection is reused only within this fraction of the server's idle
@@ -17,8 +16,6 @@
 DEFAULT_IDLE_SECONDS = 30.0
 # A request given up sooner tells nothing about its connection.
 SILENCE_SECONDS = 0.1
-# On, with no seconds to linger: close() resets the connection.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 # Created without a registry: each role adds it to the registry that it
 # exports.
@@ -97,12 +94,7 @@
 
     def reset(self) -> None:
         """Close at once, and drop the bytes that have not arrived."""
-        sock = self.writer.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-        self.writer.transport.abort()
+        resets.reset(self.writer)
 
     def was_silent(self, sent_at: float) -> bool:
         """Tell whether a pooled connection never answered a request.
--- a/packages/core/auburnroad_core/http/messages.py
+++ b/packages/core/auburnroad_core/http/messages.py
@@ -96,3 +96,28 @@
       The encoded event.
     """
     return b'data: ' + data + b'\n\n'
+
+
+def build_request(head, body: bytes) -> Request:
+    """Build a request from a head as h11 has parsed it.
+
+    Args:
+      head: An h11.Request; headers of the same name are joined by commas.
+      body: The complete body.
+
+    Returns:
+      The request.
+    """
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name = raw_name.decode('ascii')
+        value = raw_value.decode('latin-1')
+        headers[name] = (
+            f'{headers[name]},{value}' if name in headers else value
+        )
+    return Request(
+        head.method.decode('ascii'),
+        head.target.decode('latin-1'),
+        headers,
+        body,
+    )
--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -10,8 +10,6 @@
 import asyncio
 import contextlib
 import http.client
-import socket
-import struct
 import typing
 
 from absl import logging
@@ -19,6 +17,7 @@
 import msgspec
 
 from auburnroad_core.http import messages
+from auburnroad_core.http import resets
 
 READ_BYTES = 65536
 # Limits for the data that is read and dropped after an error response, until
@@ -132,10 +131,7 @@
         A body that is broken off would look whole to the caller.
         """
         if self._h11.their_http_version != b'1.1':
-            self._writer.get_extra_info('socket').setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-            )
-            self._writer.transport.abort()
+            resets.reset(self._writer)
 
     async def _serve_one(self) -> bool:
         try:
@@ -206,7 +202,7 @@
                 self._check_size(size)
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return _build_request(head, b''.join(body))
+                return messages.build_request(head, b''.join(body))
             else:
                 return None
 
@@ -401,22 +397,6 @@
     )
 
 
-def _build_request(head, body: bytes) -> messages.Request:
-    headers: dict[str, str] = {}
-    for raw_name, raw_value in head.headers:
-        name = raw_name.decode('ascii')
-        value = raw_value.decode('latin-1')
-        headers[name] = (
-            f'{headers[name]},{value}' if name in headers else value
-        )
-    return messages.Request(
-        head.method.decode('ascii'),
-        head.target.decode('latin-1'),
-        headers,
-        body,
-    )
-
-
 class HttpServer:
     """Listens on one address and passes requests to one handler."""
 
