Red test: a late heartbeat hides a running member for good

Callers see needless takeovers of duties and batches from a host that runs, until it or the observer is started again.

Cause: since heartbeats of incarnations that were replaced are ignored. An observer that started after the present process of a host doesn't know the one before: a late heartbeat of that one replaces the present one, whose heartbeats are then ignored, also once the former one counts as dead.

--- a/packages/gateway/auburnroad_gateway/members/late_heartbeat_test.py
+++ b/packages/gateway/auburnroad_gateway/members/late_heartbeat_test.py
@@ -13,6 +13,8 @@
 from auburnroad_gateway.members import membership_test
 from auburnroad_standins import partition_log
 
+LATER_HEARTBEATS = 50
+
 
 class LateHeartbeatTest(unittest.TestCase):
     """One gateway that monitors a host."""
@@ -30,6 +32,24 @@
         self.assertTrue(subject.is_alive('o2'))
         self.assertFalse(subject.is_alive('o1'))
 
+    def test_late_heartbeat_hides_a_running_member_only_for_a_time(self):
+        """A gateway that had not known the former one ignored it for good."""
+        subject = membership.Membership(membership_test.build_settings(), None)
+        now = 100.0
+        self.enterContext(
+            mock.patch.object(clock, 'read_boot_clock_seconds', lambda: now)
+        )
+        for incarnation in ('o2', 'o1', *['o2'] * LATER_HEARTBEATS):
+            heartbeat = membership.Heartbeat(incarnation, 'other:1', False)
+            subject.apply(
+                service.KeyedRecord(
+                    'other', msgspec.msgpack.encode(heartbeat), 0
+                )
+            )
+            now += membership.CHECK_INTERVAL_SECONDS
+            subject.check(now, now, now)
+        self.assertTrue(subject.is_alive('o2'))
+
 
 class ForgetfulLog:
     """Answers only the first append, and carries out all.
