--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -71,6 +71,16 @@
             self.subject.may_act(key, now + duty_test.LEASE_MS / 1000)
         )
 
+    async def test_release_counts_the_orders_of_before_a_restart(self):
+        """The next holder ordered right after the process that had ended."""
+        self.hold(self.build_former(), settled=True)
+        await self.claim()
+        await self.subject.release(self.tail)
+        _, value = service.decode_keyed(self.log.list_records(duty.TOPIC)[-1])
+        released = msgspec.msgpack.decode(value, type=duty.DutyRecord)
+        self.assertEqual('', released.incarnation)
+        self.assertLess(released.idle_ms, duty_test.LEASE_MS)
+
     async def test_holder_that_was_not_silent_is_waited_for_in_full(self):
         """It ordered until its stop began; silence was taken off the lease."""
         heartbeat = membership.Heartbeat('other', 'b:1', True)
