Red test: replicas are vacated for orders that can't be sent

While one partition, that of the duties, can't be read and heartbeats are confirmed, the replicas that are to load serve no runs, and get no order.

Cause: a replica is vacated before the right to order is renewed, which takes up to 0.4 s an order, one after the other, and the next try follows in 0.1 s.

--- a/packages/gateway/auburnroad_gateway/weights/former_holder_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/former_holder_test.py
@@ -32,6 +32,7 @@
 LEASE_MS = 1200
 # Heartbeats after which a gateway that goes on by them alone has ordered.
 HEARTBEATS = 8
+CHECKS = 300
 
 
 class Path:
@@ -261,3 +262,17 @@
         self.path.held = set()
         await self.wait(lambda: self.duties.find_fence('s') == 2)
         self.assertEqual([1, 2], self.engine.fences)
+
+    async def test_replica_serves_while_no_order_can_be_sent(self):
+        """It was kept from runs for an order that could not go out."""
+        (target,) = self.subject._directory.list_ready('s')
+        await self.wait(lambda: not target.vacating)
+        self.path.held = {duty.TOPIC}
+        await self.wait(lambda: not self.subject._lease.may_act('s'))
+        self.announce(3)
+        vacating = 0
+        for _ in range(CHECKS):
+            await asyncio.sleep(0.005)
+            vacating += target.vacating
+        self.assertEqual([1], self.engine.fences)
+        self.assertLess(vacating, CHECKS / 2)
