Ignore a late heartbeat's sender only while its host's member is alive

Change: an incarnation that was replaced counts again once the one that took its place is dead.

Measured: the review's test failed before and passes; unit tests of members: 52.

--- a/packages/gateway/auburnroad_gateway/members/membership.py
+++ b/packages/gateway/auburnroad_gateway/members/membership.py
@@ -297,7 +297,7 @@
             return
         former = ()
         if before is not None:
-            if heartbeat.incarnation in before.former:
+            if before.alive and heartbeat.incarnation in before.former:
                 # Carried out late: its process has ended.
                 return
             former = before.list_former(heartbeat.incarnation)
