Share the read that an act waits for, and vacate replicas after it

Change: one read for all that wait, of 0.8 s at most; a replica is vacated after it; a failing read is logged once.

--- a/packages/gateway/auburnroad_gateway/duties/lease.py
+++ b/packages/gateway/auburnroad_gateway/duties/lease.py
@@ -19,7 +19,8 @@
 ACT_SHARE = 0.5
 # The records are read again once this share of the time to act is over.
 RENEW_SHARE = 0.5
-READ_TIMEOUT_SECONDS = 0.4
+# Leaves some of the time to act after a read that takes as long.
+READ_TIMEOUT_SECONDS = 0.8
 
 
 class HolderLease:
@@ -29,12 +30,14 @@
       tail: The tail that passes duty records to the duties.
     """
 
-    __slots__ = ('tail', '_duties', '_lock')
+    __slots__ = ('tail', '_duties', '_reading', '_failing')
 
     def __init__(self, duties: duty.Duties, tail: log_tail.KeyedTail):
         self.tail = tail
         self._duties = duties
-        self._lock = asyncio.Lock()
+        # One read for all that wait for it.
+        self._reading: asyncio.Task | None = None
+        self._failing = False
 
     @property
     def records_age(self) -> float:
@@ -67,9 +70,10 @@
         """
         if not self._duties.may_act(key, clock.read_boot_clock_seconds()):
             return False
-        async with self._lock:
-            if self._is_due(key):
-                await self._read()
+        if self._is_due(key):
+            if self._reading is None or self._reading.done():
+                self._reading = asyncio.create_task(self._read())
+            await asyncio.wait({self._reading})
         return self.may_act(key)
 
     def begin(self, key: str, fence: int) -> bool:
@@ -104,5 +108,8 @@
         try:
             async with asyncio.timeout(READ_TIMEOUT_SECONDS):
                 await self.tail.catch_up()
+            self._failing = False
         except (service.LogError, TimeoutError) as error:
-            events.write('duty_not_read', error=str(error) or 'timed out')
+            if not self._failing:
+                events.write('duty_not_read', error=str(error) or 'timed out')
+            self._failing = True
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -164,7 +164,6 @@
             ):
                 continue
             loads_left -= 1
-            target.vacating = True
             self._tasks[target] = asyncio.ensure_future(
                 self._update_replica(target, service.name, model, version)
             )
@@ -195,7 +194,9 @@
     ) -> None:
         try:
             if not await self._lease.renew(service):
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
                 return
+            target.vacating = True
             await self._vacate(target)
             await self._order_load(target, service, model, version)
         except (client.HttpError, adapters.InvalidMessageError) as error:
