--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -21,7 +21,7 @@
 TOPIC = log_service.KEYED_PREFIX + 'duties'
 CLAIM_RETRY_SECONDS = 0.5
 # A next holder waits at least for this share of the lease, however short.
-MIN_WAIT_LEASE_SHARE = 0.5
+MIN_WAIT_LEASE_SHARE = 2 / 3
 # Keys of the duties at the platform's API. They end with a colon, so that they
 # differ from the name of each service.
 USAGE_KEY = 'usage:'
@@ -131,6 +131,11 @@
         )
         if before is not None and before.holder == after.holder:
             after.last_order_at = before.last_order_at
+        elif before is not None and membership.is_same_host(
+            before.holder, after.holder
+        ):
+            # The process before may have ordered until it ended.
+            after.last_order_at = clock.read_boot_clock_seconds()
         self._duties[record.key] = after
         self._membership.holds_duty = any(
             duty.holder == self._membership.incarnation
@@ -210,7 +215,8 @@
 
         Returns:
           Minimum time in seconds from the claim to the first act, if another
-          host held the duty, was silent and has not released it.
+          host held the duty, was silent and has not released it. That one may
+          act in the first half of it (duties/lease.py).
         """
         if key in PLATFORM_KEYS.values():
             return self._lease_seconds
