--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -221,6 +221,7 @@
         self.named = 1
         self.http = client.HttpClient()
         self._network = loopback.Network()
+        self._placed: list[relay.Relay] = []
         self._version = 0
         self._next_ip = REPLICA_HOST
         self._tasks: list[asyncio.Task] = []
@@ -288,11 +289,13 @@
             await gateway.process.close()
             if gateway.relay is not None:
                 await gateway.relay.close()
-        for replica in self.replicas:
-            await self.relays[replica.id].close()
-            await replica.close()
-        await self.peers.close()
-        await self.store.close()
+        for open_part in (
+            *self._placed,
+            *self.replicas,
+            self.peers,
+            self.store,
+        ):
+            await open_part.close()
         self.http.close()
         self._network.close()
 
@@ -488,6 +491,8 @@
         await replica.start(ip)
         before = relay.Relay(f'{ip}:{RELAY_PORT}', replica.address)
         await before.start()
+        # One of an earlier start under the same id still listens.
+        self._placed.append(before)
         self.relays[replica.id] = before
         replica.seen_address = before.address
         replica.register(self.store.log)
