--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -218,7 +218,8 @@
             request; any other one, such as a late copy, is skipped.
           fresh: Whether to open a connection, for what must not be sent twice.
           may_send: Called right before the first byte; False to send nothing.
-            A request that is given up is then dropped on its way, too.
+            Of a request that is given up, what has not reached the server's
+            host is then dropped.
 
         Returns:
           The reply; read its body to the end or close it.
@@ -239,7 +240,7 @@
             raise BrokenError(f'{address}: {error}') from error
         except BaseException:
             if may_send is not None:
-                # The right to send may end: nothing may arrive from now on.
+                # What is held up on its way may outlast the right to send.
                 connection.reset()
             connection.writer.close()
             if connection.was_silent(sent_at):
--- a/packages/gateway/auburnroad_gateway/model/settings.py
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -12,8 +12,8 @@
 
     Attributes:
       grace_s: Seconds from SIGTERM until the process is killed.
-      lease_ms: Minimum milliseconds between the last order of one holder of a
-        duty and the first order of the next holder.
+      lease_ms: Milliseconds within which holders of a duty must not take
+        turns, so that one comes back after another.
       read_life_s: Seconds after the submission during which a batch is
         readable.
       strict_revocation: Whether a gateway that can't read the operators'
