--- a/packages/e2e/auburnroad_e2e/soak/world.py
+++ b/packages/e2e/auburnroad_e2e/soak/world.py
@@ -289,13 +289,9 @@
             await gateway.process.close()
             if gateway.relay is not None:
                 await gateway.relay.close()
-        for open_part in (
-            *self._placed,
-            *self.replicas,
-            self.peers,
-            self.store,
-        ):
-            await open_part.close()
+        servers = (*self._placed, *self.replicas, self.peers, self.store)
+        for started in servers:
+            await started.close()
         self.http.close()
         self._network.close()
 
