Test of usage reports: take the first window from the reporter

Cause: a test took the first window from the clock, right after the reporter had done so. Once, at a load of 11, a window of half a second ended in between: [510, 511, 512] expected, [509, 510, 511, 512] reported, all four right.

Change: the window that the reporter noted; every window from it on has to be reported once, as before.

--- a/packages/gateway/auburnroad_gateway/usage/reporter_test.py
+++ b/packages/gateway/auburnroad_gateway/usage/reporter_test.py
@@ -121,7 +121,8 @@
     def start(self, host):
         host.reporter.note_accounts()
         host.start()
-        return host.records.find_time_ms() // WINDOW_MS
+        # The clock may have gone on to the next window since.
+        return host.reporter._accounts_since
 
     def list_fixed(self):
         fixed = reports.FixedReports()
