--- a/packages/gateway/auburnroad_gateway/duties/lease.py
+++ b/packages/gateway/auburnroad_gateway/duties/lease.py
@@ -55,7 +55,7 @@
           gateway that has claimed the duty since can have begun to act.
         """
         now = clock.read_boot_clock_seconds()
-        return self._duties.may_act(key, now) and now < self._find_deadline(
+        return self._duties.is_holder(key, now) and now < self._find_deadline(
             key, ACT_SHARE
         )
 
@@ -68,7 +68,7 @@
         Returns:
           Whether this gateway may act for the duty.
         """
-        if not self._duties.may_act(key, clock.read_boot_clock_seconds()):
+        if not self._duties.is_holder(key, clock.read_boot_clock_seconds()):
             return False
         if self._is_due(key):
             if self._reading is None or self._reading.done():
--- a/packages/gateway/auburnroad_gateway/duties/platform_calls.py
+++ b/packages/gateway/auburnroad_gateway/duties/platform_calls.py
@@ -134,7 +134,7 @@
         now = self._read_clocks()
         backoff = self._backoffs.get((duty, subject))
         return (
-            self._duties.may_act(duty, now)
+            self._duties.is_holder(duty, now)
             and self._duties.find_fence(duty) != self._refused_fences.get(duty)
             and now >= self._watch.resumed_at + self._thaw_seconds
             and (backoff is None or now >= backoff.not_before)
--- a/packages/gateway/auburnroad_gateway/scaling/scaler.py
+++ b/packages/gateway/auburnroad_gateway/scaling/scaler.py
@@ -126,7 +126,7 @@
                 self._directory.list_ready(service.name), now
             )
             self._paces.note(service.name, pace_ms, now_ms)
-        if not self._duties.may_act(
+        if not self._duties.is_holder(
             duty.SCALE_KEY, clock.read_boot_clock_seconds()
         ):
             return
--- a/packages/gateway/auburnroad_gateway/scaling/scaler_test.py
+++ b/packages/gateway/auburnroad_gateway/scaling/scaler_test.py
@@ -47,7 +47,7 @@
         self.answering = True
         self.sent = []
 
-    def may_act(self, key, now):
+    def is_holder(self, key, now):
         assert key == duty.SCALE_KEY
         return self.held
 
--- a/packages/gateway/auburnroad_gateway/weights/duty.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty.py
@@ -36,7 +36,7 @@
     """Value of the keyed record of a duty.
 
     Attributes:
-      incarnation: Incarnation of the holder; empty after a planned stop.
+      incarnation: Incarnation of the holder; empty after a release.
       idle_ms: Milliseconds from the last order to the release in a planned
         stop.
       act_not_before_ms: Always zero; older gateways wrote and read it.
@@ -149,10 +149,10 @@
         )
 
     def note_order(self, service: str, now: float) -> None:
-        """Record the time of an order of this gateway.
+        """Record the time of an order, or a call, of this gateway.
 
         Args:
-          service: Service whose replica gets the order.
+          service: Service, or key of a duty at the platform's API.
           now: Seconds of the boot clock.
         """
         self._duties[service].last_order_at = now
@@ -229,17 +229,19 @@
             MIN_WAIT_LEASE_SHARE * self._lease_seconds,
         )
 
-    def may_act(self, service: str, now: float) -> bool:
+    def is_holder(self, service: str, now: float) -> bool:
         """Tell whether this gateway holds a duty, by what it has read.
 
+        Another gateway may have claimed it since: duties/lease.py decides on
+        acts.
+
         Args:
-          service: Service whose replicas get the orders.
+          service: Service, or key of a duty at the platform's API.
           now: Seconds of the boot clock.
 
         Returns:
-          Whether this gateway holds the duty, the lease of the previous
-          holder has expired, and no other gateway can consider this gateway
-          dead yet. What was read may be old: duties/lease.py decides on acts.
+          Whether this gateway holds the duty, has waited for the holder
+          before, and can't be considered dead yet.
         """
         duty = self._duties.get(service)
         return (
@@ -289,7 +291,7 @@
         return (
             key not in PLATFORM_KEYS.values()
             and not self._duties[key].settled
-            and self.may_act(key, now)
+            and self.is_holder(key, now)
         )
 
     async def _append_own(self, service, record: DutyRecord, tail) -> None:
--- a/packages/gateway/auburnroad_gateway/weights/duty_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/duty_test.py
@@ -58,7 +58,7 @@
     def may_act(self, seconds_later=0.0):
         now = clock.read_boot_clock_seconds() + seconds_later
         self.members.presumed_alive_until = now + 1
-        return self.subject.may_act('s', now)
+        return self.subject.is_holder('s', now)
 
 
 class DutiesTest(DutiesTestCase):
@@ -214,7 +214,7 @@
         await self.claim()
         now = clock.read_boot_clock_seconds()
         self.members.presumed_alive_until = now - 0.1
-        self.assertFalse(self.subject.may_act('s', now))
+        self.assertFalse(self.subject.is_holder('s', now))
 
 
 class ReturnedHolderTest(DutiesTestCase):
--- a/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/late_claim_test.py
@@ -66,9 +66,9 @@
         await self.tail.catch_up()
         self.members.presumed_alive_until = float('inf')
         now = clock.read_boot_clock_seconds()
-        self.assertFalse(self.subject.may_act(key, now + 2.5))
+        self.assertFalse(self.subject.is_holder(key, now + 2.5))
         self.assertTrue(
-            self.subject.may_act(key, now + duty_test.LEASE_MS / 1000)
+            self.subject.is_holder(key, now + duty_test.LEASE_MS / 1000)
         )
 
     async def test_release_counts_the_orders_of_before_a_restart(self):
--- a/packages/gateway/auburnroad_gateway/weights/rollout.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout.py
@@ -113,7 +113,7 @@
     def _start_service_loads(
         self, service: configuration.Service, now: float
     ) -> None:
-        if not self._duties.may_act(
+        if not self._duties.is_holder(
             service.name, clock.read_boot_clock_seconds()
         ):
             return
@@ -194,6 +194,7 @@
     ) -> None:
         try:
             if not await self._lease.renew(service):
+                # The replica stays in service until an order can go out.
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
                 return
             target.vacating = True
--- a/packages/gateway/auburnroad_gateway/weights/rollout_test.py
+++ b/packages/gateway/auburnroad_gateway/weights/rollout_test.py
@@ -69,7 +69,7 @@
     async def claim_if_vacant(self, service_name, tail):
         pass
 
-    def may_act(self, service_name, now):
+    def is_holder(self, service_name, now):
         return True
 
     def find_fence(self, service_name):
