Test of probes: let the hedged attempt come due after the run broke off

Cause: the hedged attempt came due 5 ms after the request was sent, which is before the run had broken off where the process stood still for some ms.

Change: the attempt comes due after 100 ms, while the probe, which holds for up to 400 ms, is in progress.

--- a/packages/gateway/auburnroad_gateway/forwarding/suspect_requests_test.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/suspect_requests_test.py
@@ -261,8 +261,9 @@
 
     async def test_request_is_not_hedged_while_its_replica_is_probed(self):
         """The hedged attempt comes due while the probe is in progress."""
-        await self.start(POISON, target_latency_ms=10, max_attempts=3)
-        await asyncio.sleep(0.05)
+        # It must not come due before the run has broken off.
+        await self.start(POISON, target_latency_ms=200, max_attempts=3)
+        await asyncio.sleep(0.15)
         self.assertEqual(1, self.sent)
 
     async def test_next_client_attempt_waits_for_the_probe_too(self):
