--- a/packages/e2e/auburnroad_e2e/soak/run.py
+++ b/packages/e2e/auburnroad_e2e/soak/run.py
@@ -164,6 +164,16 @@
         print(f'  {breach}', flush=True)
 
 
+def _list_fixed(
+    known: bool, lost_at_release: bool, former_holder: bool
+) -> list[schedules.Schedule]:
+    if known:
+        return regressions.list_schedules()
+    if lost_at_release:
+        return [regressions.LOST_AT_RELEASE]
+    return [regressions.FORMER_HOLDER] if former_holder else []
+
+
 def main(
     seeds: int = 1,
     first: int = 0,
@@ -201,12 +211,7 @@
         schedules.draw(seed, seconds, kinds, gateways)
         for seed in range(first, first + seeds)
     ]
-    if known:
-        drawn = regressions.list_schedules()
-    if lost_at_release:
-        drawn = [regressions.LOST_AT_RELEASE]
-    if former_holder:
-        drawn = [regressions.FORMER_HOLDER]
+    drawn = _list_fixed(known, lost_at_release, former_holder) or drawn
     failed = 0
     for schedule in drawn:
         place = f'{keep}/{schedule.seed}' if keep else ''
--- a/packages/e2e/auburnroad_e2e/soak/schedule.py
+++ b/packages/e2e/auburnroad_e2e/soak/schedule.py
@@ -4,6 +4,7 @@
 can be played again with fewer faults.
 """
 
+import itertools
 import random
 
 import msgspec
@@ -114,22 +115,18 @@
             )
         )
         at += source.expovariate(1 / mean_gap)
-    key_faults = _draw_apart('keys', seed, seconds, kinds)
-    release_faults = _draw_apart('releases', seed, seconds, kinds)
-    duty_faults = _draw_apart('duties', seed, seconds, kinds)
+    drawn_apart = {
+        name: _draw_apart(name, seed, seconds, kinds) for name in _APART
+    }
+    faults.extend(itertools.chain(*drawn_apart.values()))
     return Schedule(
         seed,
         seconds,
         gateways or drawn_gateways,
         source.choice(ENGINES),
         source.choice((2, 4)),
-        tuple(
-            sorted(
-                [*faults, *key_faults, *release_faults, *duty_faults],
-                key=lambda fault: fault.at,
-            )
-        ),
-        bool(key_faults),
+        tuple(sorted(faults, key=lambda fault: fault.at)),
+        bool(drawn_apart['keys']),
         # Most of the users' deployments have replicas that check nothing.
         seed % 4 == 0,
     )
