Log what a refusal rests on: revision in force and age of its last read

Only refusals of keys had both.

Change: RefusalLog writes them for each error response that no replica has made, four lines a second for each code; AccessControl and the HTTP server use it as well.

Result: its tests, and those of accounts, dispatch and the server pass.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -137,6 +137,7 @@
         try:
             request = await self._read_request()
         except _RefusedError as refused:
+            self._server.on_refused(refused.status, refused.code)
             await self._send(refused.build_response())
             await self._linger()
             return False
@@ -162,6 +163,7 @@
         logging.info('malformed HTTP request: %.200s', reason)
         status = error.error_status_hint
         refused = _RefusedError(status, 'malformed_http', 'not HTTP/1.1')
+        self._server.on_refused(refused.status, refused.code)
         await self._send(refused.build_response())
 
     async def _linger(self) -> None:
@@ -376,6 +378,10 @@
             self._writer.write(data)
 
 
+def _ignore(status: int, code: str) -> None:
+    """Do nothing about a refusal."""
+
+
 def _get_response(work: asyncio.Task) -> messages.Response:
     """Return the handler's response, or an error response without one."""
     if work.cancelled():
@@ -398,13 +404,29 @@
 
 
 class HttpServer:
-    """Listens on one address and passes requests to one handler."""
+    """Listens on one address and passes requests to one handler.
+
+    Attributes:
+      handler: Handles a complete request.
+      limits: Limits above which a request is rejected.
+      on_refused: Called with status and error code of each request that is
+        rejected without a call of the handler.
+      draining: Whether connections are closed after their next response.
+    """
 
-    __slots__ = ('handler', 'limits', 'draining', '_server', '_connections')
+    __slots__ = (
+        'handler',
+        'limits',
+        'on_refused',
+        'draining',
+        '_server',
+        '_connections',
+    )
 
     def __init__(self, handler: Handler, limits: HttpLimits | None = None):
         self.handler = handler
         self.limits = limits or HttpLimits()
+        self.on_refused: typing.Callable[[int, str], None] = _ignore
         self.draining = False
         self._server: asyncio.Server | None = None
         self._connections: dict[_Connection, asyncio.Task] = {}
--- a/packages/gateway/auburnroad_gateway/accounts/control.py
+++ b/packages/gateway/auburnroad_gateway/accounts/control.py
@@ -6,30 +6,25 @@
 """
 
 import asyncio
-import collections
-import time
 
 from auburnroad_core import clock
 from auburnroad_core.http import messages
 from auburnroad_gateway.accounts import access
 from auburnroad_gateway.accounts import registry
 from auburnroad_gateway.configuration import holder as holders
+from auburnroad_gateway.configuration import refusal_log as refusal_logs
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
-from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 
 # Maximum age of the read of the operators' topic at which an unknown key is
 # refused.
 MAX_AGE_SECONDS = 1.0
 CATCH_UP_TIMEOUT_SECONDS = 0.4
-# Minimum time between two log lines of one event, so that callers with wrong
-# keys don't use up the lines of all other events.
-EVENT_INTERVAL_SECONDS = 0.25
 MISSING_KEY = 'missing'
 
 
@@ -44,9 +39,8 @@
         'settings',
         '_configuration',
         '_operator_tail',
+        '_refusal_log',
         '_reading',
-        '_written_at',
-        '_unwritten',
     )
 
     def __init__(
@@ -54,13 +48,13 @@
         settings: gateway_settings.Settings,
         holder: holders.ConfigurationHolder,
         operator_tail: tail.Tail,
+        refusal_log: refusal_logs.RefusalLog,
     ):
         self.settings = settings
         self._configuration = holder
         self._operator_tail = operator_tail
+        self._refusal_log = refusal_log
         self._reading: asyncio.Task | None = None
-        self._written_at: dict[str, float] = {}
-        self._unwritten: collections.Counter[str] = collections.Counter()
 
     @property
     def has_accounts(self) -> bool:
@@ -130,15 +124,11 @@
         if found.decision is access.Decision.ALLOWED:
             return None
         if found.decision is access.Decision.UNSURE:
-            fields = self._list_fields('key_unchecked', route_name, head)
-            if fields is not None:
-                events.write('key_unchecked', **fields)
+            self._write_event('key_unchecked', route_name, head)
             return refusals.build_refusal(
                 'key_unchecked', refusals.RETRY_AFTER_OUTAGE_SECONDS
             )
-        fields = self._list_fields('key_refused', route_name, head)
-        if fields is not None:
-            events.write('key_refused', **fields)
+        self._write_event('key_refused', route_name, head)
         code = 'key_missing' if head.key is None else 'key_unknown'
         return refusals.build_error(401, code)
 
@@ -187,29 +177,15 @@
             outcome = MISSING_KEY
         metrics.ACCESS.labels(outcome).inc()
 
-    def _list_fields(
+    def _write_event(
         self, event: str, route_name: str, head: call.CallHead
-    ) -> dict | None:
-        """List the fields of a log line; None if too many were written."""
-        now = time.monotonic()
-        due_at = self._written_at.get(event, 0.0) + EVENT_INTERVAL_SECONDS
-        if event in self._written_at and now < due_at:
-            self._unwritten[event] += 1
-            return None
-        self._written_at[event] = now
-        return {
-            'request': head.request_id,
-            'route': route_name,
-            'account': 'unknown',
-            'fingerprint': MISSING_KEY
+    ) -> None:
+        self._refusal_log.write(
+            event,
+            request=head.request_id,
+            route=route_name,
+            account='unknown',
+            fingerprint=MISSING_KEY
             if head.key is None
             else registry.fingerprint(head.key),
-            'revision': self._configuration.current.revision,
-            'age_ms': _to_ms(self._find_age()),
-            'unwritten': self._unwritten.pop(event, 0),
-        }
-
-
-def _to_ms(seconds: float) -> int:
-    """Convert to milliseconds; -1 if the topic was never read to its end."""
-    return -1 if seconds == float('inf') else int(seconds * 1000)
+        )
--- a/packages/gateway/auburnroad_gateway/accounts/control_test.py
+++ b/packages/gateway/auburnroad_gateway/accounts/control_test.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.accounts import registry
 from auburnroad_gateway.accounts import registry_test
 from auburnroad_gateway.configuration import holder
+from auburnroad_gateway.configuration import refusal_log
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import settings
@@ -57,7 +58,12 @@
     configuration = holder.ConfigurationHolder(plain_adapter.PlainAdapter())
     operator_tail = tail.KeyedTail(log, TOPIC, configuration.apply, 0.0)
     return Control(
-        control.AccessControl(build_settings(), configuration, operator_tail),
+        control.AccessControl(
+            build_settings(),
+            configuration,
+            operator_tail,
+            refusal_log.RefusalLog(configuration, operator_tail),
+        ),
         configuration,
         operator_tail,
     )
@@ -215,7 +221,7 @@
 
     async def test_event_names_the_fingerprint_and_not_the_key(self):
         with mock.patch.object(
-            control.events, 'write', autospec=True
+            refusal_log.events, 'write', autospec=True
         ) as write:
             self.assertEqual(401, await self.check('secret-key'))
         (written,) = write.call_args_list
@@ -229,7 +235,7 @@
     async def test_many_refusals_write_few_lines(self):
         """Callers with wrong keys used up the lines of all other events."""
         with mock.patch.object(
-            control.events, 'write', autospec=True
+            refusal_log.events, 'write', autospec=True
         ) as write:
             for _ in range(20):
                 await self.check('x')
--- a/packages/gateway/auburnroad_gateway/forwarding/refusals.py
+++ b/packages/gateway/auburnroad_gateway/forwarding/refusals.py
@@ -13,7 +13,17 @@
 RETRY_AFTER_OUTAGE_SECONDS = 0.5
 
 
-def build_refusal(code: str, retry_seconds: float) -> messages.Response:
+class OwnResponse(messages.Response):
+    """An error response that no replica has made.
+
+    Attributes:
+      code: Error code for logs and callers.
+    """
+
+    code: str = ''
+
+
+def build_refusal(code: str, retry_seconds: float) -> OwnResponse:
     """Build a 503 response for a request that has not run and will not run.
 
     Args:
@@ -24,12 +34,10 @@
       The response.
     """
     headers = {'retry-after': f'{retry_seconds:.2f}'}
-    return messages.build_json_response(
-        503, {'error': {'code': code}}, headers
-    )
+    return _build(503, code, headers)
 
 
-def build_error(status: int, code: str) -> messages.Response:
+def build_error(status: int, code: str) -> OwnResponse:
     """Build an error response other than a refusal.
 
     Args:
@@ -39,4 +47,11 @@
     Returns:
       The response.
     """
-    return messages.build_json_response(status, {'error': {'code': code}})
+    return _build(status, code, {})
+
+
+def _build(status: int, code: str, headers: dict[str, str]) -> OwnResponse:
+    built = messages.build_json_response(
+        status, {'error': {'code': code}}, headers
+    )
+    return OwnResponse(status, built.headers, built.body, code=code)
--- a/packages/gateway/auburnroad_gateway/process/dispatch.py
+++ b/packages/gateway/auburnroad_gateway/process/dispatch.py
@@ -14,6 +14,7 @@
 from auburnroad_gateway.batches import intake
 from auburnroad_gateway.batches import reading
 from auburnroad_gateway.configuration import holder as holders
+from auburnroad_gateway.configuration import refusal_log as refusal_logs
 from auburnroad_gateway.forwarding import fingerprint
 from auburnroad_gateway.forwarding import refusals
 from auburnroad_gateway.forwarding import requests
@@ -33,6 +34,7 @@
         '_intake',
         '_forwarder',
         '_streams',
+        '_refusal_log',
         '_may_outlast_stop',
     )
 
@@ -45,6 +47,7 @@
         batch_intake: intake.Intake,
         forwarder: requests.Forwarder,
         stream_forwarder: streams.StreamForwarder,
+        refusal_log: refusal_logs.RefusalLog,
         may_outlast_stop: typing.Callable[[stopping.RequestEnd], bool],
     ):
         """Initialize the dispatcher.
@@ -57,6 +60,7 @@
           batch_intake: Handles submissions.
           forwarder: Handles requests whose response is not a stream.
           stream_forwarder: Handles requests whose response is a stream.
+          refusal_log: Logs error responses that no replica has made.
           may_outlast_stop: Tells whether a request may still run when the
             process exits.
         """
@@ -67,6 +71,7 @@
         self._intake = batch_intake
         self._forwarder = forwarder
         self._streams = stream_forwarder
+        self._refusal_log = refusal_log
         self._may_outlast_stop = may_outlast_stop
 
     async def handle(
@@ -80,6 +85,19 @@
         Returns:
           The kind of the request, for metrics, and the response.
         """
+        kind, response = await self._answer(request)
+        if isinstance(response, refusals.OwnResponse):
+            self._refusal_log.write_refused(
+                response.status,
+                response.code,
+                request=self._adapter.decode_call(request.headers).request_id,
+                target=request.headers.get('host', '') + request.path,
+            )
+        return kind, response
+
+    async def _answer(
+        self, request: messages.Request
+    ) -> tuple[str, messages.Response]:
         if self._configuration.current is None:
             return 'none', refusals.build_refusal(
                 'not_configured', refusals.RETRY_AFTER_OUTAGE_SECONDS
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -16,6 +16,7 @@
 from auburnroad_gateway.batches import reading
 from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.configuration import holder
+from auburnroad_gateway.configuration import refusal_log
 from auburnroad_gateway.directory import directory
 from auburnroad_gateway.directory import expiry
 from auburnroad_gateway.duties import lease
@@ -250,6 +251,9 @@
             self._configuration.apply,
             OPERATOR_PACE_SECONDS,
         )
+        self._refusal_log = refusal_log.RefusalLog(
+            self._configuration, self._operator_tail
+        )
         self._replica_tail = tail.KeyedTail(
             log,
             self._adapter.replica_topic,
@@ -303,7 +307,10 @@
             self._configuration.match_route,
         )
         self._access = control.AccessControl(
-            settings, self._configuration, self._operator_tail
+            settings,
+            self._configuration,
+            self._operator_tail,
+            self._refusal_log,
         )
         self._reader = reading.Reader(adapter, self._journal, self._access)
 
@@ -390,9 +397,11 @@
             self._intake,
             self._forwarder,
             self._streams,
+            self._refusal_log,
             self._may_outlast_stop,
         )
         self._caller_server = server.HttpServer(self._handle_caller)
+        self._caller_server.on_refused = self._refusal_log.write_refused
         self._ready_server = server.HttpServer(self._handle_ready)
         self._peer_server = server.HttpServer(self._handle_peer)
         self._metrics_server = server.HttpServer(self._handle_metrics)
