Red tests: changes known late after lost reads, denials by old configuration

A read of the operators' topic that is lost is tried again through peers only, which may be cut off, and a gateway denies routes, keys, sizes and batches whatever the age of its configuration.

Change: tests only; three hosts with relays and the platform's client, and whole gateways. The stand-in log can lose the reads of a topic.

--- a/packages/e2e/auburnroad_e2e/silent_connections_test.py
+++ b/packages/e2e/auburnroad_e2e/silent_connections_test.py
@@ -77,7 +77,7 @@
         return address
 
 
-class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
+class HostsTestCase(unittest.IsolatedAsyncioTestCase):
     """Three hosts that follow one keyed topic."""
 
     async def asyncSetUp(self):
@@ -121,6 +121,20 @@
             ),
         )
 
+    async def start_tails(self):
+        """Let all hosts follow the topic until the end of the test."""
+        for host in self.hosts:
+            task = asyncio.create_task(host.tail.run())
+            self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
+            self.addCleanup(task.cancel)
+        await self.advance_until(
+            lambda: all(host.tail.is_loaded for host in self.hosts)
+        )
+
+
+class SilentConnectionsTest(HostsTestCase):
+    """All open connections go silent at once."""
+
     async def test_change_is_read_once_hosts_are_in_touch_again(self):
         """A change was read 13 s after all connections went silent.
 
--- a/packages/gateway/auburnroad_gateway/process/accounts_test.py
+++ b/packages/gateway/auburnroad_gateway/process/accounts_test.py
@@ -94,7 +94,7 @@
                 json.dumps(entry).encode(),
             )
 
-    def publish(self, accounts):
+    def publish(self, accounts, routes=ROUTES, **fields):
         """Publish a revision; a dictionary gives the keys of the accounts."""
         self.revision += 1
         if accounts is not None:
@@ -104,9 +104,10 @@
             )
         new = configuration.Configuration(
             self.revision,
-            ROUTES,
+            routes,
             {'s': configuration.Service('s', models=('m',))},
             accounts=accounts,
+            **fields,
         )
         self.log.put(
             plain_adapter.PlainAdapter.operator_topic,
--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -16,6 +16,7 @@
     Attributes:
       down: Whether every call is refused.
       silent: Whether calls wait forever.
+      lost_topics: Topics whose reads wait forever; snapshots work.
       bytes_in_time: Largest requested size of a read, in bytes, that doesn't
         time out; None for no limit.
       lose_answers: Number of next appends that take effect but raise
@@ -30,6 +31,7 @@
     __slots__ = (
         'down',
         'silent',
+        'lost_topics',
         'bytes_in_time',
         'lose_answers',
         'max_call_bytes',
@@ -44,6 +46,7 @@
     def __init__(self):
         self.down = False
         self.silent = False
+        self.lost_topics: set[str] = set()
         self.bytes_in_time: int | None = None
         self.lose_answers = 0
         self.max_call_bytes: int | None = None
@@ -117,7 +120,7 @@
         max_bytes=service.MAX_READ_BYTES,
     ) -> service.Slice:
         """Read records; see service.LogService."""
-        await self._begin_call('read')
+        await self._begin_call('read', topic)
         if self.bytes_in_time is not None and max_bytes > self.bytes_in_time:
             raise service.LogLostError('fault: read timed out')
         stored = self._records[topic, partition]
@@ -131,7 +134,7 @@
                         await self._changed.wait()
             except TimeoutError:
                 pass
-            await self._begin_call('answer')
+            await self._begin_call('answer', topic)
         return service.Slice(
             len(stored), _limit_size(stored[from_offset:], max_bytes)
         )
@@ -171,9 +174,9 @@
         self._producers[key] = (producer.epoch, producer.sequence, offset)
         return offset
 
-    async def _begin_call(self, call: str) -> None:
+    async def _begin_call(self, call: str, read_topic: str = '') -> None:
         self.calls.append(call)
-        if self.silent:
+        if self.silent or read_topic in self.lost_topics:
             await asyncio.Event().wait()
         if self.down:
             raise service.LogRefusedError('down')
