Try a lost call again on a new direct connection, and sooner

What callers saw: 404 for a route 3.5 s after its configuration was acknowledged, where 2.0 s are allowed.

Cause: a read of the operators' topic that was lost, as its connection had gone silent, was tried again through peers only. Those may be cut off from the log themselves, and each was given 1.5 s; the direct path, where a new connection works, came last or not at all. A single lost read was noticed after 1.5 s, so that two in a row exceeded the bound in any case.

Change: DetourLog tries calls in rounds, each with the direct path anew beside another peer; idle connections of a silent path are discarded. Reads that wait are hedged after half of their wait time, and while on a detour they go both ways. An answer whose end lies before what is known is from the past and counts as lost. Paths that refuse aren't tried again. The test of a lost append loses the answer of each direct try, as there are three now.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -298,6 +298,14 @@
             return
         idle.append(connection)
 
+    def discard_idle(self, address: str) -> None:
+        """Close the idle connections to an address.
+
+        Args:
+          address: 'IP address:port'.
+        """
+        self._discard_idle(address, float('inf'))
+
     def close(self) -> None:
         """Close every idle connection."""
         for idle in self._idle.values():
--- a/packages/e2e/auburnroad_e2e/lost_reads_test.py
+++ b/packages/e2e/auburnroad_e2e/lost_reads_test.py
@@ -6,10 +6,9 @@
 """
 
 import asyncio
-import unittest
 
-from auburnroad_e2e import silent_connections_test
 from auburnroad_e2e.launch import relay as relays
+from auburnroad_e2e import silent_connections_test
 from auburnroad_standins import platform_store
 
 TOPIC = silent_connections_test.TOPIC
--- a/packages/e2e/auburnroad_e2e/silent_connections_test.py
+++ b/packages/e2e/auburnroad_e2e/silent_connections_test.py
@@ -15,6 +15,7 @@
 from auburnroad_gateway.log import service
 from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import relay
+from auburnroad_gateway.model import settings
 from auburnroad_platform import log_client
 from auburnroad_standins import loop_clock
 from auburnroad_standins import platform_store
@@ -61,7 +62,11 @@
             self.direct, lambda: self.peers, self._open_peer
         )
         self.tail = tail.KeyedTail(
-            self.log, TOPIC, self._collect, PACE_SECONDS
+            self.log,
+            TOPIC,
+            self._collect,
+            PACE_SECONDS,
+            settings.Bounds().configuration_poll_ms,
         )
 
     def _open_peer(self, address):
--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -1,14 +1,21 @@
 """Calls the log service directly and fails over to a relay on a peer gateway.
 
-The log service may be unreachable from some hosts and reachable from others.
-A call that fails directly is retried through another live gateway. During the
-next 3 seconds, called the detour, calls are sent through a peer first. An
+The log service may be unreachable from some hosts and reachable from others,
+and a connection may go silent while a new one works. A call is therefore tried
+in rounds, later ones while the calls of the earlier ones may still be
+answered. Each later round has a new direct connection and another peer, so
+that peers that are cut off as well don't keep this host from the log service.
+During the 3 seconds after a failure, called the detour, calls are sent through
+a peer first; reads that wait for records go directly at the same time. An
 append whose response was lost on one path may be retried on another, since its
 producer's sequence number makes it idempotent.
 """
 
 import asyncio
 import time
+import typing
+
+import msgspec
 
 from auburnroad_gateway.log import service
 from auburnroad_gateway.telemetry import events
@@ -19,18 +26,87 @@
 HEDGE_LATENCY_RATIO = 2.0
 # Weight of the newest append in the moving average of the append latency.
 LATENCY_WEIGHT = 0.3
-# Maximum number of peers that one call is sent to. More than one, since the
-# log service may be unreachable from the first peer as well.
-MAX_PEERS = 2
-# Time without a response after which the next path is tried in parallel. The
-# log service usually responds within 4 ms; the delay of an append is 60 times
-# as long. The wait time of a read is added. Reads of many records share the
-# log service's bandwidth and take longer.
+# Number of rounds of calls after the first one.
+FURTHER_ROUNDS = 2
+# Time without a response after which the next round begins. The log service
+# usually responds within 4 ms; the delay of an append is 60 times as long.
+# Reads of many records share the log service's bandwidth and take longer.
 APPEND_HEDGE_SECONDS = 0.25
-WAITING_READ_HEDGE_SECONDS = 0.5
+# The same for a read that waits for records, after its wait time and as a part
+# of it: who waits briefly needs to know soon.
+WAITING_READ_HEDGE_RATIO = 0.5
 # Reads without a wait time fetch many records, often on many gateways at once;
 # hedged calls would use bandwidth that these reads already exhaust.
 CATCH_UP_HEDGE_SECONDS = 1.2
+# How long the last round of a read that waits for records is waited for. The
+# calls of another read then open new connections.
+LAST_ROUND_SECONDS = 1.0
+
+
+class _Round(msgspec.Struct, frozen=True):
+    """Calls that are sent at the same time.
+
+    Attributes:
+      paths: Clients that call the log service, each on its own path.
+      seconds: Time after which the next round begins although calls may
+        still be answered; None to wait for the calls.
+      wait_ms: Milliseconds that reads wait for records.
+    """
+
+    paths: list
+    seconds: float | None
+    wait_ms: int = 0
+
+
+class _Calls:
+    """Calls under way, and what the earlier ones have shown.
+
+    Attributes:
+      paths: Path of each call.
+      started_at: Monotonic seconds at which each call was sent.
+      refused: Paths on which the log service is not to be tried again.
+      failure: Error to raise if no call succeeds.
+    """
+
+    __slots__ = ('paths', 'started_at', 'refused', 'failure')
+
+    def __init__(self):
+        self.paths: dict[asyncio.Task, object] = {}
+        self.started_at: dict[asyncio.Task, float] = {}
+        self.refused: list[object] = []
+        self.failure: service.LogError | None = None
+
+    @property
+    def may_be_done(self) -> bool:
+        """Whether a call that failed may have been carried out."""
+        return isinstance(self.failure, service.LogLostError)
+
+    def start(self, path, coroutine) -> None:
+        """Send a call."""
+        task = asyncio.ensure_future(coroutine)
+        self.paths[task] = path
+        self.started_at[task] = time.monotonic()
+
+    def note_error(self, path, error: service.LogError) -> None:
+        """Record a failed call.
+
+        Raises:
+          LogError: The error itself, if it is neither a LogRefusedError nor
+            a LogLostError.
+        """
+        if isinstance(error, service.LogRefusedError):
+            self.refused.append(path)
+        elif not isinstance(error, service.LogLostError):
+            raise error
+        # A call whose response was lost may have been carried out, even if
+        # the other paths refuse it.
+        if not self.may_be_done:
+            self.failure = error
+
+    def cancel(self) -> None:
+        """Give up the calls that have no answer."""
+        for task in self.paths:
+            task.cancel()
 
 
 class DetourLog:
@@ -76,16 +152,21 @@
             or expected_end is not None
             or topic.startswith(service.KEYED_PREFIX)
         )
-        return await self._call(
+        rounds = (
+            self._list_rounds(self._compute_delay(APPEND_HEDGE_SECONDS))
+            if repeatable
+            else [_Round([path], None) for path in self._list_single_paths()]
+        )
+        started_at = time.monotonic()
+        first_offset = await self._call(
+            lambda path, wait_ms: path.append(
+                topic, partition, records, producer, expected_end
+            ),
+            rounds,
             repeatable,
-            0,
-            'append',
-            topic,
-            partition,
-            records,
-            producer,
-            expected_end,
         )
+        self._note_append_latency(time.monotonic() - started_at)
+        return first_offset
 
     async def read(
         self,
@@ -96,132 +177,152 @@
         max_bytes=service.MAX_READ_BYTES,
     ) -> service.Slice:
         """Read records; see service.LogService."""
-        return await self._call(
-            True,
-            wait_ms,
-            'read',
-            topic,
-            partition,
-            from_offset,
-            wait_ms,
-            max_bytes,
-        )
+
+        async def call(path, wait_ms: int) -> service.Slice:
+            found = await path.read(
+                topic, partition, from_offset, wait_ms, max_bytes
+            )
+            service.check_not_outdated(found.end, from_offset)
+            return found
+
+        if not wait_ms:
+            return await self._call(call, self._list_catch_up_rounds())
+        delay = self._compute_delay(WAITING_READ_HEDGE_RATIO * wait_ms / 1000)
+        return await self._call(call, self._list_rounds(delay, wait_ms))
 
     async def read_newest(self, topic) -> service.Snapshot:
         """Read the newest records; see service.LogService."""
-        return await self._call(True, 0, 'read_newest', topic)
+        return await self._call(
+            lambda path, wait_ms: path.read_newest(topic),
+            self._list_catch_up_rounds(),
+        )
 
     async def trim(self, topic, partition, before) -> None:
         """Delete old records; see service.LogService."""
-        return await self._call(True, 0, 'trim', topic, partition, before)
-
-    async def _call(self, repeatable, wait_ms, method, *arguments):
-        paths = self._list_paths()
-        hedge_delay = (
-            self._compute_hedge_delay(method, wait_ms) if repeatable else None
+        return await self._call(
+            lambda path, wait_ms: path.trim(topic, partition, before),
+            self._list_catch_up_rounds(),
         )
-        calls: dict[asyncio.Task, object] = {}
-        started_at: dict[asyncio.Task, float] = {}
-        failure = None
+
+    @property
+    def on_detour(self) -> bool:
+        """Whether calls are sent through a peer first."""
+        return time.monotonic() < self._detour_until
+
+    async def _call(
+        self,
+        call: typing.Callable,
+        rounds: list[_Round],
+        repeatable: bool = True,
+    ):
+        """Try a call in rounds, and return the first result.
+
+        Args:
+          call: Calls the log service, with a path and the milliseconds to
+            wait for records.
+          rounds: What to try.
+          repeatable: Whether the call may be sent again although it may have
+            been carried out.
+
+        Raises:
+          LogError: If no round has a result.
+        """
+        calls = _Calls()
         try:
-            while paths or calls:
-                if paths:
-                    path = paths.pop(0)
-                    task = asyncio.ensure_future(
-                        getattr(path, method)(*arguments)
-                    )
-                    calls[task] = path
-                    started_at[task] = time.monotonic()
-                done, _ = await asyncio.wait(
-                    calls,
-                    timeout=hedge_delay if paths else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if not done:
-                    self._note_failure(path, 'silent')
-                for task in done:
-                    path = calls.pop(task)
-                    error = task.exception()
-                    if error is None:
-                        self._note_latency(method, started_at[task])
-                        return task.result()
-                    failure = self._note_error(path, error, failure)
-                    if isinstance(failure, service.LogLostError):
-                        # A retry may append a second copy.
-                        paths = paths if repeatable else []
+            for entry in rounds:
+                if calls.may_be_done and not repeatable:
+                    break
+                for path in entry.paths:
+                    if path not in calls.refused:
+                        calls.start(path, call(path, entry.wait_ms))
+                found = await self._wait_for_result(calls, entry.seconds)
+                if found is not None:
+                    return found.result()
         finally:
-            for task in calls:
-                task.cancel()
-        raise failure
+            calls.cancel()
+        raise calls.failure or service.LogLostError('no path has an answer')
+
+    async def _wait_for_result(
+        self, calls: _Calls, seconds: float | None
+    ) -> asyncio.Task | None:
+        """Wait until a call succeeds; None if all fail or time is up."""
+        loop = asyncio.get_running_loop()
+        until = None if seconds is None else loop.time() + seconds
+        while calls.paths:
+            done, silent = await asyncio.wait(
+                calls.paths,
+                timeout=None if until is None else until - loop.time(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                for task in silent:
+                    self._note_silence(calls.paths[task])
+                return None
+            for task in done:
+                path = calls.paths.pop(task)
+                error = task.exception()
+                if error is None:
+                    return task
+                calls.note_error(path, error)
+                self._note_failure(path, str(error))
+        return None
 
-    def _compute_hedge_delay(self, method: str, wait_ms: int) -> float:
-        """Compute the seconds until the next path is tried in parallel.
+    def _compute_delay(self, minimum_seconds: float) -> float:
+        """Compute the seconds from one round to the next.
 
         The delay grows with the append latency, since hedged calls only add
         load when the log service is slow on every path.
         """
-        minimum = APPEND_HEDGE_SECONDS
-        if method != 'append':
-            minimum = (
-                WAITING_READ_HEDGE_SECONDS
-                if wait_ms
-                else CATCH_UP_HEDGE_SECONDS
-            )
-        return (
-            max(minimum, HEDGE_LATENCY_RATIO * self._append_latency_seconds)
-            + wait_ms / 1000
+        return max(
+            minimum_seconds, HEDGE_LATENCY_RATIO * self._append_latency_seconds
         )
 
-    def _note_latency(self, method: str, started_at: float) -> None:
-        if method == 'append':
-            delta = (
-                time.monotonic() - started_at - self._append_latency_seconds
-            )
-            self._append_latency_seconds += LATENCY_WEIGHT * delta
+    def _note_append_latency(self, seconds: float) -> None:
+        delta = seconds - self._append_latency_seconds
+        self._append_latency_seconds += LATENCY_WEIGHT * delta
 
-    def _note_error(self, path, error, earlier_error):
-        """Record a failed call on one path and choose the error to raise.
+    def _list_rounds(self, delay: float, wait_ms: int = 0) -> list[_Round]:
+        """List the rounds of a call that may be sent on several paths.
 
         Args:
-          path: Path on which the call failed.
-          error: Error of the call.
-          earlier_error: Error chosen after the paths tried before; None if
-            this is the first failed path.
-
-        Returns:
-          The earlier error if it is a LogLostError, else the error.
-
-        Raises:
-          LogError: The error itself, if it is neither a LogRefusedError nor
-            a LogLostError.
+          delay: Seconds from one round to the next.
+          wait_ms: Milliseconds that the reads of the first round wait for
+            records. Later ones, sent when that time is over, don't wait.
         """
-        if not isinstance(
-            error, (service.LogRefusedError, service.LogLostError)
-        ):
-            raise error
-        self._note_failure(path, str(error))
-        # A call whose response was lost may have been carried out, even if
-        # the other paths refuse it.
-        if isinstance(earlier_error, service.LogLostError):
-            return earlier_error
-        return error
+        peers = self._open_peers(FURTHER_ROUNDS)
+        first = [self.direct]
+        if peers and self.on_detour:
+            first = [peers[0], self.direct] if wait_ms else [peers[0]]
+            peers = peers[1:] + peers[:1]
+        last_seconds = max(delay, LAST_ROUND_SECONDS) if wait_ms else None
+        seconds = [delay] * (FURTHER_ROUNDS - 1) + [last_seconds]
+        rounds = [_Round(first, wait_ms / 1000 + delay, wait_ms)]
+        for number in range(FURTHER_ROUNDS):
+            further = peers[number % len(peers) :][:1] if peers else []
+            rounds.append(_Round([self.direct, *further], seconds[number]))
+        return rounds
 
-    @property
-    def on_detour(self) -> bool:
-        """Whether calls are sent through a peer first."""
-        return time.monotonic() < self._detour_until
+    def _list_catch_up_rounds(self) -> list[_Round]:
+        return self._list_rounds(self._compute_delay(CATCH_UP_HEDGE_SECONDS))
 
-    def _list_paths(self) -> list:
-        """List the paths in the order in which they are tried."""
+    def _list_single_paths(self) -> list:
+        """List the paths of a call that is sent again only if refused."""
+        peers = self._open_peers(FURTHER_ROUNDS)
+        if peers and self.on_detour:
+            return [peers[0], self.direct, *peers[1:]]
+        return [self.direct, *peers]
+
+    def _open_peers(self, count: int) -> list:
         peers = self._list_peers()
         if not peers:
-            return [self.direct]
+            return []
         first = self._first_peer % len(peers)
-        addresses = [*peers[first:], *peers[:first]][:MAX_PEERS]
-        paths = [self._open_peer(address) for address in addresses]
-        if self.on_detour:
-            return [paths[0], self.direct, *paths[1:]]
-        return [self.direct, *paths]
+        addresses = [*peers[first:], *peers[:first]][:count]
+        return [self._open_peer(address) for address in addresses]
+
+    def _note_silence(self, path) -> None:
+        path.discard_idle_connections()
+        self._note_failure(path, 'silent')
 
     def _note_failure(self, path, error: str) -> None:
         now = time.monotonic()
--- a/packages/gateway/auburnroad_gateway/log/detour_test.py
+++ b/packages/gateway/auburnroad_gateway/log/detour_test.py
@@ -4,12 +4,15 @@
 responses are lost, while a peer gateway can still reach the log service.
 """
 
+import asyncio
 import unittest
 
 from auburnroad_gateway.log import detour
 from auburnroad_gateway.log import service
 from auburnroad_standins import partition_log
 
+TIMEOUT_SECONDS = 20
+
 
 class DetourLogTest(unittest.IsolatedAsyncioTestCase):
     """A direct path and a peer; each has its own records."""
@@ -49,7 +52,8 @@
         self.assertEqual([], self.peer.calls)
 
     async def test_lost_response_raises_lost_error_if_peer_refuses(self):
-        self.direct.lose_answers = 1
+        # The direct path is tried in each round.
+        self.direct.lose_answers = 1 + detour.FURTHER_ROUNDS
         self.peer.down = True
         with self.assertRaises(service.LogLostError):
             await self.append(service.Producer('me', 1, 0))
@@ -77,3 +81,39 @@
         self.direct.down = True
         with self.assertRaises(service.LogRefusedError):
             await self.append()
+
+    # Guards against a lost read that is tried through cut-off peers only.
+    async def test_silent_direct_path_is_tried_again_in_each_round(self):
+        self.direct.lost_topics.add('t')
+        self.peer.lost_topics.add('t')
+        reading = asyncio.create_task(self.subject.read('t', 0, 0, 1))
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while self.direct.calls.count('read') < 1 + detour.FURTHER_ROUNDS:
+                self.assertFalse(reading.done())
+                await asyncio.sleep(0.001)
+        reading.cancel()
+
+    async def test_waiting_read_on_detour_is_sent_on_both_ways(self):
+        self.direct.lose_answers = 1
+        await self.append(service.Producer('me', 1, 0))
+        self.direct.calls.clear()
+        self.peer.calls.clear()
+        self.assertTrue(self.subject.on_detour)
+        await self.subject.read('t', 0, 0, 1)
+        self.assertIn('read', self.direct.calls)
+        self.assertIn('read', self.peer.calls)
+
+    # Guards against a refusing service that gets each call several times.
+    async def test_path_that_refuses_is_not_tried_again(self):
+        self.direct.down = self.peer.down = True
+        with self.assertRaises(service.LogRefusedError):
+            await self.subject.read('t', 0, 0, 1)
+        self.assertEqual(['read'], self.direct.calls)
+        self.assertLessEqual(len(self.peer.calls), detour.FURTHER_ROUNDS)
+
+    # Guards against a path that shows a partition as it was.
+    async def test_answer_from_the_past_does_not_count(self):
+        self.peer.write('t', 0, [b'a', b'b'])
+        found = await self.subject.read('t', 0, 2, 1)
+        self.assertEqual(2, found.end)
+        self.assertIn('read', self.direct.calls)
--- a/packages/gateway/auburnroad_gateway/log/service.py
+++ b/packages/gateway/auburnroad_gateway/log/service.py
@@ -119,6 +119,9 @@
           address: Address as 'IP address:port'.
         """
 
+    def discard_idle_connections(self) -> None:
+        """Open a new connection for the next call."""
+
     async def append(
         self,
         topic: str,
@@ -180,6 +183,20 @@
         """
 
 
+def check_not_outdated(end: int, known_end: int) -> None:
+    """Check that an answer doesn't show a partition as it was before.
+
+    Args:
+      end: End of the partition in the answer.
+      known_end: End that an earlier answer has shown.
+
+    Raises:
+      LogLostError: If it does.
+    """
+    if end < known_end:
+        raise LogLostError(f'the end is {end} after it was {known_end}')
+
+
 def measure_records(records: list[bytes]) -> int:
     """Measure records as they count for the maximum size of an append.
 
--- a/packages/gateway/auburnroad_gateway/log/tail.py
+++ b/packages/gateway/auburnroad_gateway/log/tail.py
@@ -14,8 +14,9 @@
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 
-# How long the log service holds a read that has no records to return. A dead
-# connection is detected only when a read is overdue, so the time is short.
+# How long the log service holds a read that has no records to return, unless
+# a change has to be known sooner. A dead connection is detected only when a
+# read is overdue, so the time is short.
 LONG_POLL_MS = 1000
 # The first read is small, since all gateways may have started at once and
 # share the log service's bandwidth. A read that times out is retried with
@@ -39,6 +40,7 @@
         reached the end of the partition.
       read_interval_seconds: Pause in seconds after a read that returned
         records.
+      poll_ms: Milliseconds that a read waits for records.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         'read_at',
         'complete_at',
         'read_interval_seconds',
+        'poll_ms',
         '_log',
         '_topic',
         '_partition',
@@ -56,7 +59,15 @@
         '_failed_at',
     )
 
-    def __init__(self, log, topic, partition, apply, read_interval_seconds):
+    def __init__(
+        self,
+        log,
+        topic,
+        partition,
+        apply,
+        read_interval_seconds,
+        poll_ms=LONG_POLL_MS,
+    ):
         self.next_offset = 0
         self.failing = False
         self.read_at = 0.0
@@ -66,6 +77,7 @@
         self._partition = partition
         self._apply = apply
         self.read_interval_seconds = read_interval_seconds
+        self.poll_ms = poll_ms
         self._initial_read_done = asyncio.Event()
         self._max_read_bytes = FIRST_READ_BYTES
         self._failed_at = 0.0
@@ -102,10 +114,9 @@
                 self._note_failure(error)
                 await asyncio.sleep(delay)
                 delay = min(RETRY_MAX_SECONDS, delay * 2)
-                wait_ms = 0
                 continue
             delay = RETRY_MIN_SECONDS
-            wait_ms = LONG_POLL_MS
+            wait_ms = self.poll_ms
             if self.next_offset >= end:
                 self._initial_read_done.set()
             if self.next_offset > before:
@@ -132,6 +143,7 @@
             self._handle_trimmed(error)
             # An end beyond the next offset, so that the caller reads again.
             return self.next_offset + 1
+        service.check_not_outdated(result.end, start)
         self._note_success()
         self._max_read_bytes = min(
             service.MAX_READ_BYTES, self._max_read_bytes * 2
@@ -212,9 +224,16 @@
 
     __slots__ = ('_live_keys', '_apply_key', '_has_snapshot')
 
-    def __init__(self, log, topic, apply_key, read_interval_seconds):
+    def __init__(
+        self,
+        log,
+        topic,
+        apply_key,
+        read_interval_seconds,
+        poll_ms=LONG_POLL_MS,
+    ):
         super().__init__(
-            log, topic, 0, self._apply_record, read_interval_seconds
+            log, topic, 0, self._apply_record, read_interval_seconds, poll_ms
         )
         self._live_keys: set[str] = set()
         self._apply_key = apply_key
@@ -232,7 +251,9 @@
         self._has_snapshot = False
 
     async def _load_snapshot(self) -> None:
+        known_end = self.next_offset
         snapshot = await self._log.read_newest(self._topic)
+        service.check_not_outdated(snapshot.next_offset, known_end)
         if snapshot.next_offset < self.next_offset:
             # Another read has overtaken this one.
             return
--- a/packages/gateway/auburnroad_gateway/model/settings.py
+++ b/packages/gateway/auburnroad_gateway/model/settings.py
@@ -5,6 +5,9 @@
 # Names of the duties in the settings.
 USAGE_REPORT = 'usage_report'
 AUTOSCALE = 'autoscale'
+# Reads for records that have to be known within a bound wait for a quarter of
+# it, so that another read can still be in time after two that were lost.
+POLLS_PER_BOUND = 4
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -12,6 +15,10 @@
 
     Attributes:
       grace_s: Seconds from SIGTERM until the process is killed.
+      configuration_ms: Milliseconds from the acknowledgement of a
+        configuration within which it has to be in force.
+      drain_ms: Milliseconds from the acknowledgement of a replica's leave
+        within which requests to it have to end.
       lease_ms: Milliseconds within which holders of a duty must not take
         turns, so that one comes back after another.
       read_life_s: Seconds after the submission during which a batch is
@@ -32,6 +39,8 @@
     """
 
     grace_s: float = 8.0
+    configuration_ms: int = 2000
+    drain_ms: int = 2000
     lease_ms: int = 3000
     read_life_s: float = 120.0
     strict_revocation: bool = False
@@ -47,6 +56,16 @@
         if self.report_window_ms <= 0:
             raise ValueError('report_window_s must be above zero')
 
+    @property
+    def configuration_poll_ms(self) -> int:
+        """Milliseconds that a read waits for a new configuration."""
+        return self.configuration_ms // POLLS_PER_BOUND
+
+    @property
+    def drain_poll_ms(self) -> int:
+        """Milliseconds that a read waits for a new registration."""
+        return self.drain_ms // POLLS_PER_BOUND
+
     @property
     def report_window_ms(self) -> int:
         """Length of a window of the usage report in milliseconds."""
--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -61,6 +61,9 @@
         """Record the new address in calls."""
         self.calls.append(f'address {address}')
 
+    def discard_idle_connections(self) -> None:
+        """Do nothing, as there are no connections."""
+
     def list_partitions(self) -> list[tuple[str, int]]:
         """List the topics and partitions that were read or written."""
         return list(self._records)
