Deny only by a configuration that was read recently

What callers saw: 404 for a route that an operator had added; the same could happen with 401 for a missing key, 413, 431, and 400 for a batch.

Cause: a gateway denied by the configuration in force whatever its age. Only an unknown key was denied after a read of at most 1.0 s ago. A 4xx is final to callers, 503 isn't.

Change: Currency tells how long ago the operators' topic was read to its end. The dispatcher confirms it before each 4xx of its own, handles the request again if a newer revision came with that, and sends 503 if the topic can't be read. Limits of size, missing keys and the end of a batch's items by a removed route rest on it as well. What is known is served on without a read.

--- a/packages/client/auburnroad_client/logs/causes.py
+++ b/packages/client/auburnroad_client/logs/causes.py
@@ -18,6 +18,7 @@
     'terminated',
     'not_configured',
     'key_refused',
+    'configuration_unread',
     'batch_refused',
     'crashes_replicas',
     'held',
@@ -103,6 +104,18 @@
     )
 
 
+@CAUSES.register('configuration_unread')
+def _explain_configuration_unread(lines: Lines, context: Lines) -> str:
+    line = _find_event(lines, 'request_refused')
+    if line is None or line.fields.get('code') != 'configuration_unread':
+        return ''
+    return (
+        f'revision {line.fields.get("revision")} does not allow the request, '
+        f"and {line.host} had not read the operators' topic for "
+        f'{line.fields.get("age_ms")} ms, so that a newer one may'
+    )
+
+
 @CAUSES.register('batch_refused')
 def _explain_batch_refused(lines: Lines, context: Lines) -> str:
     line = _find_event(lines, 'batch_refused', 'batch_in_doubt')
--- a/packages/client/auburnroad_client/logs/logs_test.py
+++ b/packages/client/auburnroad_client/logs/logs_test.py
@@ -123,6 +123,11 @@
                 'no account of revision 3 had the key with fingerprint f7',
             ),
             ('key_unchecked', {'fingerprint': 'f7'}, 'could not read'),
+            (
+                'request_refused',
+                {'code': 'configuration_unread', 'revision': 3, 'age_ms': 9},
+                'revision 3 does not allow the request',
+            ),
             (
                 'stream_not_resumed',
                 {'begun_by': 'q0', 'reason': 'several releases'},
--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -29,6 +29,9 @@
 GIVE_UP_SECONDS = 0.1
 MAX_GIVE_UP_SHARE = 0.2
 
+# Time after which a request is worth sending again whose limits aren't known.
+RETRY_AFTER_SECONDS = 0.5
+
 Handler = typing.Callable[
     [messages.Request], typing.Awaitable[messages.Response]
 ]
@@ -63,10 +66,20 @@
     def build_response(self) -> messages.Response:
         """Build the error response, which states that nothing was run."""
         error = {'code': self.code, 'message': str(self)}
+        headers = {'auburnroad-outcome': 'not-run', 'connection': 'close'}
+        if self.status == 503:
+            headers['retry-after'] = f'{RETRY_AFTER_SECONDS:.2f}'
         return messages.build_json_response(
-            self.status,
-            {'error': error},
-            {'auburnroad-outcome': 'not-run', 'connection': 'close'},
+            self.status, {'error': error}, headers
+        )
+
+
+class _LimitsUnreadError(_RefusedError):
+    """A request over limits that may not be in force any more."""
+
+    def __init__(self):
+        super().__init__(
+            503, 'limits_unread', 'the limits in force are not known'
         )
 
 
@@ -78,6 +91,7 @@
         '_reader',
         '_writer',
         '_server',
+        '_first_limits',
         '_idle_timeout',
         '_work',
         'busy',
@@ -90,6 +104,7 @@
         self._reader = reader
         self._writer = writer
         self._server = server
+        self._first_limits = server.limits
         # Set while the connection waits for the first bytes of a request.
         self._idle_timeout: asyncio.Timeout | None = None
         # Set while a handler runs that hasn't returned a response.
@@ -163,9 +178,21 @@
         logging.info('malformed HTTP request: %.200s', reason)
         status = error.error_status_hint
         refused = _RefusedError(status, 'malformed_http', 'not HTTP/1.1')
+        if status == 431 and not await self._has_first_limits():
+            refused = _LimitsUnreadError()
         self._server.on_refused(refused.status, refused.code)
         await self._send(refused.build_response())
 
+    async def _has_first_limits(self) -> bool:
+        """Tell whether the limits that h11 applies are in force for certain.
+
+        They are those at which the connection was accepted.
+        """
+        return (
+            await self._server.confirm_limits()
+            and self._first_limits == self._server.limits
+        )
+
     async def _linger(self) -> None:
         """Read and drop the data that the caller still sends.
 
@@ -196,23 +223,26 @@
                 event = await self._read_body_event()
             if isinstance(event, h11.Request):
                 head = event
-                self._check_header_size(head)
+                await self._check_header_size(head)
                 self._check_framing(head)
-                self._check_declared_size(head)
+                await self._check_declared_size(head)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                self._check_size(size)
+                await self._check_size(size)
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return messages.build_request(head, b''.join(body))
             else:
                 return None
 
-    def _check_header_size(self, head) -> None:
+    async def _check_header_size(self, head) -> None:
         # h11 limits only headers that are received in several reads.
         size = len(head.target) + sum(
             len(name) + len(value) for name, value in head.headers
         )
+        if size <= self._server.limits.header_bytes:
+            return
+        await self._confirm_limits()
         limit = self._server.limits.header_bytes
         if size > limit:
             raise _RefusedError(
@@ -228,21 +258,29 @@
                 400, 'ambiguous_length', 'two lengths for one body'
             )
 
-    def _check_declared_size(self, head) -> None:
+    async def _check_declared_size(self, head) -> None:
         for name, value in head.headers:
             if name == b'content-length':
-                self._check_size(int(value))
+                await self._check_size(int(value))
         expect = (b'expect', b'100-continue')
         if expect in [(n, v.lower()) for n, v in head.headers]:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
 
-    def _check_size(self, size: int) -> None:
+    async def _check_size(self, size: int) -> None:
+        if size <= self._server.limits.body_bytes:
+            return
+        await self._confirm_limits()
         limit = self._server.limits.body_bytes
         if size > limit:
             raise _RefusedError(
                 413, 'body_too_large', f'the body is over {limit} bytes'
             )
 
+    async def _confirm_limits(self) -> None:
+        """Refuse a request if its limits may have been raised by now."""
+        if not await self._server.confirm_limits():
+            raise _LimitsUnreadError
+
     async def _read_head(self):
         """Read the request line and headers within the time limits.
 
@@ -382,6 +420,11 @@
     """Do nothing about a refusal."""
 
 
+async def _confirm() -> bool:
+    """Take limits that nobody changes for those in force."""
+    return True
+
+
 def _get_response(work: asyncio.Task) -> messages.Response:
     """Return the handler's response, or an error response without one."""
     if work.cancelled():
@@ -411,6 +454,9 @@
       limits: Limits above which a request is rejected.
       on_refused: Called with status and error code of each request that is
         rejected without a call of the handler.
+      confirm_limits: Tells whether the limits are those in force, after
+        setting them anew if need be; called before a request is refused by
+        them for good.
       draining: Whether connections are closed after their next response.
     """
 
@@ -418,6 +464,7 @@
         'handler',
         'limits',
         'on_refused',
+        'confirm_limits',
         'draining',
         '_server',
         '_connections',
@@ -427,6 +474,9 @@
         self.handler = handler
         self.limits = limits or HttpLimits()
         self.on_refused: typing.Callable[[int, str], None] = _ignore
+        self.confirm_limits: typing.Callable[[], typing.Awaitable[bool]] = (
+            _confirm
+        )
         self.draining = False
         self._server: asyncio.Server | None = None
         self._connections: dict[_Connection, asyncio.Task] = {}
--- a/packages/gateway/auburnroad_gateway/accounts/access.py
+++ b/packages/gateway/auburnroad_gateway/accounts/access.py
@@ -49,7 +49,7 @@
       head: Head of the request.
       registry: Accounts of the configuration in force.
       is_current: Whether the operators' topic was read to its end recently
-        enough to refuse an unknown key.
+        enough to refuse an unknown or missing key.
       trusts_keys: Whether it was read recently enough to accept a known key.
 
     Returns:
@@ -64,7 +64,7 @@
         return Access(Decision.UNSURE)
     if route is not None and route.public:
         return Access(Decision.ALLOWED)
-    if head.key is None or is_current:
+    if is_current:
         return Access(Decision.REFUSED)
     return Access(Decision.UNSURE)
 
--- a/packages/gateway/auburnroad_gateway/accounts/control.py
+++ b/packages/gateway/auburnroad_gateway/accounts/control.py
@@ -1,30 +1,22 @@
 """Enforces access: reads the operators' topic before a final refusal.
 
-Callers take status 401 as final. It is therefore sent for an unknown key only
-if the operators' topic has just been read to its end, since the key may have
-been added at this moment. Requests that wait for this share one read.
+Callers take status 401 as final. It is therefore sent for an unknown or
+missing key only if the operators' topic has just been read to its end, since
+the key may have been added, or the route opened, at this moment.
 """
 
-import asyncio
-
-from auburnroad_core import clock
 from auburnroad_core.http import messages
 from auburnroad_gateway.accounts import access
 from auburnroad_gateway.accounts import registry
+from auburnroad_gateway.configuration import currency as currencies
 from auburnroad_gateway.configuration import holder as holders
 from auburnroad_gateway.configuration import refusal_log as refusal_logs
 from auburnroad_gateway.forwarding import refusals
-from auburnroad_gateway.log import service
-from auburnroad_gateway.log import tail
 from auburnroad_gateway.model import call
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.model import settings as gateway_settings
 from auburnroad_gateway.telemetry import metrics
 
-# Maximum age of the read of the operators' topic at which an unknown key is
-# refused.
-MAX_AGE_SECONDS = 1.0
-CATCH_UP_TIMEOUT_SECONDS = 0.4
 MISSING_KEY = 'missing'
 
 
@@ -38,23 +30,21 @@
     __slots__ = (
         'settings',
         '_configuration',
-        '_operator_tail',
+        '_currency',
         '_refusal_log',
-        '_reading',
     )
 
     def __init__(
         self,
         settings: gateway_settings.Settings,
         holder: holders.ConfigurationHolder,
-        operator_tail: tail.Tail,
+        currency: currencies.Currency,
         refusal_log: refusal_logs.RefusalLog,
     ):
         self.settings = settings
         self._configuration = holder
-        self._operator_tail = operator_tail
+        self._currency = currency
         self._refusal_log = refusal_log
-        self._reading: asyncio.Task | None = None
 
     @property
     def has_accounts(self) -> bool:
@@ -80,7 +70,7 @@
             return None, access.Access(access.Decision.REFUSED)
         found = self._decide(route, head)
         if found.decision is access.Decision.UNSURE:
-            await self._catch_up()
+            await self._currency.read()
             # A new revision may have changed the route as well.
             route = self._configuration.match_route(host, path)
             if route is not None:
@@ -99,7 +89,7 @@
         """
         found = self._decide(None, head)
         if found.decision is access.Decision.UNSURE:
-            await self._catch_up()
+            await self._currency.read()
             found = self._decide(None, head)
         self._count(found, head)
         return found
@@ -134,37 +124,15 @@
 
     def _decide(self, route, head: call.CallHead) -> access.Access:
         bounds = self.settings.bounds
-        age_seconds = self._find_age()
         return access.decide(
             route,
             head,
             self._configuration.registry,
-            age_seconds <= MAX_AGE_SECONDS,
+            self._currency.is_recent,
             not bounds.strict_revocation
-            or age_seconds <= bounds.revocation_ms / 1000,
-        )
-
-    def _find_age(self) -> float:
-        """Find the seconds since the topic was known to be read to its end."""
-        return (
-            clock.read_boot_clock_seconds() - self._operator_tail.complete_at
+            or self._currency.age_seconds <= bounds.revocation_ms / 1000,
         )
 
-    async def _catch_up(self) -> None:
-        """Read the operators' topic to its end, if the log can be read."""
-        if self._reading is None or self._reading.done():
-            self._reading = asyncio.create_task(self._read_to_end())
-        # The read goes on for other requests if this one is cancelled.
-        await asyncio.shield(self._reading)
-
-    async def _read_to_end(self) -> None:
-        try:
-            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
-                await self._operator_tail.catch_up()
-        except (service.LogError, TimeoutError):
-            # The age of the last read tells that this one failed.
-            return
-
     def _count(self, found: access.Access, head: call.CallHead) -> None:
         if not self.has_accounts:
             return
--- a/packages/gateway/auburnroad_gateway/batches/owner.py
+++ b/packages/gateway/auburnroad_gateway/batches/owner.py
@@ -23,6 +23,7 @@
 from auburnroad_gateway.completion import finisher
 from auburnroad_gateway.completion import reward_calls
 from auburnroad_gateway.completion import scoring
+from auburnroad_gateway.configuration import currency as currencies
 from auburnroad_gateway.directory import placement
 from auburnroad_gateway.log import service
 from auburnroad_gateway.members import permits as all_permits
@@ -54,6 +55,7 @@
         '_journal',
         '_membership',
         '_configuration',
+        '_currency',
         '_directory',
         '_permits',
         '_placement',
@@ -77,6 +79,7 @@
         membership,
         duties: duty.Duties,
         holder,
+        currency: currencies.Currency,
         replicas,
         reward_caller: reward_calls.RewardCaller,
         permits: all_permits.Permits,
@@ -87,6 +90,7 @@
         self._journal = batch_journal
         self._membership = membership
         self._configuration = holder
+        self._currency = currency
         self._directory = replicas
         self._permits = permits
         self._placement = item_placement.ItemPlacement(
@@ -392,7 +396,13 @@
     def _terminate_expired(
         self, owned: owned_batches.OwnedBatch, now_ms: int
     ) -> None:
-        """Terminate the items of a batch that is too old or has no route."""
+        """Terminate the items of a batch that is too old or has no route.
+
+        A newer configuration that this gateway hasn't read may have the route
+        again, or let items wait for longer.
+        """
+        if not self._currency.is_recent:
+            return
         reason = ''
         if self._configuration.find_route(owned.state.submission) is None:
             reason = 'route removed'
--- a/packages/gateway/auburnroad_gateway/configuration/refusal_log.py
+++ b/packages/gateway/auburnroad_gateway/configuration/refusal_log.py
@@ -5,11 +5,11 @@
 """
 
 import collections
+import math
 import time
 
-from auburnroad_core import clock
+from auburnroad_gateway.configuration import currency as currencies
 from auburnroad_gateway.configuration import holder as holders
-from auburnroad_gateway.log import tail
 from auburnroad_gateway.telemetry import events
 
 # Minimum time between two lines of one kind, so that frequent refusals don't
@@ -22,15 +22,15 @@
 class RefusalLog:
     """Writes lines on refusals, a few per second of each kind."""
 
-    __slots__ = ('_configuration', '_operator_tail', '_due_at', '_unwritten')
+    __slots__ = ('_configuration', '_currency', '_due_at', '_unwritten')
 
     def __init__(
         self,
         holder: holders.ConfigurationHolder,
-        operator_tail: tail.Tail,
+        currency: currencies.Currency,
     ):
         self._configuration = holder
-        self._operator_tail = operator_tail
+        self._currency = currency
         self._due_at: dict[tuple[str, str], float] = {}
         self._unwritten: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -73,7 +73,7 @@
 
     def _find_age_ms(self) -> int:
         """Find the milliseconds since the topic was read to its end."""
-        read_at = self._operator_tail.complete_at
-        if read_at == float('-inf'):
-            return NEVER_READ
-        return int((clock.read_boot_clock_seconds() - read_at) * 1000)
+        age_seconds = self._currency.age_seconds
+        return (
+            NEVER_READ if math.isinf(age_seconds) else int(age_seconds * 1000)
+        )
--- a/packages/gateway/auburnroad_gateway/process/dispatch.py
+++ b/packages/gateway/auburnroad_gateway/process/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatches the requests of callers to the code that handles them.
 
-The key of a request is checked before any other processing for its route.
+The key of a request is checked before any other processing for its route. A
+request is denied only by a configuration that was read recently.
 """
 
 import time
@@ -13,6 +14,7 @@
 from auburnroad_gateway.accounts import control
 from auburnroad_gateway.batches import intake
 from auburnroad_gateway.batches import reading
+from auburnroad_gateway.configuration import currency as currencies
 from auburnroad_gateway.configuration import holder as holders
 from auburnroad_gateway.configuration import refusal_log as refusal_logs
 from auburnroad_gateway.forwarding import fingerprint
@@ -22,6 +24,10 @@
 from auburnroad_gateway.model import configuration
 from auburnroad_gateway.process import stopping
 
+# Statuses of 4xx after which callers return: nothing was run, and the request
+# may be sent again.
+REPEATABLE_STATUSES = (408, 421, 429)
+
 
 class Dispatcher:
     """Finds the handler of each request of a caller."""
@@ -29,6 +35,7 @@
     __slots__ = (
         '_adapter',
         '_configuration',
+        '_currency',
         '_access',
         '_reader',
         '_intake',
@@ -42,6 +49,7 @@
         self,
         adapter: adapters.Adapter,
         holder: holders.ConfigurationHolder,
+        currency: currencies.Currency,
         access_control: control.AccessControl,
         reader: reading.Reader,
         batch_intake: intake.Intake,
@@ -55,6 +63,7 @@
         Args:
           adapter: Decodes requests.
           holder: Holds the configuration in force.
+          currency: Tells whether it may deny a request.
           access_control: Decides on the keys of requests.
           reader: Handles calls on existing batches.
           batch_intake: Handles submissions.
@@ -66,6 +75,7 @@
         """
         self._adapter = adapter
         self._configuration = holder
+        self._currency = currency
         self._access = access_control
         self._reader = reader
         self._intake = batch_intake
@@ -97,6 +107,26 @@
 
     async def _answer(
         self, request: messages.Request
+    ) -> tuple[str, messages.Response]:
+        """Answer a request, again if a newer revision may allow it."""
+        while True:
+            revision = self._find_revision()
+            kind, response = await self._answer_once(request)
+            if not _is_denial(response):
+                return kind, response
+            if not await self._currency.confirm():
+                return 'unread', refusals.build_refusal(
+                    'configuration_unread', refusals.RETRY_AFTER_OUTAGE_SECONDS
+                )
+            if self._find_revision() == revision:
+                return kind, response
+
+    def _find_revision(self) -> int | None:
+        current = self._configuration.current
+        return None if current is None else current.revision
+
+    async def _answer_once(
+        self, request: messages.Request
     ) -> tuple[str, messages.Response]:
         if self._configuration.current is None:
             return 'none', refusals.build_refusal(
@@ -165,3 +195,12 @@
 
 def _refuse_while_stopping() -> messages.Response:
     return refusals.build_refusal('leaving', refusals.RETRY_AFTER_SECONDS)
+
+
+def _is_denial(response: messages.Response) -> bool:
+    """Tell whether a response of this gateway is final to the caller."""
+    return (
+        isinstance(response, refusals.OwnResponse)
+        and response.status // 100 == 4
+        and response.status not in REPEATABLE_STATUSES
+    )
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -15,6 +15,7 @@
 from auburnroad_gateway.batches import owner
 from auburnroad_gateway.batches import reading
 from auburnroad_gateway.completion import reward_calls
+from auburnroad_gateway.configuration import currency
 from auburnroad_gateway.configuration import holder
 from auburnroad_gateway.configuration import refusal_log
 from auburnroad_gateway.directory import directory
@@ -28,7 +29,6 @@
 from auburnroad_gateway.forwarding import streams
 from auburnroad_gateway.log import detour
 from auburnroad_gateway.log import service
-from auburnroad_gateway.log import tail
 from auburnroad_gateway.members import facts
 from auburnroad_gateway.members import membership
 from auburnroad_gateway.members import permits
@@ -39,16 +39,12 @@
 from auburnroad_gateway.process import scaling
 from auburnroad_gateway.process import stopping
 from auburnroad_gateway.process import supervision
+from auburnroad_gateway.process import tails
 from auburnroad_gateway.telemetry import events
 from auburnroad_gateway.telemetry import metrics
 from auburnroad_gateway.weights import duty
 from auburnroad_gateway.weights import rollout
 
-# Pauses between reads of a topic, so that frequent changes do not keep this
-# process busy. Each change must be in force within two seconds.
-OPERATOR_PACE_SECONDS = 0.05
-REPLICA_PACE_SECONDS = 0.1
-MEMBER_PACE_SECONDS = 0.2
 # Within a site a connection opens in about 1 ms or not at all.
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Share of the process's memory for bodies of replicas' responses. While its
@@ -135,7 +131,7 @@
         """Whether the configuration and the replicas have been loaded."""
         return (
             self._configuration.current is not None
-            and self._replica_tail.is_loaded
+            and self._tails.replicas.is_loaded
         )
 
     async def start(self) -> None:
@@ -163,17 +159,19 @@
             bound = await http_server.start(host, int(port))
             self._addresses[name] = f'{bound[0]}:{bound[1]}'
         for function in (
-            *(topic_tail.run for topic_tail in self._tails.values()),
+            *self._tails.list_background_tasks(),
             *self._journal.list_background_tasks(),
             self._members.run_heartbeats,
-            functools.partial(self._members.run_checks, self._member_tail),
-            functools.partial(self._facts.run, self._fact_tail),
+            functools.partial(self._members.run_checks, self._tails.members),
+            functools.partial(self._facts.run, self._tails.facts),
             functools.partial(
                 self._releases.in_service.watch, self._list_release_uses
             ),
             self._owner.run,
             self._rollout.run,
-            functools.partial(expiry.run, self._directory, self._replica_tail),
+            functools.partial(
+                expiry.run, self._directory, self._tails.replicas
+            ),
             *self._platform_duties.list_background_tasks(),
             self._scaler.run,
         ):
@@ -189,6 +187,8 @@
         if new.log_address != self._settings.log_address:
             self._log.direct.set_address(new.log_address)
         self._settings = new
+        self._currency.settings = new
+        self._tails.apply_bounds(new.bounds)
         self._access.settings = new
         self._platform_duties.apply_settings(new)
         self._scaler.apply_settings(new)
@@ -244,41 +244,25 @@
         return chosen or self._members.incarnation
 
     def _build_tails(self) -> None:
-        log = self._log
-        self._operator_tail = tail.KeyedTail(
-            log,
-            self._adapter.operator_topic,
-            self._configuration.apply,
-            OPERATOR_PACE_SECONDS,
-        )
-        self._refusal_log = refusal_log.RefusalLog(
-            self._configuration, self._operator_tail
-        )
-        self._replica_tail = tail.KeyedTail(
-            log,
-            self._adapter.replica_topic,
-            self._directory.apply,
-            REPLICA_PACE_SECONDS,
+        self._tails = tails.KeyedTails(
+            self._log,
+            self._adapter,
+            self._settings.bounds,
+            self._configuration,
+            self._directory,
+            self._members,
+            self._duties,
+            self._facts,
         )
-        self._member_tail = tail.KeyedTail(
-            log, membership.TOPIC, self._members.apply, MEMBER_PACE_SECONDS
+        self._holder_lease = lease.HolderLease(
+            self._duties, self._tails.duties
         )
-        self._duty_tail = tail.KeyedTail(
-            log, duty.TOPIC, self._duties.apply, MEMBER_PACE_SECONDS
+        self._currency = currency.Currency(
+            self._settings, self._tails.operators
         )
-        self._holder_lease = lease.HolderLease(self._duties, self._duty_tail)
-        self._fact_tail = tail.KeyedTail(
-            log, facts.TOPIC, self._facts.apply, MEMBER_PACE_SECONDS
+        self._refusal_log = refusal_log.RefusalLog(
+            self._configuration, self._currency
         )
-        self._tails = {
-            'operators': self._operator_tail,
-            'replicas': self._replica_tail,
-            'members': self._member_tail,
-            'duties': self._duty_tail,
-            'facts': self._fact_tail,
-        }
-        for topic, topic_tail in self._tails.items():
-            metrics.watch_tail(topic, topic_tail)
 
     def _build_platform_duties(self) -> None:
         self._platform_duties = duties.PlatformDuties(
@@ -309,7 +293,7 @@
         self._access = control.AccessControl(
             settings,
             self._configuration,
-            self._operator_tail,
+            self._currency,
             self._refusal_log,
         )
         self._reader = reading.Reader(adapter, self._journal, self._access)
@@ -330,7 +314,7 @@
             self._admission,
         )
         self._releases = stream_releases.StreamReleases(
-            self._facts, self._fact_tail.catch_up
+            self._facts, self._tails.facts.catch_up
         )
         self._streams = streams.StreamForwarder(
             adapter,
@@ -338,7 +322,7 @@
             self._forwarder,
             self._crash_watch,
             self._releases,
-            self._replica_tail,
+            self._tails.replicas,
         )
 
     def _build_runs(self) -> None:
@@ -351,6 +335,7 @@
             self._members,
             self._duties,
             self._configuration,
+            self._currency,
             self._directory,
             reward_calls.RewardCaller(
                 adapter,
@@ -377,7 +362,7 @@
             self._adapter,
             self._configuration,
             self._directory,
-            self._replica_tail,
+            self._tails.replicas,
             self._journal,
             self._facts,
             self._duties,
@@ -392,6 +377,7 @@
         self._dispatcher = dispatch.Dispatcher(
             self._adapter,
             self._configuration,
+            self._currency,
             self._access,
             self._reader,
             self._intake,
@@ -402,6 +388,7 @@
         )
         self._caller_server = server.HttpServer(self._handle_caller)
         self._caller_server.on_refused = self._refusal_log.write_refused
+        self._caller_server.confirm_limits = self._currency.confirm
         self._ready_server = server.HttpServer(self._handle_ready)
         self._peer_server = server.HttpServer(self._handle_peer)
         self._metrics_server = server.HttpServer(self._handle_metrics)
@@ -455,7 +442,7 @@
         """
         until = time.monotonic() + LOAD_TIMEOUT_SECONDS
         while time.monotonic() < until and not self._is_loaded:
-            if self._operator_tail.failing or self._replica_tail.failing:
+            if self._tails.operators.failing or self._tails.replicas.failing:
                 return
             await asyncio.sleep(LOAD_POLL_SECONDS)
 
@@ -483,7 +470,7 @@
         self._caller_server.draining = True
         self._members.leave()
         self._owner.prepare_hand_over()
-        release = asyncio.create_task(self._duties.release(self._duty_tail))
+        release = asyncio.create_task(self._duties.release(self._tails.duties))
         while time.monotonic() < self._response_deadline_at:
             await asyncio.sleep(stopping.POLL_SECONDS)
             if time.monotonic() < self._unready_until:
