Soak: lose reads of the operators' topic; routes are never denied late

No fault of the soak lost reads while peers were cut off, nor disturbed the operators' topic, and a disturbance excused each denial.

Change: two kinds of faults, drawn apart so that seeds keep their others: the topic is silent, refused, delayed or answered from the past for one gateway, half of them or all; a gateway's connections go silent in series while no peer reaches the log. The configuration changes all the while. A new promise, without an excuse: no 404 for a route added over 2.0 s before. The promise of calm gateways also counts the 503 of a gateway that doesn't know.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	  --gateways=4 --notimed
 	$(BIN)/python -m auburnroad_e2e.soak.run --lost_at_release --notimed
 	$(BIN)/python -m auburnroad_e2e.soak.run --former_holder --notimed
+	$(BIN)/python -m auburnroad_e2e.soak.run --lost_reads --notimed
 
 golden: setup
 	$(BIN)/python -m auburnroad_e2e.golden
--- a/packages/e2e/auburnroad_e2e/soak/callers.py
+++ b/packages/e2e/auburnroad_e2e/soak/callers.py
@@ -26,6 +26,9 @@
 # How long a read of results may be kept waiting, and a caller waits.
 WAIT_MS = 300
 PATIENCE_MS = 2000
+# Every other request for a route that was added is for the one that so many
+# changes have followed.
+NEWEST = 3
 NEVER_KEY = f'{worlds.KEY_PREFIX}never-'
 
 
@@ -333,9 +336,10 @@
     async def _probe_added(self) -> None:
         while True:
             await asyncio.sleep(ONCE_SECONDS)
-            if self._world.routes_added:
-                prefix, _ = self._random.choice(self._world.routes_added)
-                await self.ask('added', f'{prefix}x')
+            routes = self._world.routes_added
+            if routes:
+                await self.ask('added', f'{self._random.choice(routes)[0]}x')
+                await self.ask('added', f'{routes[-NEWEST:][0][0]}x')
 
     async def _probe_keys(self) -> None:
         """Try keys that exist, existed or never did."""
--- a/packages/e2e/auburnroad_e2e/soak/duty_faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/duty_faults.py
@@ -37,13 +37,9 @@
 )
 
 
-def _pick(options: tuple, fault, prime: int):
-    return options[int(fault.draw * prime) % len(options)]
-
-
 def _choose_holder(world, fault):
     """Choose the gateway that ordered last in every other draw."""
-    if world.books.orders and _pick((True, False), fault, 1009):
+    if world.books.orders and faults.pick((True, False), fault, 1009):
         return faults.find_gateway(world, world.books.orders[-1].holder)
     return faults.choose(world.gateways, fault)
 
@@ -62,17 +58,6 @@
         task.cancel()
 
 
-@contextlib.contextmanager
-def _disturb_topics(world, host: str, topics, trouble):
-    for topic in topics:
-        world.store.topic_faults[host, topic] = trouble
-    try:
-        yield
-    finally:
-        for topic in topics:
-            world.store.topic_faults.pop((host, topic), None)
-
-
 @contextlib.contextmanager
 def _part(relays, way: str):
     """Cut paths, or silence them; what is open then stays silent or not."""
@@ -93,10 +78,10 @@
 @contextlib.asynccontextmanager
 async def _read_late(world, gateway, fault):
     """Let a gateway read duties late, or as they were, from now on."""
-    seconds = _pick(LATE_SECONDS, fault, 251)
-    field = _pick(('delay_seconds', 'hold_seconds'), fault, 719)
+    seconds = faults.pick(LATE_SECONDS, fault, 251)
+    field = faults.pick(('delay_seconds', 'hold_seconds'), fault, 719)
     late = platform_store.TopicFault(reads_only=True, **{field: seconds})
-    with _disturb_topics(world, gateway.name, [duty.TOPIC], late):
+    with faults.disturb_topics(world, gateway.name, [duty.TOPIC], late):
         yield
         await asyncio.sleep(seconds)
 
@@ -109,9 +94,9 @@
     with (
         faults.disturb(world, fault.kind, gateway.name),
         _name_versions(world),
-        _part(peers, _pick(WAYS, fault, 193)),
+        _part(peers, faults.pick(WAYS, fault, 193)),
     ):
-        with _part([gateway.relay], _pick(WAYS, fault, 499)):
+        with _part([gateway.relay], faults.pick(WAYS, fault, 499)):
             await asyncio.sleep(fault.seconds)
         async with _read_late(world, gateway, fault):
             pass
@@ -121,11 +106,11 @@
 async def freeze_holder(world, fault) -> None:
     """Others answer it after the thaw in every other draw only."""
     gateway = _choose_holder(world, fault)
-    peers = _pick((world.peers.relays.values(), ()), fault, 127)
+    peers = faults.pick((world.peers.relays.values(), ()), fault, 127)
     with (
         faults.disturb(world, faults.PAUSED, gateway.name),
         _name_versions(world),
-        _part(peers, _pick(WAYS, fault, 193)),
+        _part(peers, faults.pick(WAYS, fault, 193)),
     ):
         async with _read_late(world, gateway, fault):
             gateway.process.freeze()
@@ -138,16 +123,18 @@
 async def take_partitions_down(world, fault) -> None:
     """The log serves some topics only, to all hosts or to all but one."""
     gateway = _choose_holder(world, fault)
-    of_all = _pick((True, False), fault, 127)
+    of_all = faults.pick((True, False), fault, 127)
     host = platform_store.ALL_HOSTS if of_all else gateway.name
-    topics = _pick(TOPICS, fault, 61)
+    topics = faults.pick(TOPICS, fault, 61)
     peers = [] if of_all else world.peers.relays.values()
     with (
         faults.disturb(world, fault.kind, host),
         _name_versions(world),
-        _part(peers, _pick(WAYS, fault, 193)),
+        _part(peers, faults.pick(WAYS, fault, 193)),
     ):
-        with _disturb_topics(world, host, topics, _pick(TROUBLES, fault, 31)):
+        with faults.disturb_topics(
+            world, host, topics, faults.pick(TROUBLES, fault, 31)
+        ):
             await asyncio.sleep(fault.seconds)
         async with _read_late(world, gateway, fault):
             pass
@@ -159,14 +146,16 @@
     gateway = _choose_holder(world, fault)
     missed = platform_store.TopicFault(silent=True)
     old = platform_store.TopicFault(
-        hold_seconds=_pick(LATE_SECONDS[1:], fault, 251), reads_only=True
+        hold_seconds=faults.pick(LATE_SECONDS[1:], fault, 251), reads_only=True
     )
     with (
         faults.disturb(world, fault.kind, gateway.name),
         _name_versions(world),
-        _part(world.peers.relays.values(), _pick(WAYS, fault, 193)),
-        _disturb_topics(world, gateway.name, [duty.TOPIC], old),
+        _part(world.peers.relays.values(), faults.pick(WAYS, fault, 193)),
+        faults.disturb_topics(world, gateway.name, [duty.TOPIC], old),
     ):
-        with _disturb_topics(world, gateway.name, [membership.TOPIC], missed):
+        with faults.disturb_topics(
+            world, gateway.name, [membership.TOPIC], missed
+        ):
             await asyncio.sleep(MISSED_SECONDS)
         await asyncio.sleep(fault.seconds)
--- a/packages/e2e/auburnroad_e2e/soak/faults.py
+++ b/packages/e2e/auburnroad_e2e/soak/faults.py
@@ -72,6 +72,29 @@
     return subjects[int(fault.draw * len(subjects)) % len(subjects)]
 
 
+def pick(options: tuple, fault: schedules.Fault, prime: int):
+    """Choose an option by the fault's draw, apart from other choices.
+
+    Args:
+      options: What to choose from.
+      fault: The fault.
+      prime: Another number for each choice of a fault.
+    """
+    return options[int(fault.draw * prime) % len(options)]
+
+
+@contextlib.contextmanager
+def disturb_topics(world: worlds.World, host: str, topics, trouble):
+    """Disturb a host's calls of some topics for as long as the block runs."""
+    for topic in topics:
+        world.store.topic_faults[host, topic] = trouble
+    try:
+        yield
+    finally:
+        for topic in topics:
+            world.store.topic_faults.pop((host, topic), None)
+
+
 async def _restart(world, gateway, seconds: float) -> None:
     async with gateway.restarting:
         gateway.process.kill()
--- a/packages/e2e/auburnroad_e2e/soak/promises.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises.py
@@ -34,6 +34,8 @@
 )
 REFUSALS = (429, 503)
 CONFIGURATION_SECONDS = 2.0
+# Error code of a gateway that may not know the configuration in force.
+UNREAD_CODE = 'configuration_unread'
 # Until a key that was removed is refused by gateways that are in touch.
 KEY_SECONDS = 3.0
 # Of so many streams that are taken up, the share that goes on is at least this
@@ -368,7 +370,7 @@
     """
     added = dict(world.routes_added)
     for attempt in callers.attempts:
-        if attempt.kind != 'added' or attempt.status != 404:
+        if attempt.kind != 'added' or not _is_unknown(attempt):
             continue
         gateway = faults.find_gateway(world, attempt.gateway)
         since = added[_find_prefix(attempt)]
@@ -384,6 +386,29 @@
             yield f'{gateway.name} does not know {attempt.path}'
 
 
+def _is_unknown(attempt: all_callers.Attempt) -> bool:
+    """Tell whether a gateway had no route for a request."""
+    return attempt.status == 404 or attempt.refused_as == UNREAD_CODE
+
+
+@PROMISES.register('routes-not-denied')
+def check_routes_not_denied(world, callers):
+    """A route that was added is never denied for good, whatever is wrong.
+
+    A gateway that may not know of it says that callers are to come again.
+    """
+    added = dict(world.routes_added)
+    for attempt in callers.attempts:
+        if attempt.kind != 'added' or attempt.status != 404:
+            continue
+        age = attempt.started - added[_find_prefix(attempt)]
+        if age > CONFIGURATION_SECONDS:
+            yield (
+                f'{attempt.gateway} denied {attempt.path} {age:.1f} s after '
+                'it was added'
+            )
+
+
 @PROMISES.register('configuration-stays')
 def check_configuration_stays(world, callers):
     """A process that has served a route that was added goes on with it."""
--- a/packages/e2e/auburnroad_e2e/soak/promises_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/promises_test.py
@@ -47,6 +47,12 @@
         ]
 
 
+def build_unread(at=50.0):
+    """Build an attempt at a gateway that doesn't know the added route."""
+    attempt = build_attempt('added', 503, False, at, path=f'{ROUTE}x')
+    return msgspec.structs.replace(attempt, refused_as=promises.UNREAD_CODE)
+
+
 def build_attempt(kind='plain', status=200, whole=True, at=50.0, path='/x'):
     return callers.Attempt(
         kind, path, 'q', 'g', 1, at, at + 0.1, status, whole
@@ -268,9 +274,7 @@
         )
 
     def test_unknown_route_while_the_soak_stood_still(self):
-        self.callers.attempts.append(
-            build_attempt('added', 404, False, path=f'{ROUTE}x')
-        )
+        self.callers.attempts.append(build_unread())
         self.judge_stalls(
             'configuration-in-time', (48.5, 49.5), (1.0, 47.9), (50.2, 51.0)
         )
@@ -301,9 +305,13 @@
         )
 
     def test_a_route_that_is_unknown_too_late_or_again(self):
-        late = build_attempt('added', 404, False, path=f'{ROUTE}x')
-        self.callers.attempts.append(late)
+        self.callers.attempts.append(build_unread())
         self.assertEqual({'configuration-in-time'}, self.find_broken())
+        late = build_attempt('added', 404, False, path=f'{ROUTE}x')
+        self.callers.attempts = [late]
+        self.assertEqual(
+            {'configuration-in-time', 'routes-not-denied'}, self.find_broken()
+        )
         served = build_attempt('added', 200, at=10.0, path=f'{ROUTE}x')
         self.callers.attempts.insert(0, served)
         self.assertIn('configuration-stays', self.find_broken())
@@ -313,12 +321,23 @@
         self.world.disturbances.append(
             worlds.Disturbance('log-path-cut', 'g', 9.0, 11.0)
         )
-        soon = build_attempt('added', 404, False, 16.0, path=f'{ROUTE}x')
+        self.callers.attempts.append(build_unread(16.0))
+        self.assertEqual(set(), self.find_broken())
+        self.callers.attempts.append(build_unread(18.0))
+        self.assertEqual({'configuration-in-time'}, self.find_broken())
+
+    # Guards against a disturbance that excuses a final status.
+    def test_route_that_is_denied_while_reads_are_lost(self):
+        self.world.disturbances.append(
+            worlds.Disturbance('operators-unread', 'g', 0.0, 90.0)
+        )
+        soon = build_attempt('added', 404, False, 1.9, path=f'{ROUTE}x')
         self.callers.attempts.append(soon)
+        self.callers.attempts.append(build_unread(18.0))
         self.assertEqual(set(), self.find_broken())
         late = build_attempt('added', 404, False, 18.0, path=f'{ROUTE}x')
         self.callers.attempts.append(late)
-        self.assertEqual({'configuration-in-time'}, self.find_broken())
+        self.assertEqual({'routes-not-denied'}, self.find_broken())
 
     def test_replica_that_gets_more_than_its_limit(self):
         """Each gateway kept the limit alone, all together did not."""
--- a/packages/e2e/auburnroad_e2e/soak/regressions.py
+++ b/packages/e2e/auburnroad_e2e/soak/regressions.py
@@ -7,6 +7,7 @@
 
 from auburnroad_e2e.soak import duty_faults
 from auburnroad_e2e.soak import faults
+from auburnroad_e2e.soak import read_faults
 from auburnroad_e2e.soak import schedule as schedules
 
 
@@ -47,6 +48,7 @@
     faults.ALL_LOST_AT_RELEASE,
     *schedules.KEY_KINDS,
     *schedules.DUTY_KINDS,
+    *schedules.READ_KINDS,
 )
 
 CASES: tuple[Case, ...] = (
@@ -56,7 +58,12 @@
     Case(2006, 12.0, _NEXT_START, _ADDED_LATER),
     Case(2027, 12.0, _NEXT_START, _ADDED_LATER),
     Case(2049, 12.0, _NEXT_START, _ADDED_LATER),
-    Case(52036, 12.0, _CRASHED, schedules.DUTY_KINDS),
+    Case(
+        52036,
+        12.0,
+        _CRASHED,
+        schedules.DUTY_KINDS + schedules.READ_KINDS,
+    ),
 )
 
 # Streams that callers took up were joined from two software versions after
@@ -88,10 +95,24 @@
     ),
 )
 
+# Routes were denied 2 s after their acknowledgement and later: reads were lost
+# one after the other beside cut-off peers, and by all gateways at once.
+LOST_READS = schedules.Schedule(
+    seed=1,
+    seconds=20.0,
+    gateways=4,
+    engines=3,
+    slots=2,
+    faults=(
+        schedules.Fault(read_faults.LOST_IN_SERIES, 3.0, 6.0, 0.1),
+        schedules.Fault(read_faults.UNREAD, 12.0, 6.0, 0.0055),
+    ),
+)
+
 
 def list_schedules() -> list[schedules.Schedule]:
     """List the schedules of all cases."""
-    return [LOST_AT_RELEASE, FORMER_HOLDER] + [
+    return [LOST_AT_RELEASE, FORMER_HOLDER, LOST_READS] + [
         schedules.draw(
             case.seed,
             case.seconds,
--- a/packages/e2e/auburnroad_e2e/soak/run.py
+++ b/packages/e2e/auburnroad_e2e/soak/run.py
@@ -165,13 +165,20 @@
 
 
 def _list_fixed(
-    known: bool, lost_at_release: bool, former_holder: bool
+    known: bool, lost_at_release: bool, former_holder: bool, lost_reads: bool
 ) -> list[schedules.Schedule]:
     if known:
         return regressions.list_schedules()
-    if lost_at_release:
-        return [regressions.LOST_AT_RELEASE]
-    return [regressions.FORMER_HOLDER] if former_holder else []
+    chosen = {
+        'LOST_AT_RELEASE': lost_at_release,
+        'FORMER_HOLDER': former_holder,
+        'LOST_READS': lost_reads,
+    }
+    return [
+        getattr(regressions, name)
+        for name, is_chosen in chosen.items()
+        if is_chosen
+    ]
 
 
 def main(
@@ -182,6 +189,7 @@
     known: bool = False,
     lost_at_release: bool = False,
     former_holder: bool = False,
+    lost_reads: bool = False,
     duties: str = '',
     shorter: bool = False,
     timed: bool = True,
@@ -197,6 +205,7 @@
       known: Run the seeds that once failed instead.
       lost_at_release: Run only the loss of all gateways at a release.
       former_holder: Run only the cuts after which a former holder ordered.
+      lost_reads: Run only the lost reads after which routes were denied.
       duties: Have only faults that may make two gateways order loads, of
         this kind, or 'all' of them.
       shorter: Find a shorter schedule for each seed that fails.
@@ -211,7 +220,9 @@
         schedules.draw(seed, seconds, kinds, gateways)
         for seed in range(first, first + seeds)
     ]
-    drawn = _list_fixed(known, lost_at_release, former_holder) or drawn
+    drawn = (
+        _list_fixed(known, lost_at_release, former_holder, lost_reads) or drawn
+    )
     failed = 0
     for schedule in drawn:
         place = f'{keep}/{schedule.seed}' if keep else ''
--- a/packages/e2e/auburnroad_e2e/soak/schedule.py
+++ b/packages/e2e/auburnroad_e2e/soak/schedule.py
@@ -33,6 +33,10 @@
 )
 DUTY_FAULTS = (2, 4)
 DUTY_FAULT_SECONDS = (1.2, 8.0)
+# The same for what lets gateways learn late of changes, in every third seed.
+READ_KINDS = ('operators-unread', 'reads-lost-in-series')
+READ_FAULTS = (1, 3)
+READ_FAULT_SECONDS = (2.5, 6.0)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -100,7 +104,7 @@
     at = FIRST_FAULT_SECONDS
     # Some runs have one fault after the other, some have them overlap.
     mean_gap = source.choice((0.4, 1.0, 2.5))
-    apart = KEY_KINDS + RELEASE_KINDS + DUTY_KINDS
+    apart = KEY_KINDS + RELEASE_KINDS + DUTY_KINDS + READ_KINDS
     others = [kind for kind in kinds if kind not in apart]
     favourites = source.sample(others, min(len(others), 6))
     while favourites and at < seconds:
@@ -147,6 +151,12 @@
         DUTY_FAULTS,
         DUTY_FAULT_SECONDS,
     ),
+    'reads': (
+        READ_KINDS,
+        lambda seed: seed % 3 == 1,
+        READ_FAULTS,
+        READ_FAULT_SECONDS,
+    ),
 }
 
 
--- a/packages/e2e/auburnroad_e2e/soak/schedule_test.py
+++ b/packages/e2e/auburnroad_e2e/soak/schedule_test.py
@@ -64,5 +64,5 @@
 
     def test_regressions_can_be_drawn(self):
         self.assertEqual(
-            len(regressions.CASES) + 2, len(regressions.list_schedules())
+            len(regressions.CASES) + 3, len(regressions.list_schedules())
         )
