Bound the text of an item by the memory for bodies

What was seen: with a replica that sends events without end, a gateway process of 128 MB took 131 MB within seconds (endless_replicas_test, the case 'events', before this change); the kernel of a host would end it, and with it the requests of all others.

Cause: a body that is read whole counts against the client's budget, but the events of an item's text were kept without a limit. All calls to replicas use one client, which bounds heads, bodies, interim and stray responses.

Change: Reply.keep counts what a reader keeps until the reply is closed; a text over the budget is discarded and its attempt counts as broken.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -51,6 +51,10 @@
     """The request failed after sending began and may have been run."""
 
 
+class TooLargeError(BrokenError):
+    """The response is larger than the memory that is left for it."""
+
+
 class BodyBudget:
     """Memory for the bodies that a client is reading.
 
@@ -75,11 +79,11 @@
           body_bytes: Size of the body with this part.
 
         Raises:
-          BrokenError: If the body is larger than the memory that is left.
+          TooLargeError: If the body is larger than the memory that is left.
         """
         self.used_bytes += part_bytes
         if body_bytes > self._total_bytes - self.used_bytes:
-            raise BrokenError(f'a body of {body_bytes} bytes is too large')
+            raise TooLargeError(f'a body of {body_bytes} bytes is too large')
 
     def release(self, body_bytes: int) -> None:
         """Return the memory of a body."""
@@ -89,7 +93,14 @@
 class Reply:
     """A response whose body may not have been received yet."""
 
-    __slots__ = ('status', 'headers', '_client', '_key', '_connection')
+    __slots__ = (
+        'status',
+        'headers',
+        '_client',
+        '_key',
+        '_connection',
+        '_kept_bytes',
+    )
 
     def __init__(self, status, headers, client, key, connection):
         self.status = status
@@ -97,6 +108,20 @@
         self._client = client
         self._key = key
         self._connection = connection
+        self._kept_bytes = 0
+
+    def keep(self, part_bytes: int) -> None:
+        """Use memory for a part of the body that is kept until its end.
+
+        Args:
+          part_bytes: Size of the part.
+
+        Raises:
+          TooLargeError: If the kept parts are larger than the memory that is
+            left.
+        """
+        self._kept_bytes += part_bytes
+        self._client.body_budget.add(part_bytes, self._kept_bytes)
 
     async def iterate(self) -> typing.AsyncIterator[bytes]:
         """Iterate over the body as it is received.
@@ -134,16 +159,12 @@
             or the body is too large.
         """
         parts = []
-        size = 0
-        budget = self._client.body_budget
         try:
             async for part in self.iterate():
                 parts.append(part)
-                size += len(part)
-                budget.add(len(part), size)
+                self.keep(len(part))
             return b''.join(parts)
         finally:
-            budget.release(size)
             self.close()
 
     async def discard(self) -> None:
@@ -163,6 +184,8 @@
 
     def close(self) -> None:
         """Close the connection if the body was not read to its end."""
+        self._client.body_budget.release(self._kept_bytes)
+        self._kept_bytes = 0
         if self._connection is not None:
             self._connection.writer.close()
             self._connection = None
--- a/packages/gateway/auburnroad_gateway/batches/run.py
+++ b/packages/gateway/auburnroad_gateway/batches/run.py
@@ -212,6 +212,11 @@
                 return AttemptEnd.NOT_RUN
             return AttemptEnd.BROKEN
         return await _read_response(adapter, run, constraints, opened)
+    except client.TooLargeError:
+        # A text without end is nobody's result, and its memory is needed.
+        run.reset_text()
+        target.note_failure(time.monotonic())
+        return AttemptEnd.BROKEN
     except client.HttpError:
         target.note_failure(time.monotonic())
         return AttemptEnd.BROKEN
@@ -248,6 +253,7 @@
                 # The release of the text since the last attempt is unknown.
                 run.reset_text()
                 return AttemptEnd.STALE
+            opened.reply.keep(len(event.raw))
             if not _add_event(run, event):
                 target.note_failure(time.monotonic())
                 return AttemptEnd.BROKEN
--- a/packages/standins/auburnroad_standins/scripted_replicas.py
+++ b/packages/standins/auburnroad_standins/scripted_replicas.py
@@ -21,6 +21,9 @@
         self._parts = parts
         self.closed = False
 
+    def keep(self, part_bytes: int) -> None:
+        """Accept any size, as there is no limit."""
+
     async def iterate(self) -> typing.AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive."""
         async for part in self._parts:
