Give up an engine's line without end

What was seen: a side whose engine sent a body without a line feed kept all of it and split it anew with each part; http_engine_test, before this change, gave up after 30 s without a result.

Cause: HttpEngine bounded heads by its client, but not the line it was in the midst of. Reports, answers to orders and errors of replicas shared the budget of 512 MB with the weights.

Change: a line of more than 1 MiB breaks the attempt. Calls to replicas have a client of their own with 32 MiB for bodies.

--- a/packages/daemon/auburnroad_daemon/connection/http_engine.py
+++ b/packages/daemon/auburnroad_daemon/connection/http_engine.py
@@ -12,6 +12,8 @@
 LOAD_TIMEOUT_SECONDS = 1.0
 CANCEL_TIMEOUT_SECONDS = 2.0
 ORDER_TIMEOUT_SECONDS = 20.0
+# Size of one line of a stream of tokens.
+MAX_LINE_BYTES = 1 << 20
 DATA_PREFIX = b'data:'
 END_OF_STREAM = b'[DONE]'
 
@@ -58,6 +60,8 @@
             partial_line = b''
             async for part in reply.iterate():
                 *lines, partial_line = (partial_line + part).split(b'\n')
+                if len(partial_line) > MAX_LINE_BYTES:
+                    raise engine.EngineBrokenError('a line without end')
                 events = _parse_events(lines)
                 if events:
                     yield events
--- a/packages/daemon/auburnroad_daemon/process/side.py
+++ b/packages/daemon/auburnroad_daemon/process/side.py
@@ -36,6 +36,8 @@
 
 DEFAULT_DRAIN_MS = 30_000
 HTTP_DRAIN_TIMEOUT_SECONDS = 5.0
+# Memory for reports, answers to orders and errors of replicas together.
+REPLICA_BODY_BYTES = 32 * 1024 * 1024
 
 
 @roles.ROLES.register('side')
@@ -46,11 +48,14 @@
         self._settings = settings
         self._incarnation = secrets.token_hex(8)
         self._client = client.HttpClient()
+        self._replica_client = client.HttpClient(
+            body_budget_bytes=REPLICA_BODY_BYTES
+        )
         self._metrics = side_metrics.SideMetrics()
         self._history = history.History()
         self._configuration = side_configuration.SideConfiguration()
         self._replicas = [
-            replica_module.build_replica(replica, self._client)
+            replica_module.build_replica(replica, self._replica_client)
             for replica in settings.replicas
         ]
         self._requests = side_requests.SideRequests(
@@ -185,6 +190,7 @@
         await self._streams.close()
         await self._http.close()
         self._client.close()
+        self._replica_client.close()
         self._closed.set()
 
     def build_hello(self) -> messages.Hello:
