Entries deny only by a configuration that was read recently

What callers may see: 404 for a model, service or trainer that was just added, by an entry of a deployment with sides.

Change: Tail.confirm_recent tells how long ago the stream was read to its end, and reads it beside a poll that may be lost. 404 for unknown names is sent only after it; else the request is handled by the newer configuration, or refused with 503.

--- a/packages/core/auburnroad_core/log/tail.py
+++ b/packages/core/auburnroad_core/log/tail.py
@@ -2,7 +2,9 @@
 
 The state becomes stale while the log service is unavailable. The property
 `is_up_to_date` is true only if the last long poll left no record unread, so
-that callers can detect a stale state before they base a decision on it.
+that callers can detect a stale state before they base a decision on it. A poll
+that gets no answer ends only with its timeout; `confirm_recent` is for
+decisions that can't be taken back.
 """
 
 import asyncio
@@ -72,6 +74,7 @@
         '_fold',
         '_replay',
         '_up',
+        '_complete_at',
         '_listeners',
         '_waiters',
     )
@@ -81,6 +84,7 @@
         self._fold = fold
         self._replay = replay.Replay(fold)
         self._up = False
+        self._complete_at = float('-inf')
         self._listeners: list[Listener] = []
         self._waiters: set[asyncio.Future] = set()
 
@@ -145,6 +149,33 @@
                 return False
         return True
 
+    async def confirm_recent(
+        self, max_age_seconds: float, timeout_seconds: float
+    ) -> bool:
+        """Read the stream to its end unless that was done recently.
+
+        Args:
+          max_age_seconds: Maximum time since the last such read was sent.
+          timeout_seconds: Maximum time for the read.
+
+        Returns:
+          Whether the state includes every record of that time.
+        """
+        if self._find_age_seconds() > max_age_seconds:
+            try:
+                async with asyncio.timeout(timeout_seconds):
+                    await self._read(0.0)
+            except (log_service.LogUnavailableError, TimeoutError) as error:
+                logging.info(
+                    'log stream %s: not read for a decision: %r',
+                    self._fold.STREAM,
+                    error,
+                )
+        return self._find_age_seconds() <= max_age_seconds
+
+    def _find_age_seconds(self) -> float:
+        return clock.read_boot_clock_seconds() - self._complete_at
+
     async def wait_up_to_date(self, deadline_ms: int) -> bool:
         """Wait until the state is up to date with the log.
 
@@ -198,22 +229,31 @@
 
     async def _poll(self) -> None:
         """Read one batch; use a long poll only if the state is up to date."""
-        wait_seconds = POLL_SECONDS if self._up else 0.0
+        batch = await self._read(POLL_SECONDS if self._up else 0.0)
+        if not self._up and self._replay.next_offset >= batch.next_offset:
+            # Records expired before they were read. The state can be restored
+            # only after another daemon has written a checkpoint.
+            await asyncio.sleep(MAX_BACKOFF_SECONDS)
+
+    async def _read(self, wait_seconds: float) -> log_service.Batch:
+        """Read one batch and fold it unless another read was faster."""
         offset = self._replay.next_offset
+        requested_at = clock.read_boot_clock_seconds()
         batch = await self._service.read(
             self._fold.STREAM, offset, wait_seconds
         )
+        if offset != self._replay.next_offset:
+            return batch
         folded = self._replay.fold_batch(batch)
         for record in folded:
             counters.VERDICTS.labels(self._fold.STREAM, record.verdict).inc()
         was_up = self._up
         self._set_up(self._replay.caught_up, 'unread records')
+        if self._up:
+            self._complete_at = max(self._complete_at, requested_at)
         if folded or was_up != self._up:
             self._notify(folded)
-        if not self._up and self._replay.next_offset >= batch.next_offset:
-            # Records expired before they were read. The state can be restored
-            # only after another daemon has written a checkpoint.
-            await asyncio.sleep(MAX_BACKOFF_SECONDS)
+        return batch
 
     def _set_up(self, up: bool, reason: str) -> None:
         if up == self._up:
--- a/packages/daemon/auburnroad_daemon/process/entry.py
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -34,8 +34,8 @@
 from auburnroad_daemon.process import history
 from auburnroad_daemon.process import membership
 from auburnroad_daemon.process import roles
-from auburnroad_daemon.request import answers
 from auburnroad_daemon.request import completions
+from auburnroad_daemon.request import denials
 from auburnroad_daemon.request import dispatch
 from auburnroad_daemon.request import intents
 from auburnroad_daemon.request import services
@@ -52,6 +52,9 @@
 # Limit for appending the remaining records after the last request.
 FLUSH_TIMEOUT_MS = 1000
 DEFAULT_LIMITS = deployment.Limits()
+# A request is denied only by a configuration that was read within this time.
+MAX_CONFIGURATION_AGE_SECONDS = 2.0
+CONFIRM_TIMEOUT_SECONDS = 0.5
 
 
 @roles.ROLES.register('entry')
@@ -258,6 +261,7 @@
             self._dispatcher,
             self._membership.count_slots,
             self._announce_version,
+            self._confirm_configuration,
         )
         self._gate = intents.IntentGate(
             self._intents_appender, self._intents_tail, settings.name
@@ -288,10 +292,17 @@
             return trainer_calls.build_retryable_refusal(
                 'no_configuration', 'not configured yet'
             )
-        try:
-            return await handle(request, self._deployment, self._dispatcher)
-        except answers.BadRequestError as error:
-            return answers.refuse_bad_request(error)
+        return await denials.handle_by_current(
+            lambda deployed: handle(request, deployed, self._dispatcher),
+            lambda: self._deployment,
+            self._confirm_configuration,
+        )
+
+    async def _confirm_configuration(self) -> bool:
+        """Tell whether what the configuration lacks is unknown for sure."""
+        return await self._configuration_tail.confirm_recent(
+            MAX_CONFIGURATION_AGE_SECONDS, CONFIRM_TIMEOUT_SECONDS
+        )
 
     def _announce_version(self, model: str, version: int) -> None:
         """Send a new weight version before the next periodic heartbeat."""
--- a/packages/daemon/auburnroad_daemon/version/ownership.py
+++ b/packages/daemon/auburnroad_daemon/version/ownership.py
@@ -20,6 +20,7 @@
 from auburnroad_daemon.connection import peer_link
 from auburnroad_daemon.process import entry_metrics as metrics
 from auburnroad_daemon.request import answers
+from auburnroad_daemon.request import denials
 from auburnroad_daemon.request import dispatch
 from auburnroad_daemon.version import copies
 from auburnroad_daemon.version import owner as owners
@@ -63,6 +64,7 @@
         '_dispatcher',
         '_count_slots',
         '_on_version',
+        '_confirm_configuration',
         '_owners',
         '_claim_locks',
         '_deployment',
@@ -79,6 +81,7 @@
         dispatcher: dispatch.Dispatcher,
         count_slots: typing.Callable[[str], int],
         on_version: typing.Callable[[str, int], None],
+        confirm_configuration: typing.Callable[[], typing.Awaitable[bool]],
     ):
         self._name = name
         self._incarnation = incarnation
@@ -88,6 +91,7 @@
         self._dispatcher = dispatcher
         self._count_slots = count_slots
         self._on_version = on_version
+        self._confirm_configuration = confirm_configuration
         self._owners: dict[str, owners.Owner] = {}
         self._claim_locks: dict[str, asyncio.Lock] = {}
         self._deployment: deployment.Deployment | None = None
@@ -148,6 +152,12 @@
             return trainer_calls.build_retryable_refusal(
                 'no_configuration', 'not configured yet'
             )
+        if self._deployment.find_trainer(name) is None:
+            # A 404 is final to trainers.
+            if not await self._confirm_configuration():
+                return denials.build_unread_refusal(
+                    f'no trainer {name!r} is known'
+                )
         if self._deployment.find_trainer(name) is None:
             return answers.build_refusal(
                 404, 'unknown_trainer', f'no trainer {name!r} is configured'
--- a/packages/daemon/auburnroad_daemon/version/ownership_test.py
+++ b/packages/daemon/auburnroad_daemon/version/ownership_test.py
@@ -132,6 +132,7 @@
         self.name = name
         self.alive = True
         self.links = []
+        self.is_configuration_read = True
         self.reader = Reader(log)
         self.dispatcher = Dispatcher()
         self.owners = ownership.Ownership(
@@ -142,8 +143,12 @@
             self.dispatcher,
             lambda service: 8,
             lambda model, version: None,
+            self.confirm_configuration,
         )
 
+    async def confirm_configuration(self):
+        return self.is_configuration_read
+
     def find(self, name):
         found = [link for link in self.links if link.name == name]
         return found[0] if found else None
@@ -198,6 +203,15 @@
             'GET', f'/steps/{step}?version={version}&generation={generation}'
         )
 
+    # Guards against 404 for a trainer that has just been added.
+    async def test_unknown_trainer_is_denied_by_a_recent_configuration(self):
+        entry = self.entries[0]
+        request = messages.Request('GET', '/v1/trainers/t9', {}, b'')
+        for is_read, status in ((True, 404), (False, 503)):
+            entry.is_configuration_read = is_read
+            response = await entry.owners.handle(request)
+            self.assertEqual(status, response.status)
+
     async def test_repeated_fetch_at_any_entry_returns_same_step(self):
         await self.submit(self.entries[0], 0)
         status, first = await self.fetch(self.entries[0], 0)
