Retry reads on the direct path only; leave appends and catch-ups as they were

Change: only reads that wait for records have the direct path again in later rounds, one round more; all other calls have one path a round, as before. On a detour a waiting read goes through a peer, and directly one round later.

--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -1,14 +1,15 @@
 """Calls the log service directly and fails over to a relay on a peer gateway.
 
-The log service may be unreachable from some hosts and reachable from others,
-and a connection may go silent while a new one works. A call is therefore tried
-in rounds, later ones while the calls of the earlier ones may still be
-answered. Each later round has a new direct connection and another peer, so
-that peers that are cut off as well don't keep this host from the log service.
-During the 3 seconds after a failure, called the detour, calls are sent through
-a peer first; reads that wait for records go directly at the same time. An
-append whose response was lost on one path may be retried on another, since its
-producer's sequence number makes it idempotent.
+The log service may be unreachable from some hosts and reachable from others.
+A call that gets no answer is therefore tried in rounds, on another path each
+time, while the calls of earlier rounds may still be answered. During the 3
+seconds after a failure, called the detour, calls are sent through a peer
+first. An append whose response was lost on one path may be retried on another,
+since its producer's sequence number makes it idempotent.
+
+A connection may also go silent while a new one works, and peers may be cut off
+as well. Each later round of a read that waits for records therefore has a new
+direct connection beside a peer.
 """
 
 import asyncio
@@ -26,8 +27,11 @@
 HEDGE_LATENCY_RATIO = 2.0
 # Weight of the newest append in the moving average of the append latency.
 LATENCY_WEIGHT = 0.3
-# Number of rounds of calls after the first one.
-FURTHER_ROUNDS = 2
+# Maximum number of peers that one call is sent to. More than one, since the
+# log service may be unreachable from the first peer as well.
+MAX_PEERS = 2
+# Number of rounds after the first one of a read that waits for records.
+FURTHER_ROUNDS = 3
 # Time without a response after which the next round begins. The log service
 # usually responds within 4 ms; the delay of an append is 60 times as long.
 # Reads of many records share the log service's bandwidth and take longer.
@@ -152,11 +156,8 @@
             or expected_end is not None
             or topic.startswith(service.KEYED_PREFIX)
         )
-        rounds = (
-            self._list_rounds(self._compute_delay(APPEND_HEDGE_SECONDS))
-            if repeatable
-            else [_Round([path], None) for path in self._list_single_paths()]
-        )
+        delay = self._compute_delay(APPEND_HEDGE_SECONDS)
+        rounds = self._list_single_rounds(delay if repeatable else None)
         started_at = time.monotonic()
         first_offset = await self._call(
             lambda path, wait_ms: path.append(
@@ -185,10 +186,12 @@
             service.check_not_outdated(found.end, from_offset)
             return found
 
-        if not wait_ms:
-            return await self._call(call, self._list_catch_up_rounds())
-        delay = self._compute_delay(WAITING_READ_HEDGE_RATIO * wait_ms / 1000)
-        return await self._call(call, self._list_rounds(delay, wait_ms))
+        return await self._call(
+            call,
+            self._list_waiting_rounds(wait_ms)
+            if wait_ms
+            else self._list_catch_up_rounds(),
+        )
 
     async def read_newest(self, topic) -> service.Snapshot:
         """Read the newest records; see service.LogService."""
@@ -258,13 +261,15 @@
                 for task in silent:
                     self._note_silence(calls.paths[task])
                 return None
-            for task in done:
-                path = calls.paths.pop(task)
+            paths = {task: calls.paths.pop(task) for task in done}
+            for task, path in paths.items():
                 error = task.exception()
-                if error is None:
+                if error is not None:
+                    self._note_failure(path, str(error))
+                    calls.note_error(path, error)
+            for task in done:
+                if task.exception() is None:
                     return task
-                calls.note_error(path, error)
-                self._note_failure(path, str(error))
         return None
 
     def _compute_delay(self, minimum_seconds: float) -> float:
@@ -281,33 +286,38 @@
         delta = seconds - self._append_latency_seconds
         self._append_latency_seconds += LATENCY_WEIGHT * delta
 
-    def _list_rounds(self, delay: float, wait_ms: int = 0) -> list[_Round]:
-        """List the rounds of a call that may be sent on several paths.
+    def _list_waiting_rounds(self, wait_ms: int) -> list[_Round]:
+        """List the rounds of a read that waits for records.
 
-        Args:
-          delay: Seconds from one round to the next.
-          wait_ms: Milliseconds that the reads of the first round wait for
-            records. Later ones, sent when that time is over, don't wait.
+        Later ones, sent when the time to wait is over, don't wait.
         """
-        peers = self._open_peers(FURTHER_ROUNDS)
-        first = [self.direct]
-        if peers and self.on_detour:
-            first = [peers[0], self.direct] if wait_ms else [peers[0]]
-            peers = peers[1:] + peers[:1]
-        last_seconds = max(delay, LAST_ROUND_SECONDS) if wait_ms else None
-        seconds = [delay] * (FURTHER_ROUNDS - 1) + [last_seconds]
-        rounds = [_Round(first, wait_ms / 1000 + delay, wait_ms)]
+        wait_seconds = wait_ms / 1000
+        delay = self._compute_delay(WAITING_READ_HEDGE_RATIO * wait_seconds)
+        first, *peers = self._list_paths()
+        peers = [path for path in peers if path is not self.direct]
+        rounds = [_Round([first], wait_seconds + delay, wait_ms)]
         for number in range(FURTHER_ROUNDS):
             further = peers[number % len(peers) :][:1] if peers else []
-            rounds.append(_Round([self.direct, *further], seconds[number]))
+            is_last = number == FURTHER_ROUNDS - 1
+            seconds = max(delay, LAST_ROUND_SECONDS) if is_last else delay
+            rounds.append(_Round([self.direct, *further], seconds))
         return rounds
 
     def _list_catch_up_rounds(self) -> list[_Round]:
-        return self._list_rounds(self._compute_delay(CATCH_UP_HEDGE_SECONDS))
-
-    def _list_single_paths(self) -> list:
-        """List the paths of a call that is sent again only if refused."""
-        peers = self._open_peers(FURTHER_ROUNDS)
+        delay = self._compute_delay(CATCH_UP_HEDGE_SECONDS)
+        return self._list_single_rounds(delay)
+
+    def _list_single_rounds(self, delay: float | None) -> list[_Round]:
+        """List rounds of one call each; the last one is waited for."""
+        paths = self._list_paths()
+        return [
+            *(_Round([path], delay) for path in paths[:-1]),
+            _Round(paths[-1:], None),
+        ]
+
+    def _list_paths(self) -> list:
+        """List the paths in the order in which they are tried."""
+        peers = self._open_peers(MAX_PEERS)
         if peers and self.on_detour:
             return [peers[0], self.direct, *peers[1:]]
         return [self.direct, *peers]
