Let the hedges of reads follow the latency of reads

A log service that is slow for all looks silent to each gateway: hedged reads and new connections made it slower still. Only the latency of appends kept hedges back, and each silent read closed all idle connections.

Change: the latency of waiting reads, without their wait, keeps hedges back as well; an idle connection is closed only if it has been idle since before the silent call was sent. The tests of lost reads run on a clock that only they move: beside a load of 22 the virtual time of a call depended on the machine.

--- a/packages/core/auburnroad_core/http/client.py
+++ b/packages/core/auburnroad_core/http/client.py
@@ -267,7 +267,7 @@
                 connection.reset()
             connection.writer.close()
             if connection.was_silent(sent_at):
-                self._discard_idle(address, sent_at)
+                self.discard_idle(address, sent_at)
             raise
 
     async def fetch(
@@ -321,14 +321,6 @@
             return
         idle.append(connection)
 
-    def discard_idle(self, address: str) -> None:
-        """Close the idle connections to an address.
-
-        Args:
-          address: 'IP address:port'.
-        """
-        self._discard_idle(address, float('inf'))
-
     def close(self) -> None:
         """Close every idle connection."""
         for idle in self._idle.values():
@@ -336,8 +328,13 @@
                 connection.writer.close()
         self._idle.clear()
 
-    def _discard_idle(self, address: str, before: float) -> None:
-        """Close the connections that have been idle since before a time."""
+    def discard_idle(self, address: str, before: float) -> None:
+        """Close connections that have been idle since before a time.
+
+        Args:
+          address: 'IP address:port' that they lead to.
+          before: Loop time in seconds.
+        """
         idle = self._idle[address]
         for connection in [
             entry for entry in idle if entry.idle_since < before
--- a/packages/e2e/auburnroad_e2e/lost_reads_test.py
+++ b/packages/e2e/auburnroad_e2e/lost_reads_test.py
@@ -5,8 +5,6 @@
 is held up, or with one more that is lost right after the first.
 """
 
-import asyncio
-
 from auburnroad_e2e.launch import relay as relays
 from auburnroad_e2e import silent_connections_test
 from auburnroad_standins import platform_store
@@ -43,9 +41,8 @@
             step = min(
                 silent_connections_test.STEP_SECONDS, seconds - advanced
             )
-            self.clock.advance(step)
+            await self.step(step)
             advanced += step
-            await asyncio.sleep(silent_connections_test.REAL_STEP_SECONDS)
 
     async def begin_read(self):
         """Let all hosts have a read that has just been sent."""
--- a/packages/e2e/auburnroad_e2e/silent_connections_test.py
+++ b/packages/e2e/auburnroad_e2e/silent_connections_test.py
@@ -26,8 +26,9 @@
 # were lost (contactMs of the smaller deployments).
 CONTACT_SECONDS = 3.0
 STEP_SECONDS = 0.05
-# Real time for calls to complete in each step of the clock.
-REAL_STEP_SECONDS = 0.01
+# Iterations of the event loop in each step of the clock, in which bytes pass
+# from a host through relays and a peer to the log service and back.
+STEP_ITERATIONS = 60
 LIMIT_SECONDS = 30.0
 
 
@@ -86,7 +87,7 @@
     """Three hosts that follow one keyed topic."""
 
     async def asyncSetUp(self):
-        self.clock = loop_clock.LoopClock()
+        self.clock = loop_clock.LoopClock(frozen=True)
         self.network = loopback.Network()
         self.addCleanup(self.network.close)
         self.store = platform_store.PlatformStore()
@@ -110,11 +111,16 @@
         advanced = 0.0
         while not condition():
             self.assertLess(advanced, LIMIT_SECONDS)
-            self.clock.advance(STEP_SECONDS)
+            await self.step(STEP_SECONDS)
             advanced += STEP_SECONDS
-            await asyncio.sleep(REAL_STEP_SECONDS)
         return advanced
 
+    async def step(self, seconds):
+        """Move the clock, and let what is due then be done."""
+        self.clock.advance(seconds)
+        for _ in range(STEP_ITERATIONS):
+            await asyncio.sleep(0)
+
     async def open_connections(self, host):
         """Leave idle connections to the log service and to each peer."""
         await asyncio.gather(
--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -23,9 +23,9 @@
 
 # How long calls are sent through a peer first after a direct call failed.
 DETOUR_SECONDS = 3.0
-# Minimum delay of a hedged call as a multiple of the mean append latency.
+# Minimum delay of a hedged call as a multiple of the mean latency.
 HEDGE_LATENCY_RATIO = 2.0
-# Weight of the newest append in the moving average of the append latency.
+# Weight of the newest call in the moving averages of the latency.
 LATENCY_WEIGHT = 0.3
 # Maximum number of peers that one call is sent to. More than one, since the
 # log service may be unreachable from the first peer as well.
@@ -67,16 +67,18 @@
 
     Attributes:
       paths: Path of each call.
-      started_at: Monotonic seconds at which each call was sent.
+      started_at: Loop time in seconds at which each call was sent.
+      wait_seconds: Seconds that each call may wait for records.
       refused: Paths on which the log service is not to be tried again.
       failure: Error to raise if no call succeeds.
     """
 
-    __slots__ = ('paths', 'started_at', 'refused', 'failure')
+    __slots__ = ('paths', 'started_at', 'wait_seconds', 'refused', 'failure')
 
     def __init__(self):
         self.paths: dict[asyncio.Task, object] = {}
         self.started_at: dict[asyncio.Task, float] = {}
+        self.wait_seconds: dict[asyncio.Task, float] = {}
         self.refused: list[object] = []
         self.failure: service.LogError | None = None
 
@@ -85,11 +87,17 @@
         """Whether a call that failed may have been carried out."""
         return isinstance(self.failure, service.LogLostError)
 
-    def start(self, path, coroutine) -> None:
+    def start(self, path, coroutine, wait_ms: int) -> None:
         """Send a call."""
         task = asyncio.ensure_future(coroutine)
         self.paths[task] = path
-        self.started_at[task] = time.monotonic()
+        self.started_at[task] = asyncio.get_running_loop().time()
+        self.wait_seconds[task] = wait_ms / 1000
+
+    def find_latency(self, task: asyncio.Task) -> float:
+        """Find the seconds from sending a call to now, without its wait."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, now - self.started_at[task] - self.wait_seconds[task])
 
     def note_error(self, path, error: service.LogError) -> None:
         """Record a failed call.
@@ -127,6 +135,7 @@
         '_detour_until',
         '_first_peer',
         '_append_latency_seconds',
+        '_read_latency_seconds',
     )
 
     def __init__(self, direct, list_peers, open_peer):
@@ -144,6 +153,7 @@
         self._detour_until = 0.0
         self._first_peer = 0
         self._append_latency_seconds = 0.0
+        self._read_latency_seconds = 0.0
 
     async def append(
         self, topic, partition, records, producer=None, expected_end=None
@@ -237,9 +247,16 @@
                     break
                 for path in entry.paths:
                     if path not in calls.refused:
-                        calls.start(path, call(path, entry.wait_ms))
+                        calls.start(
+                            path, call(path, entry.wait_ms), entry.wait_ms
+                        )
                 found = await self._wait_for_result(calls, entry.seconds)
                 if found is not None:
+                    if rounds[0].wait_ms:
+                        self._read_latency_seconds += LATENCY_WEIGHT * (
+                            calls.find_latency(found)
+                            - self._read_latency_seconds
+                        )
                     return found.result()
         finally:
             calls.cancel()
@@ -259,7 +276,9 @@
             )
             if not done:
                 for task in silent:
-                    self._note_silence(calls.paths[task])
+                    self._note_silence(
+                        calls.paths[task], calls.started_at[task]
+                    )
                 return None
             paths = {task: calls.paths.pop(task) for task in done}
             for task, path in paths.items():
@@ -275,12 +294,13 @@
     def _compute_delay(self, minimum_seconds: float) -> float:
         """Compute the seconds from one round to the next.
 
-        The delay grows with the append latency, since hedged calls only add
-        load when the log service is slow on every path.
+        The delay grows with the latency, since hedged calls only add load when
+        the log service is slow on every path.
         """
-        return max(
-            minimum_seconds, HEDGE_LATENCY_RATIO * self._append_latency_seconds
+        latency_seconds = max(
+            self._append_latency_seconds, self._read_latency_seconds
         )
+        return max(minimum_seconds, HEDGE_LATENCY_RATIO * latency_seconds)
 
     def _note_append_latency(self, seconds: float) -> None:
         delta = seconds - self._append_latency_seconds
@@ -330,8 +350,8 @@
         addresses = [*peers[first:], *peers[:first]][:count]
         return [self._open_peer(address) for address in addresses]
 
-    def _note_silence(self, path) -> None:
-        path.discard_idle_connections()
+    def _note_silence(self, path, sent_at: float) -> None:
+        path.discard_idle_connections(sent_at)
         self._note_failure(path, 'silent')
 
     def _note_failure(self, path, error: str) -> None:
--- a/packages/gateway/auburnroad_gateway/log/service.py
+++ b/packages/gateway/auburnroad_gateway/log/service.py
@@ -119,8 +119,12 @@
           address: Address as 'IP address:port'.
         """
 
-    def discard_idle_connections(self) -> None:
-        """Open a new connection for the next call."""
+    def discard_idle_connections(self, before: float) -> None:
+        """Close connections that may have gone silent.
+
+        Args:
+          before: Loop time in seconds since before which they have been idle.
+        """
 
     async def append(
         self,
--- a/packages/gateway/auburnroad_gateway/members/relay.py
+++ b/packages/gateway/auburnroad_gateway/members/relay.py
@@ -107,9 +107,9 @@
         self._address = address
         self._client = http_client
 
-    def discard_idle_connections(self) -> None:
-        """Open a new connection to the peer for the next call."""
-        self._client.discard_idle(self._address)
+    def discard_idle_connections(self, before: float) -> None:
+        """Close old idle connections; see service.LogService."""
+        self._client.discard_idle(self._address, before)
 
     async def append(
         self, topic, partition, records, producer=None, expected_end=None
--- a/packages/standins/auburnroad_standins/loop_clock.py
+++ b/packages/standins/auburnroad_standins/loop_clock.py
@@ -12,9 +12,16 @@
 
     __slots__ = ('_find_time', '_added_seconds')
 
-    def __init__(self):
+    def __init__(self, frozen: bool = False):
+        """Replace the clock.
+
+        Args:
+          frozen: Whether time passes only when the test moves the clock, so
+            that the machine's load decides nothing.
+        """
         loop = asyncio.get_running_loop()
-        self._find_time = loop.time
+        now = loop.time()
+        self._find_time = (lambda: now) if frozen else loop.time
         self._added_seconds = 0.0
         # The callback that moves the clock would be reported as slow.
         loop.slow_callback_duration = float('inf')
--- a/packages/standins/auburnroad_standins/partition_log.py
+++ b/packages/standins/auburnroad_standins/partition_log.py
@@ -61,7 +61,7 @@
         """Record the new address in calls."""
         self.calls.append(f'address {address}')
 
-    def discard_idle_connections(self) -> None:
+    def discard_idle_connections(self, before: float) -> None:
         """Do nothing, as there are no connections."""
 
     def list_partitions(self) -> list[tuple[str, int]]:
