--- a/packages/gateway/auburnroad_gateway/log/detour.py
+++ b/packages/gateway/auburnroad_gateway/log/detour.py
@@ -30,6 +30,9 @@
 # Maximum number of peers that one call is sent to. More than one, since the
 # log service may be unreachable from the first peer as well.
 MAX_PEERS = 2
+# Maximum factor of the delays of hedged reads while no path has an answer. A
+# log service that is slow for all must not get more calls than it can answer.
+MAX_BACKOFF = 4
 # Number of rounds after the first one of a read that waits for records.
 FURTHER_ROUNDS = 3
 # Time without a response after which the next round begins. The log service
@@ -136,6 +139,7 @@
         '_first_peer',
         '_append_latency_seconds',
         '_read_latency_seconds',
+        '_read_backoff',
     )
 
     def __init__(self, direct, list_peers, open_peer):
@@ -154,6 +158,7 @@
         self._first_peer = 0
         self._append_latency_seconds = 0.0
         self._read_latency_seconds = 0.0
+        self._read_backoff = 1
 
     async def append(
         self, topic, partition, records, producer=None, expected_end=None
@@ -253,13 +258,12 @@
                 found = await self._wait_for_result(calls, entry.seconds)
                 if found is not None:
                     if rounds[0].wait_ms:
-                        self._read_latency_seconds += LATENCY_WEIGHT * (
-                            calls.find_latency(found)
-                            - self._read_latency_seconds
-                        )
+                        self._note_read_latency(calls.find_latency(found))
                     return found.result()
         finally:
             calls.cancel()
+        if rounds[0].wait_ms and calls.paths:
+            self._read_backoff = min(MAX_BACKOFF, 2 * self._read_backoff)
         raise calls.failure or service.LogLostError('no path has an answer')
 
     async def _wait_for_result(
@@ -306,13 +310,20 @@
         delta = seconds - self._append_latency_seconds
         self._append_latency_seconds += LATENCY_WEIGHT * delta
 
+    def _note_read_latency(self, seconds: float) -> None:
+        self._read_backoff = 1
+        delta = seconds - self._read_latency_seconds
+        self._read_latency_seconds += LATENCY_WEIGHT * delta
+
     def _list_waiting_rounds(self, wait_ms: int) -> list[_Round]:
         """List the rounds of a read that waits for records.
 
         Later ones, sent when the time to wait is over, don't wait.
         """
         wait_seconds = wait_ms / 1000
-        delay = self._compute_delay(WAITING_READ_HEDGE_RATIO * wait_seconds)
+        delay = self._compute_delay(
+            self._read_backoff * WAITING_READ_HEDGE_RATIO * wait_seconds
+        )
         first, *peers = self._list_paths()
         peers = [path for path in peers if path is not self.direct]
         rounds = [_Round([first], wait_seconds + delay, wait_ms)]
--- a/packages/gateway/auburnroad_gateway/log/detour_test.py
+++ b/packages/gateway/auburnroad_gateway/log/detour_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from auburnroad_gateway.log import detour
 from auburnroad_gateway.log import service
@@ -106,3 +107,22 @@
         found = await self.subject.read('t', 0, 2, 1)
         self.assertEqual(2, found.end)
         self.assertIn('read', self.direct.calls)
+
+    # Guards against a slow log service that is stopped by hedged reads.
+    async def test_reads_without_an_answer_on_any_path_come_more_slowly(self):
+        self.direct.lost_topics.add('t')
+        self.peer.lost_topics.add('t')
+        self.enterContext(mock.patch.object(detour, 'LAST_ROUND_SECONDS', 0))
+        delays = []
+        for _ in range(4):
+            delays.append(self.subject._list_waiting_rounds(1)[1].seconds)
+            with self.assertRaises(service.LogLostError):
+                await self.subject.read('t', 0, 0, 1)
+        self.assertEqual(
+            [1, 2, detour.MAX_BACKOFF, detour.MAX_BACKOFF],
+            [round(delay / delays[0]) for delay in delays],
+        )
+        self.direct.lost_topics.clear()
+        await self.subject.read('t', 0, 0, 1)
+        rounds = self.subject._list_waiting_rounds(1)
+        self.assertLess(rounds[1].seconds, delays[2])
