HTTP server: limits and handlers in modules of their own

Change: limits with the refusals of requests over them, and the responses of handlers, have a module each; both checks of size are one function. Result: server_test, server_drain_test and stale_configuration_test hold.

--- a/packages/core/auburnroad_core/http/server.py
+++ b/packages/core/auburnroad_core/http/server.py
@@ -14,8 +14,9 @@
 
 from absl import logging
 import h11
-import msgspec
 
+from auburnroad_core.http import handling
+from auburnroad_core.http import limits
 from auburnroad_core.http import messages
 from auburnroad_core.http import resets
 
@@ -29,59 +30,6 @@
 GIVE_UP_SECONDS = 0.1
 MAX_GIVE_UP_SHARE = 0.2
 
-# Time after which a request is worth sending again whose limits aren't known.
-RETRY_AFTER_SECONDS = 0.5
-
-Handler = typing.Callable[
-    [messages.Request], typing.Awaitable[messages.Response]
-]
-
-
-class HttpLimits(msgspec.Struct, frozen=True):
-    """Size and time limits above which a request is rejected.
-
-    Attributes:
-      header_bytes: Maximum size of the request line and headers together.
-      body_bytes: Maximum size of the body.
-      header_seconds: Maximum time to receive the request line and headers,
-        from their first byte.
-      idle_seconds: Maximum time that a connection may be idle, and maximum
-        time without a further byte of a body.
-    """
-
-    header_bytes: int = 32768
-    body_bytes: int = 16 * 1024 * 1024
-    header_seconds: float = 10.0
-    idle_seconds: float = 300.0
-
-
-class _RefusedError(Exception):
-    """A request that is rejected without a call of the handler."""
-
-    def __init__(self, status: int, code: str, message: str):
-        super().__init__(message)
-        self.status = status
-        self.code = code
-
-    def build_response(self) -> messages.Response:
-        """Build the error response, which states that nothing was run."""
-        error = {'code': self.code, 'message': str(self)}
-        headers = {'auburnroad-outcome': 'not-run', 'connection': 'close'}
-        if self.status == 503:
-            headers['retry-after'] = f'{RETRY_AFTER_SECONDS:.2f}'
-        return messages.build_json_response(
-            self.status, {'error': error}, headers
-        )
-
-
-class _LimitsUnreadError(_RefusedError):
-    """A request over limits that may not be in force any more."""
-
-    def __init__(self):
-        super().__init__(
-            503, 'limits_unread', 'the limits in force are not known'
-        )
-
 
 class _Connection:
     """The server's end of one connection from a caller."""
@@ -151,7 +99,7 @@
     async def _serve_one(self) -> bool:
         try:
             request = await self._read_request()
-        except _RefusedError as refused:
+        except limits.RefusedError as refused:
             self._server.on_refused(refused.status, refused.code)
             await self._send(refused.build_response())
             await self._linger()
@@ -177,9 +125,9 @@
         reason = str(error).partition(':')[0]
         logging.info('malformed HTTP request: %.200s', reason)
         status = error.error_status_hint
-        refused = _RefusedError(status, 'malformed_http', 'not HTTP/1.1')
+        refused = limits.RefusedError(status, 'malformed_http', 'not HTTP/1.1')
         if status == 431 and not await self._has_first_limits():
-            refused = _LimitsUnreadError()
+            refused = limits.LimitsUnreadError()
         self._server.on_refused(refused.status, refused.code)
         await self._send(refused.build_response())
 
@@ -240,21 +188,16 @@
         size = len(head.target) + sum(
             len(name) + len(value) for name, value in head.headers
         )
-        if size <= self._server.limits.header_bytes:
-            return
-        await self._confirm_limits()
-        limit = self._server.limits.header_bytes
-        if size > limit:
-            raise _RefusedError(
-                431, 'headers_too_large', f'the headers are over {limit} bytes'
-            )
+        await self._check_limit(
+            size, 'header_bytes', 431, 'headers_too_large', 'the headers are'
+        )
 
     def _check_framing(self, head) -> None:
         names = {name for name, _ in head.headers}
         if {b'content-length', b'transfer-encoding'} <= names:
             # A proxy and this server might determine the length of the body
             # from different headers.
-            raise _RefusedError(
+            raise limits.RefusedError(
                 400, 'ambiguous_length', 'two lengths for one body'
             )
 
@@ -267,20 +210,24 @@
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
 
     async def _check_size(self, size: int) -> None:
-        if size <= self._server.limits.body_bytes:
+        await self._check_limit(
+            size, 'body_bytes', 413, 'body_too_large', 'the body is'
+        )
+
+    async def _check_limit(
+        self, size: int, field: str, status: int, code: str, what: str
+    ) -> None:
+        """Refuse a request over a limit, for good if that is in force."""
+        if size <= getattr(self._server.limits, field):
             return
-        await self._confirm_limits()
-        limit = self._server.limits.body_bytes
+        if not await self._server.confirm_limits():
+            raise limits.LimitsUnreadError
+        limit = getattr(self._server.limits, field)
         if size > limit:
-            raise _RefusedError(
-                413, 'body_too_large', f'the body is over {limit} bytes'
+            raise limits.RefusedError(
+                status, code, f'{what} over {limit} bytes'
             )
 
-    async def _confirm_limits(self) -> None:
-        """Refuse a request if its limits may have been raised by now."""
-        if not await self._server.confirm_limits():
-            raise _LimitsUnreadError
-
     async def _read_head(self):
         """Read the request line and headers within the time limits.
 
@@ -288,19 +235,19 @@
           The next h11 event; None after the idle timeout.
 
         Raises:
-          _RefusedError: If the request line and headers take too long.
+          RefusedError: If the request line and headers take too long.
         """
-        limits = self._server.limits
+        in_force = self._server.limits
         if not self._h11.trailing_data[0]:
             data = await self._read_first_bytes()
             if data is None:
                 return None
             self._h11.receive_data(data)
         try:
-            async with asyncio.timeout(limits.header_seconds):
+            async with asyncio.timeout(in_force.header_seconds):
                 return await self._next_event()
         except TimeoutError:
-            raise _RefusedError(
+            raise limits.RefusedError(
                 408, 'head_too_slow', 'the head took too long'
             ) from None
 
@@ -327,7 +274,7 @@
             async with asyncio.timeout(self._server.limits.idle_seconds):
                 return await self._next_event()
         except TimeoutError:
-            raise _RefusedError(
+            raise limits.RefusedError(
                 408, 'body_too_slow', 'the body took too long'
             ) from None
 
@@ -348,7 +295,7 @@
             )
             if not work.done():
                 raise ConnectionResetError('the caller disconnected')
-            return _get_response(work)
+            return handling.get_response(work)
         finally:
             self._work = None
             work.cancel()
@@ -416,36 +363,6 @@
             self._writer.write(data)
 
 
-def _ignore(status: int, code: str) -> None:
-    """Do nothing about a refusal."""
-
-
-async def _confirm() -> bool:
-    """Take limits that nobody changes for those in force."""
-    return True
-
-
-def _get_response(work: asyncio.Task) -> messages.Response:
-    """Return the handler's response, or an error response without one."""
-    if work.cancelled():
-        return messages.build_json_response(
-            504,
-            {'error': {'code': 'stopped', 'message': 'the server stopped'}},
-            {'auburnroad-outcome': 'unknown'},
-        )
-    error = work.exception()
-    if error is None or isinstance(error, OSError):
-        # A handler that can't respond raises an OSError, which closes the
-        # connection.
-        return work.result()
-    logging.error('HTTP handler failed', exc_info=error)
-    return messages.build_json_response(
-        500,
-        {'error': {'code': 'internal_error', 'message': 'a fault of ours'}},
-        {'auburnroad-outcome': 'unknown'},
-    )
-
-
 class HttpServer:
     """Listens on one address and passes requests to one handler.
 
@@ -470,12 +387,18 @@
         '_connections',
     )
 
-    def __init__(self, handler: Handler, limits: HttpLimits | None = None):
+    def __init__(
+        self,
+        handler: handling.Handler,
+        in_force: limits.HttpLimits | None = None,
+    ):
         self.handler = handler
-        self.limits = limits or HttpLimits()
-        self.on_refused: typing.Callable[[int, str], None] = _ignore
+        self.limits = in_force or limits.HttpLimits()
+        self.on_refused: typing.Callable[[int, str], None] = (
+            limits.ignore_refusal
+        )
         self.confirm_limits: typing.Callable[[], typing.Awaitable[bool]] = (
-            _confirm
+            limits.confirm_fixed
         )
         self.draining = False
         self._server: asyncio.Server | None = None
--- a/packages/core/auburnroad_core/http/server_test.py
+++ b/packages/core/auburnroad_core/http/server_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from auburnroad_core.http import client
+from auburnroad_core.http import limits
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
 
@@ -17,8 +18,8 @@
         self.started = asyncio.Event()
         self.release = asyncio.Event()
         self.cancelled = asyncio.Event()
-        limits = server.HttpLimits(header_bytes=2048, body_bytes=1000)
-        self.server = server.HttpServer(self.handle, limits)
+        small = limits.HttpLimits(header_bytes=2048, body_bytes=1000)
+        self.server = server.HttpServer(self.handle, small)
         self.host, self.port = await self.server.start('127.0.0.1', 0)
         self.client = client.HttpClient()
 
@@ -89,12 +90,12 @@
         self.assertEqual(1, response.count(b'HTTP/1.1'))
 
     async def test_incomplete_headers_time_out(self):
-        self.server.limits = server.HttpLimits(header_seconds=0.05)
+        self.server.limits = limits.HttpLimits(header_seconds=0.05)
         response = await self.send_raw(b'GET / HTTP/1.1\r\nhost: a\r\n')
         self.assertTrue(response.startswith(b'HTTP/1.1 408'))
 
     async def test_incomplete_body_times_out(self):
-        self.server.limits = server.HttpLimits(idle_seconds=0.05)
+        self.server.limits = limits.HttpLimits(idle_seconds=0.05)
         head = b'POST / HTTP/1.1\r\nhost: a\r\n'
         for rest in (
             b'content-length: 5\r\n\r\nab',
@@ -114,7 +115,7 @@
             await self.send_raw(b'GET /part HTTP/1.0\r\n\r\n')
 
     async def test_idle_connection_is_closed(self):
-        self.server.limits = server.HttpLimits(idle_seconds=0.05)
+        self.server.limits = limits.HttpLimits(idle_seconds=0.05)
         self.assertEqual(b'', await self.send_raw(b''))
 
     async def test_error_response_does_not_quote_the_request(self):
--- a/packages/daemon/auburnroad_daemon/process/entry.py
+++ b/packages/daemon/auburnroad_daemon/process/entry.py
@@ -12,6 +12,7 @@
 
 from auburnroad_core import clock
 from auburnroad_core.http import client as http_client
+from auburnroad_core.http import limits as http_limits
 from auburnroad_core.http import messages as http_messages
 from auburnroad_core.http import server as http_server
 from auburnroad_core.log import appender as appenders
@@ -324,7 +325,7 @@
         """Apply a new configuration and send it to all connected daemons."""
         deployed = self._deployment
         self._dispatcher.configure(deployed)
-        self._http_server.limits = http_server.HttpLimits(
+        self._http_server.limits = http_limits.HttpLimits(
             deployed.limits.header_bytes, deployed.limits.body_bytes
         )
         self._gate.key_life_ms = deployed.limits.key_life_ms
--- a/packages/daemon/auburnroad_daemon/process/health.py
+++ b/packages/daemon/auburnroad_daemon/process/health.py
@@ -8,8 +8,8 @@
 
 import prometheus_client
 
+from auburnroad_core.http import handling
 from auburnroad_core.http import messages
-from auburnroad_core.http import server
 from auburnroad_daemon.process import history
 
 
@@ -37,10 +37,10 @@
     __slots__ = ('_exact', '_prefixes')
 
     def __init__(self):
-        self._exact: dict[str, server.Handler] = {}
-        self._prefixes: list[tuple[str, server.Handler]] = []
+        self._exact: dict[str, handling.Handler] = {}
+        self._prefixes: list[tuple[str, handling.Handler]] = []
 
-    def add(self, path: str, handler: server.Handler) -> None:
+    def add(self, path: str, handler: handling.Handler) -> None:
         """Add a handler for a path or a prefix.
 
         Args:
--- a/packages/gateway/auburnroad_gateway/process/gateway.py
+++ b/packages/gateway/auburnroad_gateway/process/gateway.py
@@ -5,6 +5,7 @@
 import time
 
 from auburnroad_core.http import client
+from auburnroad_core.http import limits as http_limits
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
 from auburnroad_gateway import adapter as adapters
@@ -400,7 +401,7 @@
             # A weight version may be read before the first configuration.
             return
         limits = current.limits
-        self._caller_server.limits = server.HttpLimits(
+        self._caller_server.limits = http_limits.HttpLimits(
             limits.header_bytes,
             limits.body_bytes,
             limits.header_ms / 1000,
--- a/packages/standins/auburnroad_standins/serving.py
+++ b/packages/standins/auburnroad_standins/serving.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from auburnroad_core import errors
+from auburnroad_core.http import limits
 from auburnroad_core.http import messages
 from auburnroad_core.http import server
 from auburnroad_core import registry
@@ -206,7 +207,7 @@
     """
     http_server = server.HttpServer(
         lambda request: handle(standin, request),
-        server.HttpLimits(body_bytes=BODY_LIMIT_BYTES),
+        limits.HttpLimits(body_bytes=BODY_LIMIT_BYTES),
     )
     host, _, port = address.rpartition(':')
     host, port = await http_server.start(host, int(port))
