--- a/packages/gateway/auburnroad_gateway/batches/reading_test.py
+++ b/packages/gateway/auburnroad_gateway/batches/reading_test.py
@@ -206,6 +206,8 @@
         self.log.down = True
         self.assertEqual(200, (await self.read(key='a1')).status)
         self.assertEqual(503, (await self.read(key='x')).status)
+        self.assertEqual(503, (await self.read()).status)
+        self.log.down = False
         self.assertEqual(401, (await self.read()).status)
 
     async def test_batch_outlives_the_keys_of_its_account(self):
